--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! At most once: job claims, the agent's gate, tombstones.
--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The numbered configuration: documents, patches, versions, digests.
--- /dev/null
+++ b/crates/core/src/main.rs
@@ -0,0 +1,2 @@
+//! The gentiancove binary.
+fn main() {}
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, queues, deadlines, quotas and retry budgets.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Announcements, heartbeats, leases, views and drain.
--- /dev/null
+++ b/crates/quorum/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agreement on a replicated log, with its durable store.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choosing an upstream: load view, choice, ejection.
