core: add an example upstream and a pooled HTTP client

Cause: the roles need something that serves tasks, and the tests need a count of what ran to prove at most once and the bound on slots.

Change: `gentiancove example-upstream` sleeps as asked, echoes, counts executions per task, announces itself every 500 ms and leaves on SIGTERM.

Seen red first: with the wait for running tasks taken out, leaves_and_finishes_what_runs fails (the connection breaks under the task).

--- /dev/null
+++ b/crates/core/src/client/mod.rs
@@ -0,0 +1,96 @@
+//! HTTP client with pooled keep-alive connections.
+//!
+//! Where requests go out at a given rate, a connection for each would cost more
+//! than the request itself. The command line's single calls use `oxhttp`, whose
+//! client closes its connection after each request.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// Longest answer that is read, in bytes.
+pub(crate) const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+const POOL_IDLE: Duration = Duration::from_secs(30);
+
+/// Why a request has no whole answer.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    /// No connection could be opened, so nothing was sent.
+    #[error("cannot connect: {0}")]
+    Connect(hyper_util::client::legacy::Error),
+    /// The connection failed after it was opened.
+    #[error("connection failed: {0}")]
+    Broken(hyper_util::client::legacy::Error),
+    /// The answer's body was cut short or is too long.
+    #[error("cannot read the answer: {0}")]
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// No whole answer came in time.
+    #[error("no answer within {}", humantime::format_duration(*.0))]
+    Timeout(Duration),
+}
+
+/// A result whose error is a missing answer.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+/// A whole answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) body: Bytes,
+}
+
+/// Sends requests over pooled connections; clones share the pool.
+#[derive(Clone, Debug)]
+pub(crate) struct Client {
+    inner: hyper_util::client::legacy::Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Client {
+    /// Builds a client with an empty pool.
+    pub(crate) fn new() -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let inner = hyper_util::client::legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(POOL_IDLE)
+            .build(connector);
+        Client { inner }
+    }
+
+    /// Sends the request and reads the whole answer, within `timeout` in all.
+    pub(crate) async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        timeout: Duration,
+    ) -> Result<Answer> {
+        tokio::time::timeout(timeout, self.exchange(request))
+            .await
+            .unwrap_or(Err(Error::Timeout(timeout)))
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer> {
+        let answer = self.inner.request(request).await.map_err(sort_error)?;
+        let (parts, body) = answer.into_parts();
+        let body = Limited::new(body, MAX_ANSWER_BYTES)
+            .collect()
+            .await
+            .map_err(Error::Body)?;
+        Ok(Answer {
+            status: parts.status,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+fn sort_error(error: hyper_util::client::legacy::Error) -> Error {
+    if error.is_connect() {
+        Error::Connect(error)
+    } else {
+        Error::Broken(error)
+    }
+}
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -1,2 +1,11 @@
 //! The gentiancove binary.
-fn main() {}
+
+use clap::Parser;
+
+mod args;
+mod client;
+mod upstream;
+
+fn main() -> miette::Result<()> {
+    args::Cli::parse().run()
+}
--- /dev/null
+++ b/crates/core/tests/support/mod.rs
@@ -0,0 +1,185 @@
+//! What the tests of the binary share: a running process and HTTP calls to it.
+
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Output, Stdio};
+use std::sync::mpsc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use oxhttp::model::{Body, Request, StatusCode};
+
+/// Longest wait for anything in a test.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A command of the binary that has not been started.
+pub(crate) fn gentiancove(args: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_gentiancove"));
+    command.args(args).stdin(Stdio::null());
+    command
+}
+
+/// Runs a command of the binary to its end.
+pub(crate) fn output(args: &[&str]) -> Output {
+    gentiancove(args).output().expect("the binary starts")
+}
+
+/// What a command wrote and how it ended, for asserts.
+pub(crate) fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// A running process, killed when dropped.
+pub(crate) struct Process {
+    child: Child,
+    lines: mpsc::Receiver<String>,
+}
+
+impl Process {
+    /// Starts the binary.
+    pub(crate) fn start(args: &[&str]) -> Process {
+        let mut child = gentiancove(args)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the binary starts");
+        let stdout = BufReader::new(child.stdout.take().expect("stdout is piped"));
+        let (sender, lines) = mpsc::channel();
+        thread::spawn(move || {
+            let mut read = stdout.lines().map_while(Result::ok);
+            read.all(|line| sender.send(line).is_ok());
+        });
+        Process { child, lines }
+    }
+
+    /// Waits for the line `listening NAME ADDRESS` and returns the address.
+    pub(crate) fn listening(&self, name: &str) -> SocketAddr {
+        let prefix = format!("listening {name} ");
+        loop {
+            let line = self.lines.recv_timeout(PATIENCE).expect("listening line");
+            if let Some(address) = line.strip_prefix(&prefix) {
+                return address.parse().expect("address");
+            }
+        }
+    }
+
+    /// Sends SIGTERM.
+    pub(crate) fn terminate(&self) {
+        let pid = libc::pid_t::try_from(self.child.id()).expect("pid");
+        // SAFETY: kill takes no pointers, and the child isn't reaped before.
+        unsafe { libc::kill(pid, libc::SIGTERM) };
+    }
+
+    /// Waits for the end.
+    pub(crate) fn wait(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("child can be waited for") {
+                return status;
+            }
+            assert!(start.elapsed() < PATIENCE, "process goes on");
+            thread::sleep(Duration::from_millis(10));
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Sends a request and returns status and body.
+pub(crate) fn call(
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> (StatusCode, String) {
+    let mut request = Request::builder().method(method).uri(url);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let request = request.body(Body::from(body.to_owned())).expect("request");
+    let client = oxhttp::Client::new().with_global_timeout(PATIENCE);
+    let answer = client.request(request).expect("answer");
+    let status = answer.status();
+    (status, answer.into_body().to_string().expect("body"))
+}
+
+/// An HTTP server that records requests as `METHOD PATH BODY` and answers each
+/// with what `answer` returns.
+pub(crate) struct Fake {
+    pub(crate) address: SocketAddr,
+    pub(crate) requests: mpsc::Receiver<String>,
+}
+
+impl Fake {
+    /// Starts the server on a free port.
+    pub(crate) fn start(answer: impl Fn(&str) -> (u16, String) + Send + Sync + 'static) -> Fake {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("port");
+        let address = listener.local_addr().expect("address");
+        let (sender, requests) = mpsc::channel();
+        let answer = std::sync::Arc::new(answer);
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let (sender, answer) = (sender.clone(), answer.clone());
+                thread::spawn(move || serve(stream, &sender, &*answer));
+            }
+        });
+        Fake { address, requests }
+    }
+
+    /// The next request that starts with `prefix`.
+    pub(crate) fn next(&self, prefix: &str) -> String {
+        loop {
+            let request = self.requests.recv_timeout(PATIENCE).expect("request");
+            if request.starts_with(prefix) {
+                return request;
+            }
+        }
+    }
+}
+
+fn serve(
+    stream: TcpStream,
+    sender: &mpsc::Sender<String>,
+    answer: &(impl Fn(&str) -> (u16, String) + ?Sized),
+) {
+    let mut reader = BufReader::new(stream.try_clone().expect("stream"));
+    let mut writer = stream;
+    while let Some(request) = read_request(&mut reader) {
+        let (status, body) = answer(&request);
+        let _ = sender.send(request);
+        let head = format!(
+            "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n",
+            body.len()
+        );
+        if writer.write_all((head + &body).as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+fn read_request(reader: &mut impl BufRead) -> Option<String> {
+    let mut first = String::new();
+    reader.read_line(&mut first).ok().filter(|n| *n > 0)?;
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).ok()?;
+        let line = line.trim().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    let line = first.trim().trim_end_matches(" HTTP/1.1");
+    Some(format!("{line} {}", text(&body)))
+}
