core: the whole path as separate processes

Cause: nothing carried a request yet. Now caller -> entry (HTTP) -> agent (tonic) -> upstream (HTTP) and back; the upstream announces itself to its agent, the agent renews at control, the entry takes the view from control and acts only under its lease.

Ruled out: oxhttp's server for the roles (no stop, no bound on a slow sender); hyper, which tonic brings already, takes its place. The agent drops no call when a caller hangs up, since the slot is taken until the upstream ends.

Seen red first: leaving_upstream_gets_nothing_new with the check of the leaving mark taken out (52 executions after the leave in place of 2). A flake of control_process_stops_when_told was a fault: SIGTERM came before its handler; the handlers now stand before anything listens.

Left: control keeps its state in memory, one instance; jobs are not served.

--- /dev/null
+++ b/crates/core/src/agent/announce.rs
@@ -0,0 +1,193 @@
+//! The upstreams that announce themselves to this agent.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use gentian::wire::control;
+use gentian::wire::id;
+use serde::Deserialize;
+
+use super::pool::Pool;
+use crate::renew::Announce;
+
+const EXPIRY: Duration = Duration::from_millis(2000);
+
+/// What an upstream says of itself, again and again as its heartbeat.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Announcement {
+    pub(crate) service: id::Service,
+    pub(crate) address: SocketAddr,
+    #[serde(default = "default_slots")]
+    pub(crate) slots: u32,
+    #[serde(default = "default_connections")]
+    pub(crate) connections: u32,
+    #[serde(default)]
+    pub(crate) incarnation: u64,
+    #[serde(default)]
+    pub(crate) data_center: Option<id::DataCenter>,
+    #[serde(default)]
+    pub(crate) rack: Option<id::Rack>,
+}
+
+/// One upstream as the agent knows it.
+#[derive(Debug)]
+pub(crate) struct Upstream {
+    pub(crate) announcement: Announcement,
+    pub(crate) pool: Pool,
+    state: Mutex<State>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct State {
+    heard: Instant,
+    leaving: bool,
+    busy: u32,
+}
+
+/// A place that one running task takes; freed when dropped.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    upstream: Arc<Upstream>,
+}
+
+/// Why an upstream takes no task now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Refusal {
+    /// It announced that it leaves, or its heartbeat ended.
+    Leaving,
+    /// All its slots run tasks.
+    Full,
+}
+
+impl Upstream {
+    /// Takes a slot, or tells why none is given.
+    pub(crate) fn admit(self: &Arc<Upstream>, now: Instant) -> Result<Slot, Refusal> {
+        let mut state = self.state();
+        if state.leaving || now >= state.heard + EXPIRY {
+            return Err(Refusal::Leaving);
+        }
+        if state.busy >= self.announcement.slots {
+            return Err(Refusal::Full);
+        }
+        state.busy += 1;
+        Ok(Slot {
+            upstream: self.clone(),
+        })
+    }
+
+    /// Slots that run a task, and whether the upstream leaves.
+    pub(crate) fn load(&self) -> (u32, bool) {
+        let state = self.state();
+        (state.busy, state.leaving)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with this lock")
+    }
+}
+
+impl Slot {
+    /// The upstream that the slot belongs to.
+    pub(crate) fn upstream(&self) -> &Arc<Upstream> {
+        &self.upstream
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.upstream.state().busy -= 1;
+    }
+}
+
+/// All upstreams of this agent, by service.
+#[derive(Debug, Default)]
+pub(crate) struct Table {
+    upstreams: Mutex<BTreeMap<id::Service, Arc<Upstream>>>,
+}
+
+impl Table {
+    /// Takes an announcement in. One of another address or process replaces
+    /// the upstream; tasks that run on the old one keep their slots there.
+    pub(crate) fn hear(&self, announcement: Announcement, now: Instant) {
+        let mut upstreams = self.lock();
+        if let Some(known) = upstreams.get(&announcement.service) {
+            if known.announcement == announcement {
+                known.state().heard = now;
+                return;
+            }
+        }
+        let pool = Pool::new(announcement.address, announcement.connections);
+        let state = Mutex::new(State {
+            heard: now,
+            leaving: false,
+            busy: 0,
+        });
+        let service = announcement.service.clone();
+        let upstream = Upstream {
+            announcement,
+            pool,
+            state,
+        };
+        upstreams.insert(service, Arc::new(upstream));
+    }
+
+    /// Marks a service's upstream as leaving; false where none is known.
+    pub(crate) fn leave(&self, service: &id::Service) -> bool {
+        match self.lock().get(service) {
+            Some(upstream) => {
+                upstream.state().leaving = true;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Marks every upstream as leaving.
+    pub(crate) fn leave_all(&self) {
+        for upstream in self.lock().values() {
+            upstream.state().leaving = true;
+        }
+    }
+
+    /// The upstream of a service.
+    pub(crate) fn get(&self, service: &str) -> Option<Arc<Upstream>> {
+        let service = service.parse().ok()?;
+        self.lock().get(&service).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<id::Service, Arc<Upstream>>> {
+        self.upstreams
+            .lock()
+            .expect("no thread panics with this lock")
+    }
+}
+
+impl Announce for Table {
+    fn upstreams(&self) -> Vec<control::Upstream> {
+        let now = Instant::now();
+        let heard = |upstream: &&Arc<Upstream>| now < upstream.state().heard + EXPIRY;
+        let upstreams = self.lock();
+        upstreams.values().filter(heard).map(message).collect()
+    }
+}
+
+fn message(upstream: &Arc<Upstream>) -> control::Upstream {
+    let announcement = &upstream.announcement;
+    control::Upstream {
+        service: announcement.service.to_string(),
+        slots: announcement.slots,
+        connections: announcement.connections,
+        leaving: upstream.state().leaving,
+    }
+}
+
+fn default_slots() -> u32 {
+    8
+}
+
+fn default_connections() -> u32 {
+    64
+}
--- /dev/null
+++ b/crates/core/src/agent/http.rs
@@ -0,0 +1,95 @@
+//! What the upstream beside the agent may ask of it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use gentian::wire::id;
+use http::Method;
+use http_body_util::Full;
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+
+use super::announce::{Announcement, Table};
+use crate::serve::{self, Handler, Problem, Request, Response};
+
+const MAX_BODY_BYTES: usize = 16 * 1024;
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A result whose error is told to the upstream.
+type Result<T> = std::result::Result<T, Problem>;
+
+/// Answers the local upstream.
+#[derive(Debug)]
+pub(crate) struct Local {
+    table: Arc<Table>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Leave {
+    service: id::Service,
+}
+
+impl Local {
+    pub(crate) fn new(table: Arc<Table>) -> Local {
+        Local { table }
+    }
+
+    async fn route(&self, request: Request) -> Result<()> {
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::POST, "/v1/announce") => self.announce(request).await,
+            (&Method::POST, "/v1/leave") => self.leave(request).await,
+            (_, "/v1/announce" | "/v1/leave") => {
+                Err(Problem::new(405, "method not allowed", "use POST"))
+            }
+            _ => Err(Problem::new(404, "not found", &path)),
+        }
+    }
+
+    async fn announce(&self, request: Request) -> Result<()> {
+        let announcement: Announcement = parse(request).await?;
+        if announcement.slots == 0 {
+            return Err(Problem::bad("slots must be at least 1"));
+        }
+        if announcement.connections < announcement.slots {
+            return Err(Problem::bad("connections must be at least slots"));
+        }
+        self.table.hear(announcement, Instant::now());
+        Ok(())
+    }
+
+    async fn leave(&self, request: Request) -> Result<()> {
+        let leave: Leave = parse(request).await?;
+        if self.table.leave(&leave.service) {
+            return Ok(());
+        }
+        let detail = format!(
+            "no upstream of service {} has announced itself",
+            leave.service
+        );
+        Err(Problem::new(404, "not found", &detail))
+    }
+}
+
+impl Handler for Local {
+    async fn handle(&self, request: Request) -> Response {
+        match self.route(request).await {
+            Ok(()) => done(),
+            Err(problem) => problem.respond(),
+        }
+    }
+}
+
+async fn parse<T: DeserializeOwned>(request: Request) -> Result<T> {
+    let body = serve::read(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await?;
+    serde_json::from_slice(&body).map_err(|error| Problem::bad(&error.to_string()))
+}
+
+fn done() -> Response {
+    http::Response::builder()
+        .status(204)
+        .body(Full::new(Bytes::new()))
+        .expect("a status alone is a valid response")
+}
--- /dev/null
+++ b/crates/core/src/agent/mod.rs
@@ -0,0 +1,98 @@
+//! The agent role: stands beside an upstream, admits tasks to it and passes
+//! their answers back.
+
+mod announce;
+mod http;
+mod pool;
+mod service;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gentian::wire::agent::agent_server::AgentServer;
+use gentian::wire::control;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio_stream::wrappers::TcpListenerStream;
+
+use crate::renew;
+use crate::run::{self, Error, Result};
+use crate::serve::Server;
+use crate::settings::{Agent, Settings};
+
+const MAX_CONNECTIONS: usize = 256;
+const DRAIN: Duration = Duration::from_millis(2500);
+
+/// The agent role, listening.
+#[derive(Debug)]
+pub(crate) struct Role {
+    http: Server,
+    peer: TcpListener,
+    node: control::Node,
+    control: Vec<SocketAddr>,
+}
+
+impl Role {
+    /// Listens on the addresses of `section`.
+    pub(crate) async fn bind(settings: &Settings, section: &Agent) -> Result<Role> {
+        let http = Server::bind(section.http, MAX_CONNECTIONS).await;
+        let http = http.map_err(Error::listen("agent.http", section.http))?;
+        let peer = TcpListener::bind(section.peer).await;
+        let peer = peer.map_err(Error::listen("agent.peer", section.peer))?;
+        let mut node = run::node(settings, control::Role::Agent);
+        node.address = peer.local_addr()?.to_string();
+        Ok(Role {
+            http,
+            peer,
+            node,
+            control: settings.control.clone(),
+        })
+    }
+
+    pub(crate) fn http(&self) -> Result<SocketAddr> {
+        Ok(self.http.address()?)
+    }
+
+    pub(crate) fn peer(&self) -> Result<SocketAddr> {
+        Ok(self.peer.local_addr()?)
+    }
+
+    /// Serves until `stop` turns true, the entries have had time to hear that
+    /// this agent leaves, and the tasks in progress have ended.
+    pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
+        let incarnation = self.node.incarnation;
+        let table = Arc::new(announce::Table::default());
+        let (drained, drain) = watch::channel(false);
+        let renewal = renew::Loop::new(self.node, table.clone(), &self.control);
+        let service = service::Service::new(incarnation, table.clone(), renewal.held());
+        let mut closed = drain.clone();
+        let peer = tonic::transport::Server::builder()
+            .tcp_nodelay(true)
+            .add_service(AgentServer::new(service))
+            .serve_with_incoming_shutdown(TcpListenerStream::new(self.peer), async move {
+                // A closed channel means that the process stops as well.
+                let _ = closed.wait_for(|closed| *closed).await;
+            });
+        let local = Arc::new(http::Local::new(table.clone()));
+        let http = self.http.serve(local, drain.clone());
+        let leaving = leave(stop, table, drained);
+        let (peer, (), (), ()) = tokio::join!(peer, http, renewal.run(drain), leaving);
+        if let Err(error) = peer {
+            log::error!("agent peer server ended: {error}");
+        }
+    }
+}
+
+/// Refuses new tasks from the stop on, and tells when the drain time is over.
+async fn leave(
+    mut stop: watch::Receiver<bool>,
+    table: Arc<announce::Table>,
+    drained: watch::Sender<bool>,
+) {
+    // A closed channel means that the process stops as well.
+    let _ = stop.wait_for(|stop| *stop).await;
+    table.leave_all();
+    tokio::time::sleep(DRAIN).await;
+    drained.send_replace(true);
+}
--- /dev/null
+++ b/crates/core/src/agent/pool.rs
@@ -0,0 +1,121 @@
+//! Kept-alive HTTP/1.1 connections to one upstream, never more than it allows.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+type Body = Full<Bytes>;
+
+/// Why a call to an upstream gave no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Error {
+    /// Nothing was sent.
+    Unsent,
+    /// The request was sent, in part at least, and no whole answer came.
+    Lost,
+}
+
+/// A result whose error tells whether the request was sent.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+/// The connections to one upstream.
+#[derive(Debug)]
+pub(crate) struct Pool {
+    address: SocketAddr,
+    permits: Arc<Semaphore>,
+    idle: Mutex<Vec<Connection>>,
+}
+
+#[derive(Debug)]
+struct Connection {
+    sender: SendRequest<Body>,
+    _permit: OwnedSemaphorePermit,
+}
+
+impl Pool {
+    /// A pool of at most `connections` connections to `address`.
+    pub(crate) fn new(address: SocketAddr, connections: u32) -> Pool {
+        Pool {
+            address,
+            permits: Arc::new(Semaphore::new(connections as usize)),
+            idle: Mutex::default(),
+        }
+    }
+
+    /// Sends one request and reads the whole answer. A caller that drops the
+    /// future closes the connection, so that no later request can get its answer.
+    pub(crate) async fn call(
+        &self,
+        mut request: http::Request<Body>,
+    ) -> Result<http::Response<Bytes>> {
+        loop {
+            let (mut connection, kept) = self.take().await?;
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => {
+                    let response = whole(response).await?;
+                    self.put(connection);
+                    return Ok(response);
+                }
+                Err(mut error) => match error.take_message() {
+                    // The upstream closed a kept connection before it was used.
+                    Some(unsent) if kept => request = unsent,
+                    Some(_) => return Err(Error::Unsent),
+                    None => return Err(Error::Lost),
+                },
+            }
+        }
+    }
+
+    async fn take(&self) -> Result<(Connection, bool)> {
+        while let Some(mut connection) = self.pop() {
+            if connection.sender.ready().await.is_ok() {
+                return Ok((connection, true));
+            }
+        }
+        Ok((self.connect().await?, false))
+    }
+
+    fn pop(&self) -> Option<Connection> {
+        self.lock().pop()
+    }
+
+    fn put(&self, connection: Connection) {
+        if !connection.sender.is_closed() {
+            self.lock().push(connection);
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Connection>> {
+        self.idle.lock().expect("no thread panics with this lock")
+    }
+
+    async fn connect(&self) -> Result<Connection> {
+        let permit = self.permits.clone().try_acquire_owned();
+        let permit = permit.map_err(|_| Error::Unsent)?;
+        let stream = TcpStream::connect(self.address).await;
+        let stream = stream.map_err(|_| Error::Unsent)?;
+        stream.set_nodelay(true).map_err(|_| Error::Unsent)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, driver) = handshake.map_err(|_| Error::Unsent)?;
+        tokio::spawn(async move {
+            // The sender is told of a broken connection.
+            let _ = driver.await;
+        });
+        Ok(Connection {
+            sender,
+            _permit: permit,
+        })
+    }
+}
+
+async fn whole(response: http::Response<hyper::body::Incoming>) -> Result<http::Response<Bytes>> {
+    let (head, body) = response.into_parts();
+    let body = body.collect().await.map_err(|_| Error::Lost)?;
+    Ok(http::Response::from_parts(head, body.to_bytes()))
+}
--- a/crates/core/src/args/mod.rs
+++ b/crates/core/src/args/mod.rs
@@ -1,11 +1,13 @@
 //! The command line.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use clap::{Args, Parser, Subcommand};
 use gentian_wire::id;
 
-use crate::upstream;
+use crate::settings::Settings;
+use crate::{run, upstream};
 
 /// A dispatcher for sub-second tasks.
 #[derive(Debug, Parser)]
@@ -17,6 +19,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Runs the roles that a settings file names, until SIGTERM
+    Run(Run),
     /// Runs an upstream that sleeps as asked and echoes what it gets
     ExampleUpstream(ExampleUpstream),
 }
@@ -25,11 +29,26 @@
     /// Runs the chosen command.
     pub(crate) fn run(self) -> miette::Result<()> {
         match self.command {
+            Command::Run(command) => command.run(),
             Command::ExampleUpstream(command) => command.run(),
         }
     }
 }
 
+#[derive(Args, Debug)]
+struct Run {
+    /// The JSON settings file
+    #[arg(long, value_name = "FILE")]
+    settings: PathBuf,
+}
+
+impl Run {
+    fn run(self) -> miette::Result<()> {
+        let settings = Settings::read(&self.settings)?;
+        Ok(run::run(&settings)?)
+    }
+}
+
 #[derive(Args, Debug)]
 struct ExampleUpstream {
     /// Base URL of the local agent
--- /dev/null
+++ b/crates/core/src/entry/call.rs
@@ -0,0 +1,107 @@
+//! One call from the entry to an agent, and what its failure proves.
+
+use std::collections::HashMap;
+use std::error::Error as _;
+use std::sync::{Arc, RwLock};
+use std::time::Duration;
+
+use gentian::wire::agent::agent_client::AgentClient;
+use gentian::wire::agent::{self, Reason, StartReply, StartRequest};
+use gentian::wire::outcome::Outcome;
+use tonic::transport::{Channel, Endpoint};
+use tonic::{ConnectError, Status};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const KEEP_ALIVE_PERIOD: Duration = Duration::from_secs(2);
+const KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Clients of agents, one connection an address.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Clients {
+    clients: Arc<RwLock<HashMap<String, AgentClient<Channel>>>>,
+}
+
+impl Clients {
+    /// Starts a task on the agent at `address` and waits for at most `time`.
+    /// Whatever happens becomes a reply with exactly one outcome.
+    pub(crate) async fn start(
+        &self,
+        address: &str,
+        request: StartRequest,
+        time: Duration,
+    ) -> StartReply {
+        let task = request.task.clone();
+        let Some(mut client) = self.get(address) else {
+            return not_sent();
+        };
+        match tokio::time::timeout(time, client.start(request)).await {
+            Ok(Ok(reply)) => matched(reply.into_inner(), task.as_ref()),
+            Ok(Err(status)) if unsent(&status) => not_sent(),
+            Ok(Err(_)) | Err(_) => unknown(),
+        }
+    }
+
+    /// The client of an address; none where it is no address.
+    pub(crate) fn get(&self, address: &str) -> Option<AgentClient<Channel>> {
+        let clients = self
+            .clients
+            .read()
+            .expect("no thread panics with this lock");
+        if let Some(client) = clients.get(address) {
+            return Some(client.clone());
+        }
+        drop(clients);
+        let client = connect(address)?;
+        let mut clients = self
+            .clients
+            .write()
+            .expect("no thread panics with this lock");
+        Some(clients.entry(address.to_owned()).or_insert(client).clone())
+    }
+}
+
+fn connect(address: &str) -> Option<AgentClient<Channel>> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}")).ok()?;
+    let endpoint = endpoint
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .http2_keep_alive_interval(KEEP_ALIVE_PERIOD)
+        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT);
+    Some(AgentClient::new(endpoint.connect_lazy()))
+}
+
+/// An answer that names another task than it was asked for proves nothing.
+fn matched(reply: StartReply, task: Option<&agent::Task>) -> StartReply {
+    if reply.task.as_ref() == task {
+        reply
+    } else {
+        unknown()
+    }
+}
+
+/// Whether the request never left: the connection was not there.
+fn unsent(status: &Status) -> bool {
+    let mut source = status.source();
+    while let Some(error) = source {
+        if error.is::<ConnectError>() {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
+
+fn not_sent() -> StartReply {
+    StartReply {
+        outcome: agent::Outcome::from(Outcome::NotRun).into(),
+        reason: Reason::NoUpstream.into(),
+        ..StartReply::default()
+    }
+}
+
+fn unknown() -> StartReply {
+    StartReply {
+        outcome: agent::Outcome::from(Outcome::Unknown).into(),
+        ..StartReply::default()
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/http.rs
@@ -0,0 +1,260 @@
+//! What callers may ask of an entry.
+
+use std::time::{Duration, Instant, SystemTime};
+
+use bytes::Bytes;
+use gentian::wire::agent::{StartReply, StartRequest};
+use gentian::wire::id;
+use gentian::wire::outcome::Outcome;
+use gentian::wire::size;
+use http::{HeaderMap, Method};
+use http_body_util::Full;
+
+use super::call::Clients;
+use super::dispatch::{Demand, Handle, Place, Refusal, Report, Verdict};
+use crate::serve::{self, Handler, Problem, Request, Response};
+use crate::settings::{Entry, DEFAULT_DEADLINE};
+
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+const MAX_DEADLINE: Duration = Duration::from_secs(300);
+const MAX_ATTEMPTS: usize = 4;
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A result whose error is told to the caller.
+type Result<T> = std::result::Result<T, Problem>;
+
+/// Answers callers.
+#[derive(Debug)]
+pub(crate) struct Front {
+    dispatcher: Handle,
+    clients: Clients,
+    max_body: size::Bytes,
+}
+
+/// A single request, read and checked.
+#[derive(Debug)]
+struct Single {
+    service: id::Service,
+    team: id::Team,
+    deadline: Instant,
+    idempotent: bool,
+    path: String,
+    content_type: String,
+    body: Bytes,
+}
+
+impl Front {
+    pub(crate) fn new(dispatcher: Handle, clients: Clients, section: &Entry) -> Front {
+        Front {
+            dispatcher,
+            clients,
+            max_body: section.max_body,
+        }
+    }
+
+    async fn route(&self, request: Request) -> Result<Response> {
+        let path = request.uri().path().to_owned();
+        match (request.method(), path.as_str()) {
+            (&Method::POST, "/v1/requests") => self.single(request).await,
+            (_, "/v1/requests") => Err(Problem::new(405, "method not allowed", "use POST")),
+            (&Method::GET, "/live") => Ok(text(200, "live\n")),
+            _ => Err(Problem::new(404, "not found", &path)),
+        }
+    }
+
+    async fn single(&self, request: Request) -> Result<Response> {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        let mut single = Single::read(&head.headers, arrived)?;
+        single.body = serve::read(body, self.max_body.as_usize(), BODY_TIMEOUT).await?;
+        let dispatcher = self.dispatcher.clone();
+        let clients = self.clients.clone();
+        // A caller that hangs up must not lose the report that frees the place.
+        let running = tokio::spawn(async move { attempt(&dispatcher, &clients, single).await });
+        running.await.unwrap_or_else(|_| Err(gave_none()))
+    }
+}
+
+impl Handler for Front {
+    async fn handle(&self, request: Request) -> Response {
+        match self.route(request).await {
+            Ok(response) => response,
+            Err(problem) => problem.respond(),
+        }
+    }
+}
+
+impl Single {
+    fn read(headers: &HeaderMap, arrived: Instant) -> Result<Single> {
+        let deadline = match optional(headers, "x-deadline")? {
+            Some(text) => duration("x-deadline", text)?,
+            None => DEFAULT_DEADLINE,
+        };
+        Ok(Single {
+            service: name(headers, "x-service")?,
+            team: name(headers, "x-team")?,
+            deadline: arrived + deadline,
+            idempotent: flag(headers, "x-idempotent")?,
+            path: optional(headers, "x-path")?.unwrap_or("/").to_owned(),
+            content_type: optional(headers, "content-type")?
+                .unwrap_or("application/octet-stream")
+                .to_owned(),
+            body: Bytes::new(),
+        })
+    }
+
+    fn demand(&self) -> Demand {
+        Demand {
+            service: self.service.clone(),
+            team: self.team.clone(),
+            deadline: self.deadline,
+            candidates: Vec::new(),
+            refused_by: Vec::new(),
+            retry_of: None,
+        }
+    }
+
+    fn message(&self, key: id::Job, place: &Place, left: Duration) -> StartRequest {
+        StartRequest {
+            task: Some(key.task(0).into()),
+            ballot: None,
+            view: place.view.0,
+            service: self.service.to_string(),
+            time_left_ms: u32::try_from(left.as_millis()).unwrap_or(u32::MAX),
+            path: self.path.clone(),
+            content_type: self.content_type.clone(),
+            body: self.body.clone(),
+        }
+    }
+}
+
+async fn attempt(dispatcher: &Handle, clients: &Clients, single: Single) -> Result<Response> {
+    let mut demand = single.demand();
+    loop {
+        let place = match dispatcher.place(demand.clone()).await {
+            Verdict::Start(place) => place,
+            Verdict::Refuse(refusal) => return Err(refused(&refusal, demand.retry_of)),
+        };
+        let left = single.deadline.saturating_duration_since(Instant::now());
+        let message = single.message(fresh_key(), &place, left);
+        let reply = clients.start(&place.address, message, left).await;
+        let outcome = Outcome::from(reply.outcome());
+        dispatcher.report(report(&place, &single, &reply));
+        let last = demand.refused_by.len() + 1 >= MAX_ATTEMPTS;
+        if last || !outcome.may_retry(single.idempotent) {
+            return answer(whole(outcome, demand.retry_of), reply);
+        }
+        demand.refused_by.push(place.agent);
+        demand.retry_of = Some(whole(outcome, demand.retry_of));
+    }
+}
+
+/// The outcome of all attempts: one that may have run is not undone by one
+/// that did not.
+fn whole(last: Outcome, before: Option<Outcome>) -> Outcome {
+    match (last, before) {
+        (Outcome::NotRun, Some(Outcome::Unknown)) => Outcome::Unknown,
+        _ => last,
+    }
+}
+
+fn report(place: &Place, single: &Single, reply: &StartReply) -> Report {
+    let ran = reply.run_us > 0;
+    Report {
+        place: place.clone(),
+        service: single.service.clone(),
+        outcome: reply.outcome().into(),
+        load: reply.load,
+        run: ran.then(|| Duration::from_micros(u64::from(reply.run_us))),
+    }
+}
+
+fn answer(outcome: Outcome, reply: StartReply) -> Result<Response> {
+    match outcome {
+        Outcome::Done => Ok(done(reply)),
+        Outcome::Failed => {
+            Err(Problem::new(502, "failed", "the task ran and failed").outcome(Outcome::Failed))
+        }
+        Outcome::NotRun => Err(Problem::new(503, "not run", "no upstream took the task")
+            .outcome(Outcome::NotRun)
+            .retry_after(RETRY_AFTER)),
+        Outcome::Unknown => Err(gave_none()),
+    }
+}
+
+/// Builds the answer, whose parts the upstream has chosen.
+fn done(reply: StartReply) -> Response {
+    let status = u16::try_from(reply.status).unwrap_or(502);
+    http::Response::builder()
+        .status(status)
+        .header("content-type", reply.content_type)
+        .header("x-outcome", Outcome::Done.to_string())
+        .body(Full::new(reply.body))
+        .unwrap_or_else(|_| text(502, "the upstream's answer is no HTTP answer\n"))
+}
+
+fn gave_none() -> Problem {
+    let detail = "the task was sent and gave no answer in time";
+    Problem::new(504, "unknown", detail).outcome(Outcome::Unknown)
+}
+
+/// A request that was sent before may have run, though the last attempt did not.
+fn refused(refusal: &Refusal, before: Option<Outcome>) -> Problem {
+    if before == Some(Outcome::Unknown) {
+        return gave_none();
+    }
+    let detail = refusal.reason.to_string();
+    let problem = Problem::new(503, "not run", &detail).outcome(Outcome::NotRun);
+    match refusal.retry_after {
+        Some(after) => problem.retry_after(after),
+        None => problem,
+    }
+}
+
+fn fresh_key() -> id::Job {
+    let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    id::Job::new(wall.unwrap_or_default(), rand::random())
+}
+
+fn name<T: std::str::FromStr<Err = id::Error>>(headers: &HeaderMap, field: &str) -> Result<T> {
+    let text = optional(headers, field)?;
+    let text = text.ok_or_else(|| Problem::bad(&format!("header {field} is missing")))?;
+    text.parse()
+        .map_err(|error| Problem::bad(&format!("header {field}: {error}")))
+}
+
+fn flag(headers: &HeaderMap, field: &str) -> Result<bool> {
+    match optional(headers, field)? {
+        None | Some("false") => Ok(false),
+        Some("true") => Ok(true),
+        Some(other) => {
+            let detail = format!("header {field} is {other:?}; true and false are allowed");
+            Err(Problem::bad(&detail))
+        }
+    }
+}
+
+fn duration(field: &str, text: &str) -> Result<Duration> {
+    let read = humantime::parse_duration(text).ok();
+    let allowed = |time: &Duration| !time.is_zero() && *time <= MAX_DEADLINE;
+    read.filter(allowed).ok_or_else(|| {
+        let detail = format!("header {field} is {text:?}; 1ms to 5m is allowed, such as 800ms");
+        Problem::bad(&detail)
+    })
+}
+
+fn optional<'h>(headers: &'h HeaderMap, field: &str) -> Result<Option<&'h str>> {
+    let Some(value) = headers.get(field) else {
+        return Ok(None);
+    };
+    let text = value.to_str();
+    text.map(Some)
+        .map_err(|_| Problem::bad(&format!("header {field} is not plain text")))
+}
+
+fn text(status: u16, body: &'static str) -> Response {
+    let body = Full::new(Bytes::from_static(body.as_bytes()));
+    let mut response = http::Response::new(body);
+    *response.status_mut() = http::StatusCode::from_u16(status).unwrap_or_default();
+    response
+}
--- /dev/null
+++ b/crates/core/src/entry/mod.rs
@@ -0,0 +1,70 @@
+//! The entry role: takes callers' requests, hands them to agents and matches
+//! the answers.
+
+mod call;
+pub(crate) mod dispatch;
+mod http;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use gentian::wire::control;
+use tokio::sync::watch;
+
+use crate::renew::{self, Held};
+use crate::run::{self, Error, Result};
+use crate::serve::Server;
+use crate::settings::{Entry, Settings};
+
+/// The entry role, listening.
+#[derive(Debug)]
+pub(crate) struct Role {
+    http: Server,
+    node: control::Node,
+    section: Entry,
+    control: Vec<SocketAddr>,
+}
+
+impl Role {
+    /// Listens on the addresses of `section`.
+    pub(crate) async fn bind(settings: &Settings, section: &Entry) -> Result<Role> {
+        let http = Server::bind(section.http, section.max_connections).await;
+        let http = http.map_err(Error::listen("entry.http", section.http))?;
+        let mut node = run::node(settings, control::Role::Entry);
+        node.address = http.address()?.to_string();
+        Ok(Role {
+            http,
+            node,
+            section: section.clone(),
+            control: settings.control.clone(),
+        })
+    }
+
+    pub(crate) fn http(&self) -> Result<SocketAddr> {
+        Ok(self.http.address()?)
+    }
+
+    /// Serves until `stop` turns true and the requests in progress have ended.
+    pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
+        let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), &self.control);
+        let (dispatcher, thread) = dispatch::start();
+        tokio::spawn(follow(renewal.held(), dispatcher.clone()));
+        let front = http::Front::new(dispatcher, call::Clients::default(), &self.section);
+        let requests = self.http.serve(Arc::new(front), stop.clone());
+        // The lease is renewed until the last request has ended.
+        let (ended, end) = watch::channel(false);
+        let renewing = tokio::spawn(renewal.run(end));
+        requests.await;
+        ended.send_replace(true);
+        // Both end once nothing holds the dispatcher any more.
+        let _ = renewing.await;
+        let _ = tokio::task::spawn_blocking(move || thread.join()).await;
+    }
+}
+
+async fn follow(mut held: watch::Receiver<Arc<Held>>, dispatcher: dispatch::Handle) {
+    while held.changed().await.is_ok() {
+        let held = held.borrow_and_update().clone();
+        dispatcher.hold(held);
+    }
+}
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -1,9 +1,16 @@
-//! The gentiancove binary.
+//! The gentiancove binary: reads the command line and runs what it names.
 
 use clap::Parser;
 
+mod agent;
 mod args;
 mod client;
+mod control;
+mod entry;
+mod renew;
+mod run;
+mod serve;
+mod settings;
 mod upstream;
 
 fn main() -> miette::Result<()> {
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod system;
+
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
@@ -35,6 +37,7 @@
 pub(crate) struct Process {
     child: Child,
     lines: mpsc::Receiver<String>,
+    settings: Option<tempfile::NamedTempFile>,
 }
 
 impl Process {
@@ -50,7 +53,11 @@
             let mut read = stdout.lines().map_while(Result::ok);
             read.all(|line| sender.send(line).is_ok());
         });
-        Process { child, lines }
+        Process {
+            child,
+            lines,
+            settings: None,
+        }
     }
 
     /// Waits for the line `listening NAME ADDRESS` and returns the address.
@@ -64,11 +71,26 @@
         }
     }
 
+    /// Keeps a settings file for as long as the process.
+    pub(crate) fn keep(&mut self, settings: tempfile::NamedTempFile) {
+        self.settings = Some(settings);
+    }
+
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
+        self.signal(libc::SIGTERM);
+    }
+
+    /// Sends SIGKILL.
+    pub(crate) fn kill(&self) {
+        self.signal(libc::SIGKILL);
+    }
+
+    /// Sends a signal.
+    pub(crate) fn signal(&self, signal: libc::c_int) {
         let pid = libc::pid_t::try_from(self.child.id()).expect("pid");
         // SAFETY: kill takes no pointers, and the child isn't reaped before.
-        unsafe { libc::kill(pid, libc::SIGTERM) };
+        unsafe { libc::kill(pid, signal) };
     }
 
     /// Waits for the end.
--- /dev/null
+++ b/crates/core/tests/support/system.rs
@@ -0,0 +1,151 @@
+//! A whole system of separate processes on loopback.
+
+use std::io::Write;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+use oxhttp::model::StatusCode;
+use tempfile::NamedTempFile;
+
+use super::{call, Process, PATIENCE};
+
+/// One control instance, some agents with an upstream each, and one entry.
+pub(crate) struct System {
+    pub(crate) control: Process,
+    pub(crate) agents: Vec<Process>,
+    pub(crate) agent_addresses: Vec<String>,
+    pub(crate) upstreams: Vec<Process>,
+    pub(crate) upstream_addresses: Vec<String>,
+    pub(crate) entries: Vec<Process>,
+    pub(crate) entry_addresses: Vec<String>,
+}
+
+impl System {
+    /// Starts a system with `agents` agents and waits until it serves.
+    pub(crate) fn start(agents: usize) -> System {
+        System::with_entries(agents, 1)
+    }
+
+    /// Starts a system with `agents` agents and `entries` entries.
+    pub(crate) fn with_entries(agents: usize, entries: usize) -> System {
+        let (control, peer) = System::control();
+        let mut system = System {
+            control,
+            agents: Vec::new(),
+            agent_addresses: Vec::new(),
+            upstreams: Vec::new(),
+            upstream_addresses: Vec::new(),
+            entries: Vec::new(),
+            entry_addresses: Vec::new(),
+        };
+        (0..agents).for_each(|index| system.add_agent(index, &peer));
+        for _ in 0..entries {
+            let entry = System::entry(&peer);
+            let address = entry.listening("entry-http").to_string();
+            system.entries.push(entry);
+            system.entry_addresses.push(address);
+        }
+        system.wait_until_served();
+        system
+    }
+
+    /// Starts a control instance; returns its peer address too.
+    pub(crate) fn control() -> (Process, String) {
+        let section = r#""controller":{"http":"127.0.0.1:0","peer":"127.0.0.1:0"}"#;
+        let control = run("control", "", section);
+        let peer = control.listening("control-peer").to_string();
+        (control, peer)
+    }
+
+    /// Starts an entry that renews at the given control instance.
+    pub(crate) fn entry(control: &str) -> Process {
+        let section = r#""entry":{"http":"127.0.0.1:0"}"#;
+        run("entry", control, section)
+    }
+
+    fn add_agent(&mut self, index: usize, control: &str) {
+        let section = r#""agent":{"http":"127.0.0.1:0","peer":"127.0.0.1:0"}"#;
+        let agent = run(&format!("agent-{index}"), control, section);
+        let http = agent.listening("agent-http").to_string();
+        let url = format!("http://{http}");
+        let upstream = Process::start(&["example-upstream", "--agent", &url]);
+        let address = upstream.listening("upstream").to_string();
+        self.agents.push(agent);
+        self.agent_addresses.push(http);
+        self.upstreams.push(upstream);
+        self.upstream_addresses.push(address);
+    }
+
+    /// Sends one request through the first entry.
+    pub(crate) fn request(&self, headers: &[(&str, &str)], body: &str) -> (StatusCode, String) {
+        call("POST", &self.url(0), headers, body)
+    }
+
+    /// Sends one request from a thread of its own.
+    pub(crate) fn spawn_request(
+        &self,
+        headers: &'static [(&'static str, &'static str)],
+        body: &'static str,
+    ) -> JoinHandle<(StatusCode, String)> {
+        let url = self.url(0);
+        thread::spawn(move || call("POST", &url, headers, body))
+    }
+
+    /// Waits until some upstream runs a task; returns its index.
+    pub(crate) fn wait_for_running(&self) -> usize {
+        poll(|| {
+            let running = |upstream: &usize| self.executions(*upstream, "running") > 0;
+            (0..self.upstreams.len()).find(running)
+        })
+    }
+
+    /// Asks an upstream for one of its counts of executions.
+    pub(crate) fn executions(&self, upstream: usize, count: &str) -> u64 {
+        let url = format!("http://{}/executions", self.upstream_addresses[upstream]);
+        let (_, body) = call("GET", &url, &[], "");
+        let counts: serde_json::Value = serde_json::from_str(&body).expect("counts");
+        counts[count].as_u64().expect("a count of that name")
+    }
+
+    fn wait_until_served(&self) {
+        let headers = [("x-service", "demo"), ("x-team", "start")];
+        for entry in 0..self.entries.len() {
+            poll(|| {
+                let (status, _) = call("POST", &self.url(entry), &headers, "{}");
+                (status.as_u16() == 200).then_some(())
+            });
+        }
+    }
+
+    fn url(&self, entry: usize) -> String {
+        format!("http://{}/v1/requests", self.entry_addresses[entry])
+    }
+}
+
+fn run(name: &str, control: &str, section: &str) -> Process {
+    let control = match control {
+        "" => String::new(),
+        address => format!("{address:?}"),
+    };
+    let text = format!(
+        r#"{{"name":"{name}","data_center":"beauce","rack":"r1","region":"quebec","control":[{control}],{section}}}"#
+    );
+    let mut file = NamedTempFile::new().expect("temporary file");
+    file.write_all(text.as_bytes()).expect("settings");
+    let path = file.path().to_str().expect("path").to_owned();
+    let mut process = Process::start(&["run", "--settings", &path]);
+    process.keep(file);
+    process
+}
+
+/// Polls until there is a value, for as long as tests have patience.
+pub(crate) fn poll<T>(mut check: impl FnMut() -> Option<T>) -> T {
+    let start = Instant::now();
+    loop {
+        if let Some(value) = check() {
+            return value;
+        }
+        assert!(start.elapsed() < PATIENCE, "it did not happen in time");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
