core: check settings whole, and add the operators' commands

Cause: a process must not start on settings that are half wrong, and operators need one binary for all calls.

Change: settings are read as typed and then checked, so that all mistakes are told at once with field, value and what is allowed. config get, patch and history, status and members call control over HTTP with oxhttp's client, try the next instance where one does not lead, and keep the patch's id.

Ruled out: serde's deny_unknown_fields, which stops at the first mistake; unknown fields are collected and refused by the check instead.

--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -1,11 +1,12 @@
 //! The gentiancove binary.
 
-use clap::Parser;
+use std::process::ExitCode;
 
 mod args;
 mod client;
+mod settings;
 mod upstream;
 
-fn main() -> miette::Result<()> {
-    args::Cli::parse().run()
+fn main() -> ExitCode {
+    args::main()
 }
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -186,7 +186,7 @@
     runtime.block_on(async {
         let stop = stop_on_signal()?;
         let upstream = builder.bind().await?;
-        println!("listening upstream {}", upstream.address());
+        println!("upstream http={}", upstream.address());
         upstream.serve(stop).await;
         Ok(())
     })
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -53,14 +53,17 @@
         Process { child, lines }
     }
 
-    /// Waits for the line `listening NAME ADDRESS` and returns the address.
-    pub(crate) fn listening(&self, name: &str) -> SocketAddr {
-        let prefix = format!("listening {name} ");
+    /// Waits for the line `ROLE ... NAME=ADDRESS ...` and returns the address.
+    pub(crate) fn listening(&self, role: &str, name: &str) -> SocketAddr {
         loop {
-            let line = self.lines.recv_timeout(PATIENCE).expect("listening line");
-            if let Some(address) = line.strip_prefix(&prefix) {
-                return address.parse().expect("address");
+            let line = self.lines.recv_timeout(PATIENCE).expect("a listening line");
+            let mut words = line.split(' ');
+            if words.next() != Some(role) {
+                continue;
             }
+            let mut pairs = words.filter_map(|word| word.split_once('='));
+            let found = pairs.find(|pair| pair.0 == name).expect("an address");
+            return found.1.parse().expect("an address");
         }
     }
 
