--- a/crates/core/src/agent/announce.rs
+++ b/crates/core/src/agent/announce.rs
@@ -11,6 +11,7 @@
 
 use super::pool::Pool;
 use crate::renew::Announce;
+use crate::settings::Agent;
 
 const EXPIRY: Duration = Duration::from_millis(2000);
 
@@ -103,15 +104,28 @@
 }
 
 /// All upstreams of this agent, by service.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Table {
+    max_slots: u32,
+    max_connections: u32,
     upstreams: Mutex<BTreeMap<id::Service, Arc<Upstream>>>,
 }
 
 impl Table {
+    /// A table that uses of an upstream no more than the settings allow.
+    pub(crate) fn new(section: &Agent) -> Table {
+        Table {
+            max_slots: section.max_slots,
+            max_connections: section.max_connections,
+            upstreams: Mutex::default(),
+        }
+    }
+
     /// Takes an announcement in. One of another address or process replaces
     /// the upstream; tasks that run on the old one keep their slots there.
-    pub(crate) fn hear(&self, announcement: Announcement, now: Instant) {
+    pub(crate) fn hear(&self, mut announcement: Announcement, now: Instant) {
+        announcement.slots = announcement.slots.min(self.max_slots);
+        announcement.connections = announcement.connections.min(self.max_connections);
         let mut upstreams = self.lock();
         if let Some(known) = upstreams.get(&announcement.service) {
             if known.announcement == announcement {
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -31,6 +31,7 @@
     peer: TcpListener,
     node: control::Node,
     control: Vec<SocketAddr>,
+    section: Agent,
 }
 
 impl Role {
@@ -47,6 +48,7 @@
             peer,
             node,
             control: settings.control.clone(),
+            section: section.clone(),
         })
     }
 
@@ -62,7 +64,7 @@
     /// this agent leaves, and the tasks in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let incarnation = self.node.incarnation;
-        let table = Arc::new(announce::Table::default());
+        let table = Arc::new(announce::Table::new(&self.section));
         let (drained, drain) = watch::channel(false);
         let renewal = renew::Loop::new(self.node, table.clone(), &self.control);
         let service = service::Service::new(incarnation, table.clone(), renewal.held());
--- a/crates/core/src/entry/http.rs
+++ b/crates/core/src/entry/http.rs
@@ -13,9 +13,8 @@
 use super::call::Clients;
 use super::dispatch::{Demand, Handle, Place, Refusal, Report, Verdict};
 use crate::serve::{self, Handler, Problem, Request, Response};
-use crate::settings::{Entry, DEFAULT_DEADLINE};
+use crate::settings::Entry;
 
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_DEADLINE: Duration = Duration::from_secs(300);
 const MAX_ATTEMPTS: usize = 4;
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -29,6 +28,8 @@
     dispatcher: Handle,
     clients: Clients,
     max_body: size::Bytes,
+    body_timeout: Duration,
+    default_deadline: Duration,
 }
 
 /// A single request, read and checked.
@@ -49,6 +50,8 @@
             dispatcher,
             clients,
             max_body: section.max_body,
+            body_timeout: section.body_timeout,
+            default_deadline: section.default_deadline,
         }
     }
 
@@ -65,8 +68,8 @@
     async fn single(&self, request: Request) -> Result<Response> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
-        let mut single = Single::read(&head.headers, arrived)?;
-        single.body = serve::read(body, self.max_body.as_usize(), BODY_TIMEOUT).await?;
+        let mut single = Single::read(&head.headers, arrived, self.default_deadline)?;
+        single.body = serve::read(body, self.max_body.as_usize(), self.body_timeout).await?;
         let dispatcher = self.dispatcher.clone();
         let clients = self.clients.clone();
         // A caller that hangs up must not lose the report that frees the place.
@@ -85,10 +88,10 @@
 }
 
 impl Single {
-    fn read(headers: &HeaderMap, arrived: Instant) -> Result<Single> {
+    fn read(headers: &HeaderMap, arrived: Instant, default: Duration) -> Result<Single> {
         let deadline = match optional(headers, "x-deadline")? {
             Some(text) => duration("x-deadline", text)?,
-            None => DEFAULT_DEADLINE,
+            None => default,
         };
         Ok(Single {
             service: name(headers, "x-service")?,
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -30,6 +30,7 @@
     pub(crate) async fn bind(settings: &Settings, section: &Entry) -> Result<Role> {
         let http = Server::bind(section.http, section.max_connections).await;
         let http = http.map_err(Error::listen("entry.http", section.http))?;
+        let http = http.header_timeout(section.header_timeout);
         let mut node = run::node(settings, control::Role::Entry);
         node.address = http.address()?.to_string();
         Ok(Role {
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -60,19 +60,17 @@
     let mut roles = JoinSet::new();
     if let Some(section) = &settings.controller {
         let role = control::Role::bind(section).await?;
-        println!("listening control-http {}", role.http()?);
-        println!("listening control-peer {}", role.peer()?);
+        println!("control http={} peer={}", role.http()?, role.peer()?);
         roles.spawn(role.run(stopped.clone()));
     }
     if let Some(section) = &settings.agent {
         let role = agent::Role::bind(settings, section).await?;
-        println!("listening agent-http {}", role.http()?);
-        println!("listening agent-peer {}", role.peer()?);
+        println!("agent http={} peer={}", role.http()?, role.peer()?);
         roles.spawn(role.run(stopped.clone()));
     }
     if let Some(section) = &settings.entry {
         let role = entry::Role::bind(settings, section).await?;
-        println!("listening entry-http {}", role.http()?);
+        println!("entry http={}", role.http()?);
         roles.spawn(role.run(stopped.clone()));
     }
     signals.wait().await;
--- a/crates/core/src/serve/mod.rs
+++ b/crates/core/src/serve/mod.rs
@@ -48,6 +48,7 @@
 pub(crate) struct Server {
     listener: TcpListener,
     connections: usize,
+    header_timeout: Duration,
 }
 
 impl Server {
@@ -57,9 +58,16 @@
         Ok(Server {
             listener,
             connections,
+            header_timeout: HEADER_TIMEOUT,
         })
     }
 
+    /// Sets the longest time for a request's header to come whole.
+    pub(crate) fn header_timeout(mut self, timeout: Duration) -> Server {
+        self.header_timeout = timeout;
+        self
+    }
+
     /// The address that it listens on.
     pub(crate) fn address(&self) -> io::Result<SocketAddr> {
         self.listener.local_addr()
@@ -69,13 +77,14 @@
     pub(crate) async fn serve<H: Handler>(self, handler: Arc<H>, mut stop: watch::Receiver<bool>) {
         let graceful = GracefulShutdown::new();
         let permits = Arc::new(Semaphore::new(self.connections));
+        let time = self.header_timeout;
         loop {
             let stream = tokio::select! {
                 accepted = self.listener.accept() => accepted.map(|pair| pair.0),
                 _ = stop.wait_for(|stop| *stop) => break,
             };
             match stream {
-                Ok(stream) => connect(stream, handler.clone(), &graceful, &permits),
+                Ok(stream) => connect(stream, handler.clone(), time, &graceful, &permits),
                 Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
@@ -87,6 +96,7 @@
 fn connect<H: Handler>(
     stream: TcpStream,
     handler: Arc<H>,
+    header_timeout: Duration,
     graceful: &GracefulShutdown,
     permits: &Arc<Semaphore>,
 ) {
@@ -106,7 +116,7 @@
     let _ = stream.set_nodelay(true);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
+        .header_read_timeout(header_timeout)
         .keep_alive(!full)
         .serve_connection(TokioIo::new(stream), service);
     let connection = graceful.watch(connection);
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 pub(crate) mod system;
 
+use std::cell::RefCell;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
@@ -37,7 +38,9 @@
 pub(crate) struct Process {
     child: Child,
     lines: mpsc::Receiver<String>,
+    seen: RefCell<Vec<String>>,
     settings: Option<tempfile::NamedTempFile>,
+    folder: Option<tempfile::TempDir>,
 }
 
 impl Process {
@@ -56,18 +59,20 @@
         Process {
             child,
             lines,
+            seen: RefCell::default(),
             settings: None,
+            folder: None,
         }
     }
 
-    /// Waits for the line `listening NAME ADDRESS` and returns the address.
-    pub(crate) fn listening(&self, name: &str) -> SocketAddr {
-        let prefix = format!("listening {name} ");
+    /// Waits for the line `ROLE ... NAME=ADDRESS ...` and returns the address.
+    pub(crate) fn listening(&self, role: &str, name: &str) -> SocketAddr {
         loop {
-            let line = self.lines.recv_timeout(PATIENCE).expect("listening line");
-            if let Some(address) = line.strip_prefix(&prefix) {
-                return address.parse().expect("address");
+            if let Some(address) = self.seen.borrow().iter().find_map(|l| find(l, role, name)) {
+                return address;
             }
+            let line = self.lines.recv_timeout(PATIENCE).expect("a listening line");
+            self.seen.borrow_mut().push(line);
         }
     }
 
@@ -76,6 +81,11 @@
         self.settings = Some(settings);
     }
 
+    /// Keeps a data folder for as long as the process.
+    pub(crate) fn keep_folder(&mut self, folder: tempfile::TempDir) {
+        self.folder = Some(folder);
+    }
+
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
         self.signal(libc::SIGTERM);
@@ -106,6 +116,15 @@
     }
 }
 
+fn find(line: &str, role: &str, name: &str) -> Option<SocketAddr> {
+    let mut words = line.split(' ');
+    if words.next() != Some(role) {
+        return None;
+    }
+    let mut pairs = words.filter_map(|word| word.split_once('='));
+    pairs.find(|pair| pair.0 == name)?.1.parse().ok()
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
--- a/crates/core/tests/support/system.rs
+++ b/crates/core/tests/support/system.rs
@@ -41,7 +41,7 @@
         (0..agents).for_each(|index| system.add_agent(index, &peer));
         for _ in 0..entries {
             let entry = System::entry(&peer);
-            let address = entry.listening("entry-http").to_string();
+            let address = entry.listening("entry", "http").to_string();
             system.entries.push(entry);
             system.entry_addresses.push(address);
         }
@@ -51,9 +51,14 @@
 
     /// Starts a control instance; returns its peer address too.
     pub(crate) fn control() -> (Process, String) {
-        let section = r#""controller":{"http":"127.0.0.1:0","peer":"127.0.0.1:0"}"#;
-        let control = run("control", "", section);
-        let peer = control.listening("control-peer").to_string();
+        let data = tempfile::tempdir().expect("data folder");
+        let section = format!(
+            r#""controller":{{"http":"127.0.0.1:0","peer":"127.0.0.1:0","data":{:?}}}"#,
+            data.path()
+        );
+        let mut control = run("control", "", &section);
+        control.keep_folder(data);
+        let peer = control.listening("control", "peer").to_string();
         (control, peer)
     }
 
@@ -66,10 +71,10 @@
     fn add_agent(&mut self, index: usize, control: &str) {
         let section = r#""agent":{"http":"127.0.0.1:0","peer":"127.0.0.1:0"}"#;
         let agent = run(&format!("agent-{index}"), control, section);
-        let http = agent.listening("agent-http").to_string();
+        let http = agent.listening("agent", "http").to_string();
         let url = format!("http://{http}");
         let upstream = Process::start(&["example-upstream", "--agent", &url]);
-        let address = upstream.listening("upstream").to_string();
+        let address = upstream.listening("upstream", "http").to_string();
         self.agents.push(agent);
         self.agent_addresses.push(http);
         self.upstreams.push(upstream);
