--- a/crates/core/tests/support/system.rs
+++ b/crates/core/tests/support/system.rs
@@ -130,10 +130,10 @@
 fn run(name: &str, control: &str, section: &str) -> Process {
     let control = match control {
         "" => String::new(),
-        address => format!("{address:?}"),
+        address => format!(r#""control":[{address:?}],"#),
     };
     let text = format!(
-        r#"{{"name":"{name}","data_center":"beauce","rack":"r1","region":"quebec","control":[{control}],{section}}}"#
+        r#"{{"name":"{name}","data_center":"beauce","rack":"r1","region":"quebec",{control}{section}}}"#
     );
     let mut file = NamedTempFile::new().expect("temporary file");
     file.write_all(text.as_bytes()).expect("settings");
