Limit: bounded fair queue and the time to come back

Start-time fair queueing on two levels, teams and the flows of a team, charged by expected run time. Requests that can't be answered in time are refused on arrival, from the requests that will go first and the rate at which an occupied queue drains; those that run out of time while they wait are shed. Linked lists in a slab let any request leave at a fixed cost.

Ruled out: last come first served, since whoever would be too late is refused already; deficit round robin, since its turns depend on a quantum that fits no run time; counting the starts of an empty queue, which tells demand and would refuse the first burst.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,1 +1,8 @@
 //! Admission, queues, deadlines, quotas and retry budgets.
+//!
+//! Decisions only: time is a `Duration` since an arbitrary monotonic origin and
+//! randomness a generator passed in. What is refused is refused at once and
+//! with a time to come back, while that answer is still of use to the caller.
+
+pub mod after;
+pub mod queue;
--- /dev/null
+++ b/crates/limit/src/queue/list.rs
@@ -0,0 +1,140 @@
+//! Doubly linked lists in a slab, so that an entry leaves the middle of its
+//! list at a fixed cost: cancellations come by the ten thousand.
+
+/// Names an entry of a [`Slab`] until it is removed, and nothing afterwards.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ticket {
+    at: u32,
+    generation: u32,
+}
+
+/// Ends of one list.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct List {
+    head: Option<Ticket>,
+    tail: Option<Ticket>,
+    len: usize,
+}
+
+impl List {
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(crate) fn tail(&self) -> Option<Ticket> {
+        self.tail
+    }
+}
+
+/// Entries of all lists.
+#[derive(Debug)]
+pub(crate) struct Slab<T> {
+    nodes: Vec<Node<T>>,
+    vacant: Vec<u32>,
+}
+
+#[derive(Debug)]
+struct Node<T> {
+    generation: u32,
+    value: Option<T>,
+    previous: Option<Ticket>,
+    next: Option<Ticket>,
+}
+
+impl<T> Default for Slab<T> {
+    fn default() -> Slab<T> {
+        Slab {
+            nodes: Vec::new(),
+            vacant: Vec::new(),
+        }
+    }
+}
+
+impl<T> Slab<T> {
+    pub(crate) fn len(&self) -> usize {
+        self.nodes.len() - self.vacant.len()
+    }
+
+    pub(crate) fn get(&self, ticket: Ticket) -> Option<&T> {
+        self.node(ticket)?.value.as_ref()
+    }
+
+    /// Stores `value`, in no list yet.
+    pub(crate) fn insert(&mut self, value: T) -> Ticket {
+        let at = self.vacant.pop().unwrap_or(self.nodes.len() as u32);
+        if at as usize == self.nodes.len() {
+            self.nodes.push(Node {
+                generation: 0,
+                value: None,
+                previous: None,
+                next: None,
+            });
+        }
+        let node = &mut self.nodes[at as usize];
+        node.value = Some(value);
+        Ticket {
+            at,
+            generation: node.generation,
+        }
+    }
+
+    /// Takes out a value that is in no list any more.
+    pub(crate) fn remove(&mut self, ticket: Ticket) -> Option<T> {
+        let node = self.node_mut(ticket)?;
+        let value = node.value.take()?;
+        node.generation = node.generation.wrapping_add(1);
+        self.vacant.push(ticket.at);
+        Some(value)
+    }
+
+    pub(crate) fn push_back(&mut self, list: &mut List, ticket: Ticket) {
+        let tail = list.tail.replace(ticket);
+        match tail {
+            Some(tail) => self.link(tail, ticket),
+            None => list.head = Some(ticket),
+        }
+        list.len += 1;
+    }
+
+    pub(crate) fn unlink(&mut self, list: &mut List, ticket: Ticket) {
+        let Some(node) = self.node_mut(ticket) else {
+            return;
+        };
+        let (previous, next) = (node.previous.take(), node.next.take());
+        match previous.and_then(|previous| self.node_mut(previous)) {
+            Some(node) => node.next = next,
+            None => list.head = next,
+        }
+        match next.and_then(|next| self.node_mut(next)) {
+            Some(node) => node.previous = previous,
+            None => list.tail = previous,
+        }
+        list.len -= 1;
+    }
+
+    /// The list from its first entry to its last.
+    pub(crate) fn iter(&self, list: &List) -> impl Iterator<Item = Ticket> + '_ {
+        std::iter::successors(list.head, |ticket| self.node(*ticket)?.next)
+    }
+
+    fn link(&mut self, first: Ticket, second: Ticket) {
+        if let Some(node) = self.node_mut(first) {
+            node.next = Some(second);
+        }
+        if let Some(node) = self.node_mut(second) {
+            node.previous = Some(first);
+        }
+    }
+
+    fn node(&self, ticket: Ticket) -> Option<&Node<T>> {
+        self.nodes
+            .get(ticket.at as usize)
+            .filter(|node| node.generation == ticket.generation)
+    }
+
+    fn node_mut(&mut self, ticket: Ticket) -> Option<&mut Node<T>> {
+        self.nodes
+            .get_mut(ticket.at as usize)
+            .filter(|node| node.generation == ticket.generation)
+    }
+}
--- /dev/null
+++ b/crates/limit/tests/after.rs
@@ -0,0 +1,39 @@
+//! Drain rates and the time to come back.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use gentian_limit::after::{after, Drain};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn an_empty_queue_tells_no_rate() {
+    let mut drain = Drain::default();
+    (0..100).for_each(|second| drain.start(false, Duration::from_secs(second)));
+    assert_eq!(drain.rate(Duration::from_secs(100)), None);
+}
+
+#[test]
+fn the_rate_is_that_of_an_occupied_queue() {
+    let mut drain = Drain::default();
+    (0..200).for_each(|count| drain.start(true, millis(10 * count)));
+    let rate = drain.rate(millis(1990)).expect("enough seen");
+    assert!((99.0..101.0).contains(&rate), "{rate}");
+    let stalled = drain.rate(millis(11_990)).expect("enough seen");
+    assert!(stalled < 1.0, "{stalled}");
+}
+
+#[test]
+fn callers_refused_together_come_back_apart() {
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let times: BTreeSet<Duration> = (0..100).map(|_| after(millis(400), &mut rng)).collect();
+    assert!(times.len() > 90);
+    assert!(times
+        .iter()
+        .all(|time| (millis(400)..=millis(600)).contains(time)));
+}
