--- /dev/null
+++ b/crates/quorum/src/store/memory.rs
@@ -0,0 +1,48 @@
+//! A store that forgets with the process, for tests and embedders' trials.
+
+use super::{Recovered, Result, Store, Write};
+use crate::id;
+
+/// Keeps synced and unsynced state apart, so that a crash can be played.
+#[derive(Clone, Debug)]
+pub struct Memory {
+    synced: Recovered,
+    pending: Vec<Write>,
+}
+
+impl Memory {
+    /// An empty store of a new member.
+    pub fn new(id: id::Member) -> Self {
+        Self {
+            synced: Recovered::empty(id),
+            pending: Vec::new(),
+        }
+    }
+
+    /// Drops the last writes so that only the first `kept` unsynced ones survive, and reopens.
+    pub fn crash(&mut self, kept: usize) -> Recovered {
+        for write in self.pending.drain(..).take(kept) {
+            self.synced.apply(&write);
+        }
+        self.synced.clone()
+    }
+
+    /// Writes taken since the last sync.
+    pub fn pending(&self) -> usize {
+        self.pending.len()
+    }
+}
+
+impl Store for Memory {
+    fn write(&mut self, write: &Write) -> Result<()> {
+        self.pending.push(write.clone());
+        Ok(())
+    }
+
+    fn sync(&mut self) -> Result<()> {
+        for write in self.pending.drain(..) {
+            self.synced.apply(&write);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/quorum/tests/faults.rs
@@ -0,0 +1,103 @@
+//! Named schedules, each with a naive variant that the checks must find.
+
+mod common;
+
+use common::{Fault, World};
+
+/// Commits one entry on all of three members and crashes them before their disks are slow to sync.
+fn crash_everywhere(fault: Fault) {
+    let mut world = World::started(1, 3, fault);
+    let committed = world.committed();
+    world.propose(0);
+    world.run(40);
+    assert!(
+        world.committed() > committed,
+        "the entry isn't committed yet"
+    );
+    world.crash_all(50);
+    world.run(4000);
+    world.settle();
+}
+
+#[test]
+fn an_entry_is_synced_before_it_is_committed() {
+    crash_everywhere(Fault::None);
+}
+
+#[test]
+#[should_panic(expected = "lost")]
+fn an_early_sync_is_found() {
+    crash_everywhere(Fault::EarlySync);
+}
+
+/// Commits an entry on two of three members; one of them loses its disk while the other is cut off.
+fn lose_one_of_two_holders(fault: Fault) {
+    let mut world = World::started(2, 3, fault);
+    let leader = world.leader().unwrap();
+    let [holder, outsider] = world.followers();
+    world.cut(&[outsider]);
+    world.propose(0);
+    world.run(100);
+    world.cut(&[leader]);
+    world.lose(holder);
+    world.run(6000);
+    world.settle();
+}
+
+#[test]
+fn a_lost_disk_has_no_vote() {
+    lose_one_of_two_holders(Fault::None);
+}
+
+#[test]
+#[should_panic(expected = "lost")]
+fn a_reused_id_is_found() {
+    lose_one_of_two_holders(Fault::SameId);
+}
+
+#[test]
+fn a_second_disk_is_lost_right_after_the_repair() {
+    let mut world = World::started(3, 3, Fault::None);
+    for _ in 0..5 {
+        world.propose(0);
+        world.run(200);
+        let [first, second] = world.followers();
+        world.lose(first);
+        world.run_until(20_000, World::is_repaired);
+        world.lose(second);
+        world.run_until(20_000, World::is_repaired);
+    }
+    world.settle();
+}
+
+#[test]
+fn an_empty_folder_founds_no_cluster() {
+    let mut world = World::empty(4, 3);
+    world.run(20_000);
+    assert_eq!(world.leader(), None);
+    assert_eq!(world.committed(), 0);
+}
+
+#[test]
+fn a_frozen_leader_loses_its_lease_before_another_leads() {
+    let mut world = World::started(5, 3, Fault::None);
+    let old = world.leader().unwrap();
+    world.freeze(old, 10_000);
+    world.run_until(5_000, |world| world.leader().is_some_and(|new| new != old));
+    world.propose(1);
+    world.run(15_000);
+    world.settle();
+}
+
+#[test]
+fn a_member_that_was_cut_off_does_not_unseat_the_leader() {
+    let mut world = World::started(6, 3, Fault::None);
+    let leader = world.leader();
+    let [_, outsider] = world.followers();
+    let term = world.term();
+    world.cut(&[outsider]);
+    world.run(20_000);
+    world.cut(&[]);
+    world.run(5_000);
+    assert_eq!((world.leader(), world.term()), (leader, term));
+}
