--- /dev/null
+++ b/crates/config/src/document/check.rs
@@ -0,0 +1,137 @@
+//! Checks of a document beyond what its types say.
+
+use std::fmt::Display;
+use std::ops::RangeInclusive;
+
+use gentian_wire::size::Bytes;
+
+use super::{Document, Objectives, Problem, Service, Team};
+
+const MAX_CANDIDATES: u32 = 16;
+const MAX_CONCURRENT: u32 = 1_000_000;
+const MAX_DEADLINE_MS: u32 = 600_000;
+const MAX_QUEUE: u32 = 65_536;
+const MAX_RATE_PER_SECOND: f64 = 1_000_000.0;
+const MAX_OBJECTIVE: f64 = 0.999_999;
+const MIN_RETENTION_MS: u32 = 60_000;
+const MAX_RETENTION_MS: u32 = 3_600_000;
+const MIN_BODY: Bytes = Bytes(1 << 10);
+const MAX_BODY: Bytes = Bytes(16 << 20);
+
+impl Document {
+    /// Lists every field whose value is out of range.
+    pub fn check(&self) -> Vec<Problem> {
+        let mut check = Check::default();
+        for (name, service) in &self.services {
+            check.service(&format!("services.{name}"), service);
+        }
+        for (name, team) in &self.teams {
+            check.team(&format!("teams.{name}"), team, self);
+        }
+        let limits = &self.limits;
+        check.range("limits.queue", limits.queue, 1..=MAX_QUEUE);
+        check.range(
+            "limits.retention_ms",
+            limits.retention_ms,
+            MIN_RETENTION_MS..=MAX_RETENTION_MS,
+        );
+        check.problems
+    }
+}
+
+#[derive(Default)]
+struct Check {
+    problems: Vec<Problem>,
+}
+
+impl Check {
+    fn service(&mut self, at: &str, service: &Service) {
+        self.path(&format!("{at}.path"), &service.path);
+        self.range(
+            &format!("{at}.max_body"),
+            service.max_body,
+            MIN_BODY..=MAX_BODY,
+        );
+        self.range(
+            &format!("{at}.deadline_ms"),
+            service.deadline_ms,
+            1..=MAX_DEADLINE_MS,
+        );
+        self.range(
+            &format!("{at}.candidates"),
+            service.candidates,
+            1..=MAX_CANDIDATES,
+        );
+        self.range(
+            &format!("{at}.response_weight"),
+            service.response_weight,
+            0.0..=1.0,
+        );
+        self.range(
+            &format!("{at}.retry_budget"),
+            service.retry_budget,
+            0.0..=1.0,
+        );
+        self.objectives(&format!("{at}.objectives"), &service.objectives);
+    }
+
+    fn objectives(&mut self, at: &str, objectives: &Objectives) {
+        self.range(
+            &format!("{at}.availability"),
+            objectives.availability,
+            0.0..=MAX_OBJECTIVE,
+        );
+        self.range(
+            &format!("{at}.latency"),
+            objectives.latency,
+            0.0..=MAX_OBJECTIVE,
+        );
+        self.range(
+            &format!("{at}.latency_ms"),
+            objectives.latency_ms,
+            1..=MAX_DEADLINE_MS,
+        );
+    }
+
+    fn team(&mut self, at: &str, team: &Team, document: &Document) {
+        self.range(
+            &format!("{at}.concurrent"),
+            team.concurrent,
+            0..=MAX_CONCURRENT,
+        );
+        self.range(
+            &format!("{at}.rate"),
+            team.rate.get(),
+            0.0..=MAX_RATE_PER_SECOND,
+        );
+        for service in &team.services {
+            if !document.services.contains_key(service) {
+                let allowed = "a service named under services";
+                self.report(&format!("{at}.services"), service, allowed.to_owned());
+            }
+        }
+    }
+
+    fn path(&mut self, at: &str, path: &str) {
+        let legal = |byte: u8| byte.is_ascii_graphic() && !b"?#".contains(&byte);
+        if !path.starts_with('/') || !path.bytes().all(legal) {
+            let allowed = "a path that begins with '/' and has no query, fragment or space";
+            self.report(at, format!("{path:?}"), allowed.to_owned());
+        }
+    }
+
+    fn range<T: Display + PartialOrd>(&mut self, at: &str, value: T, allowed: RangeInclusive<T>) {
+        if !allowed.contains(&value) {
+            let allowed = format!("{} to {}", allowed.start(), allowed.end());
+            self.report(at, value, allowed);
+        }
+    }
+
+    fn report(&mut self, at: &str, value: impl Display, allowed: String) {
+        self.problems.push(Problem {
+            path: at.to_owned(),
+            value: value.to_string(),
+            allowed,
+        });
+    }
+}
--- /dev/null
+++ b/crates/config/tests/document.rs
@@ -0,0 +1,53 @@
+//! Reading and checking of documents.
+
+use gentian_config::document::Document;
+use serde_json::{json, Value};
+use test_case::test_case;
+
+#[test_case(json!({"service": {}}), &["service"] ; "unknown section")]
+#[test_case(json!({"services": {"a": {"pth": "/"}}}), &["services.a.pth"] ; "unknown field")]
+#[test_case(json!({"services": {"a": {"hedge": "no"}}, "limits": {"queue": -1}}),
+    &["limits.queue", "services.a.hedge"] ; "two unreadable fields")]
+#[test_case(json!({"services": {"a b": {}}}), &["services.a b"] ; "name")]
+#[test_case(json!({"services": []}), &["services"] ; "no object")]
+#[test_case(json!({"services": {"a": {"max_body": "1 parsec"}}}), &["services.a.max_body"] ; "size")]
+#[test_case(json!({"services": {"a": {"candidates": 17, "path": "x", "response_weight": 1.5}}}),
+    &["services.a.path", "services.a.candidates", "services.a.response_weight"] ; "three out of range")]
+#[test_case(json!({"services": {"a": {"retry_budget": -0.1, "max_body": "1B", "deadline_ms": 0}}}),
+    &["services.a.max_body", "services.a.deadline_ms", "services.a.retry_budget"] ; "lower bounds")]
+#[test_case(json!({"services": {"a": {"objectives": {"availability": 1, "latency_ms": 0}}}}),
+    &["services.a.objectives.availability", "services.a.objectives.latency_ms"] ; "objectives")]
+#[test_case(json!({"teams": {"t": {"services": ["a"], "concurrent": 2_000_000}}}),
+    &["teams.t.concurrent", "teams.t.services"] ; "team")]
+#[test_case(json!({"limits": {"queue": 0, "retention_ms": 1}}),
+    &["limits.queue", "limits.retention_ms"] ; "limits")]
+#[test_case(json!(7), &[""] ; "number")]
+fn problems_name_their_fields(document: Value, paths: &[&str]) {
+    let problems = Document::read(&document).expect_err("the document has problems");
+    let found: Vec<&str> = problems.iter().map(|p| p.path.as_str()).collect();
+    assert_eq!(found, paths, "{problems:?}");
+    assert!(problems.iter().all(|problem| !problem.allowed.is_empty()));
+}
+
+#[test]
+fn defaults_pass_and_survive_a_round_trip() {
+    let document = Document::read(&json!({"services": {"a": {}}, "teams": {"t": {}}}));
+    let document = document.expect("defaults are good");
+    let value = serde_json::to_value(&document).expect("a document is JSON");
+    assert_eq!(Document::read(&value), Ok(document));
+}
+
+#[test_case(json!({}), true ; "all by default")]
+#[test_case(json!({"allow": {"racks": ["r1"]}}), true ; "allowed by rack")]
+#[test_case(json!({"allow": {"racks": ["r2"]}}), false ; "not allowed")]
+#[test_case(json!({"allow": {"nodes": ["n1"]}, "deny": {"data_centers": ["d1"]}}), false ; "deny first")]
+fn upstreams_admit(upstreams: Value, admitted: bool) {
+    let document = Document::read(&json!({ "upstreams": upstreams })).expect("readable");
+    let parse = |text: &str| text.parse().expect("a name");
+    let admits = document.upstreams.admits(
+        &parse("n1"),
+        &"d1".parse().expect("a name"),
+        &"r1".parse().expect("a name"),
+    );
+    assert_eq!(admits, admitted);
+}
