core: check settings whole, and add the operators' commands

Cause: a process must not start on settings that are half wrong, and operators need one binary for all calls.

Change: settings are read as typed and then checked, so that all mistakes are told at once with field, value and what is allowed. config get, patch and history, status and members call control over HTTP with oxhttp's client, try the next instance where one does not lead, and keep the patch's id.

Ruled out: serde's deny_unknown_fields, which stops at the first mistake; unknown fields are collected and refused by the check instead.

--- /dev/null
+++ b/crates/core/src/args/base.rs
@@ -0,0 +1,42 @@
+//! Base URLs of the system's HTTP addresses.
+
+use std::fmt;
+use std::str::FromStr;
+
+use http::Uri;
+
+/// A URL with a host and no path, such as `http://127.0.0.1:8080`.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) struct Base(String);
+
+/// A text that is no base URL.
+#[derive(Debug, thiserror::Error)]
+#[error("must be a URL without a path such as http://127.0.0.1:8080")]
+pub(crate) struct Error;
+
+impl Base {
+    /// The URL of `path`, which starts with a slash.
+    pub(crate) fn join(&self, path: &str) -> String {
+        format!("{}{path}", self.0)
+    }
+}
+
+impl FromStr for Base {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Base, Error> {
+        let uri: Uri = text.parse().map_err(|_| Error)?;
+        let plain = uri.scheme_str() == Some("http") && uri.authority().is_some();
+        if plain && matches!(uri.path(), "" | "/") && uri.query().is_none() {
+            Ok(Base(text.trim_end_matches('/').to_owned()))
+        } else {
+            Err(Error)
+        }
+    }
+}
+
+impl fmt::Display for Base {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
--- /dev/null
+++ b/crates/core/src/args/config.rs
@@ -0,0 +1,144 @@
+//! `config`: the numbered configuration, read and changed.
+
+use std::fs;
+use std::time::{Duration, UNIX_EPOCH};
+
+use clap::Subcommand;
+use gentian_wire::id::Version;
+use http::Method;
+use oxhttp::model::StatusCode;
+use serde_json::{json, Value};
+use uuid::Uuid;
+
+use super::operator::{Answer, Control};
+use super::{output, Error, Result};
+
+#[derive(Debug, Subcommand)]
+pub(super) enum Command {
+    /// Prints the version in force and its document
+    Get {
+        #[command(flatten)]
+        control: Control,
+    },
+    /// Changes the configuration, if the version in force is the one named
+    Patch(Patch),
+    /// Lists the accepted versions with author, time, patch and digest
+    History(History),
+}
+
+#[derive(clap::Args, Debug)]
+#[command(after_help = "\
+Examples:
+  gentiancove config patch --control http://127.0.0.1:7001 --base 4 --author ada \\
+      '{\"teams\": {\"barn\": {\"rate\": 200}}}'
+  gentiancove config patch --control http://127.0.0.1:7001 --base 5 --author ada @change.json
+
+The id of the patch is printed before it is sent. Where the answer was lost, send the same
+patch again with --id: it gets the answer that it got the first time.")]
+pub(super) struct Patch {
+    #[command(flatten)]
+    control: Control,
+    /// Version that the patch changes; it must be in force
+    #[arg(long, value_name = "VERSION")]
+    base: Version,
+    /// Who changes the configuration, for the record
+    #[arg(long)]
+    author: String,
+    /// Id of a patch whose answer was lost [default: a new one]
+    #[arg(long, value_name = "UUID")]
+    id: Option<Uuid>,
+    /// JSON merge patch (RFC 7396), or @FILE to read it from
+    #[arg(value_name = "PATCH")]
+    merge: String,
+}
+
+#[derive(clap::Args, Debug)]
+pub(super) struct History {
+    #[command(flatten)]
+    control: Control,
+    /// Lists the versions after this one
+    #[arg(long, value_name = "VERSION", default_value_t = Version(0))]
+    after: Version,
+    /// Prints the records as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+impl Command {
+    pub(super) fn run(self) -> Result<()> {
+        match self {
+            Command::Get { control } => {
+                let config = control.get("/v1/config")?;
+                output::print_line(&format!("{config:#}"))
+            }
+            Command::Patch(patch) => patch.run(),
+            Command::History(history) => history.run(),
+        }
+    }
+}
+
+impl Patch {
+    fn run(self) -> Result<()> {
+        let merge = self.read()?;
+        let id = self.id.unwrap_or_else(Uuid::now_v7);
+        eprintln!("patch id {id}");
+        let body = json!({
+            "id": id,
+            "base": self.base,
+            "author": self.author,
+            "merge": merge,
+        });
+        let answer = self.control.send(&Method::PATCH, "/v1/config", &body)?;
+        if answer.status == StatusCode::CONFLICT {
+            return Err(conflict(&answer));
+        }
+        output::print_line(&format!("{:#}", answer.json()?))
+    }
+
+    fn read(&self) -> Result<Value> {
+        let text = match self.merge.strip_prefix('@') {
+            Some(path) => fs::read_to_string(path).map_err(output::file_error(path))?,
+            None => self.merge.clone(),
+        };
+        let merge: Option<Value> = serde_json::from_str(&text).ok();
+        merge.filter(Value::is_object).ok_or(Error::Argument {
+            argument: "PATCH",
+            value: text,
+            allowed: "must be a JSON object, or @FILE that holds one".to_owned(),
+        })
+    }
+}
+
+fn conflict(answer: &Answer) -> Error {
+    let detail = match answer.any_json() {
+        Ok(told) => format!("the patch is not accepted: {told}"),
+        Err(_) => "the patch is not accepted".to_owned(),
+    };
+    Error::Conflict { detail }
+}
+
+impl History {
+    fn run(self) -> Result<()> {
+        let path = format!("/v1/config/history?after={}", self.after);
+        let history = self.control.get(&path)?;
+        if self.json {
+            return output::print_line(&format!("{history:#}"));
+        }
+        let versions = history["versions"].as_array();
+        let lines = versions.into_iter().flatten().map(line);
+        output::print(&lines.collect::<String>())
+    }
+}
+
+fn line(record: &Value) -> String {
+    let text = |field: &str| record[field].as_str().unwrap_or("?").to_owned();
+    let wall = Duration::from_millis(record["wall_ms"].as_u64().unwrap_or(0));
+    let time = humantime::format_rfc3339_millis(UNIX_EPOCH + wall);
+    let digest: String = text("digest").chars().take(12).collect();
+    format!(
+        "{}\t{time}\t{}\t{digest}\t{}\n",
+        record["version"],
+        text("author"),
+        record["merge"]
+    )
+}
--- a/crates/core/src/args/mod.rs
+++ b/crates/core/src/args/mod.rs
@@ -1,17 +1,39 @@
 //! The command line.
 
-use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::process::ExitCode;
 
-use clap::{Args, Parser, Subcommand};
-use gentian_wire::id;
+use clap::{Parser, Subcommand};
 
-use crate::settings::Settings;
-use crate::{run, upstream};
+mod base;
+mod check;
+mod config;
+mod error;
+mod members;
+mod operator;
+mod output;
+mod run;
+mod status;
+mod upstream;
+
+pub(crate) use error::{Error, Result};
+
+const HELP: &str = "\
+Examples:
+  gentiancove run --settings entry.json
+  gentiancove check-settings --settings entry.json
+  gentiancove config get --control http://127.0.0.1:7001
+  gentiancove config patch --control http://127.0.0.1:7001 --base 4 '{\"teams\":{\"barn\":{}}}'
+
+Exit codes:
+  0  it worked
+  1  it failed
+  2  the command line or the settings are wrong
+  3  the patch names another version than the one in force
+  4  nobody answered; where it was a patch, send it again with the same --id";
 
 /// A dispatcher for sub-second tasks.
 #[derive(Debug, Parser)]
-#[command(name = "gentiancove", version, max_term_width = 100)]
+#[command(name = "gentiancove", version, max_term_width = 100, after_help = HELP)]
 pub(crate) struct Cli {
     #[command(subcommand)]
     command: Command,
@@ -20,64 +42,39 @@
 #[derive(Debug, Subcommand)]
 enum Command {
     /// Runs the roles that a settings file names, until SIGTERM
-    Run(Run),
+    Run(run::Args),
+    /// Checks a settings file and prints the settings in force
+    CheckSettings(check::Args),
+    /// Reads and changes the numbered configuration
+    #[command(subcommand)]
+    Config(config::Command),
+    /// Shows what an entry, an agent or a control instance knows
+    Status(status::Args),
+    /// Adds, removes or replaces a control instance
+    #[command(subcommand)]
+    Members(members::Command),
     /// Runs an upstream that sleeps as asked and echoes what it gets
-    ExampleUpstream(ExampleUpstream),
-}
-
-impl Cli {
-    /// Runs the chosen command.
-    pub(crate) fn run(self) -> miette::Result<()> {
-        match self.command {
-            Command::Run(command) => command.run(),
-            Command::ExampleUpstream(command) => command.run(),
-        }
-    }
-}
-
-#[derive(Args, Debug)]
-struct Run {
-    /// The JSON settings file
-    #[arg(long, value_name = "FILE")]
-    settings: PathBuf,
+    ExampleUpstream(upstream::Args),
 }
 
-impl Run {
-    fn run(self) -> miette::Result<()> {
-        let settings = Settings::read(&self.settings)?;
-        Ok(run::run(&settings)?)
+/// Runs the command that the command line names.
+pub(crate) fn main() -> ExitCode {
+    error::install_handler();
+    match Cli::parse().command.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => error.tell(),
     }
 }
 
-#[derive(Args, Debug)]
-struct ExampleUpstream {
-    /// Base URL of the local agent
-    #[arg(long, value_name = "URL")]
-    agent: String,
-    /// Service that the upstream serves
-    #[arg(long, default_value = "demo")]
-    service: id::Service,
-    /// Tasks that may run at once, as announced
-    #[arg(long, default_value_t = 8)]
-    slots: u32,
-    /// Connections that may be open at once, as announced
-    #[arg(long, default_value_t = 64)]
-    connections: u32,
-    /// Address to listen on; port 0 takes a free one
-    #[arg(long, value_name = "IP:PORT", default_value = "127.0.0.1:0")]
-    listen: SocketAddr,
-    /// How tasks are treated: normal, fail, slow or reset
-    #[arg(long, default_value_t)]
-    mode: upstream::Mode,
-}
-
-impl ExampleUpstream {
-    fn run(self) -> miette::Result<()> {
-        let builder = upstream::Builder::new(self.service, self.agent)
-            .slots(self.slots)
-            .connections(self.connections)
-            .listen(self.listen)
-            .mode(self.mode);
-        upstream::run(builder).map_err(|error| miette::miette!("{error}"))
+impl Command {
+    fn run(self) -> Result<()> {
+        match self {
+            Command::Run(args) => args.run(),
+            Command::CheckSettings(args) => args.run(),
+            Command::Config(command) => command.run(),
+            Command::Status(args) => args.run(),
+            Command::Members(command) => command.run(),
+            Command::ExampleUpstream(args) => args.run(),
+        }
     }
 }
--- /dev/null
+++ b/crates/core/src/args/output.rs
@@ -0,0 +1,29 @@
+//! Writing to standard output.
+
+use std::io::{self, Write};
+
+use super::{Error, Result};
+
+/// Writes a text to standard output. A reader that has gone, such as `head`, is
+/// no error.
+pub(super) fn print(text: &str) -> Result<()> {
+    let mut stdout = io::stdout().lock();
+    let written = stdout
+        .write_all(text.as_bytes())
+        .and_then(|()| stdout.flush());
+    match written {
+        Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Ok(()),
+        written => written.map_err(file_error("standard output")),
+    }
+}
+
+/// Writes a text and a line break to standard output.
+pub(super) fn print_line(text: &str) -> Result<()> {
+    print(&format!("{text}\n"))
+}
+
+/// Makes the error of a file that can't be used.
+pub(super) fn file_error(path: &str) -> impl FnOnce(io::Error) -> Error {
+    let path = path.to_owned();
+    move |source| Error::File { path, source }
+}
--- a/crates/core/src/entry/http.rs
+++ b/crates/core/src/entry/http.rs
@@ -6,16 +6,14 @@
 use gentian::wire::agent::{StartReply, StartRequest};
 use gentian::wire::id;
 use gentian::wire::outcome::Outcome;
-use gentian::wire::size;
 use http::{HeaderMap, Method};
 use http_body_util::Full;
 
 use super::call::Clients;
 use super::dispatch::{Demand, Handle, Place, Refusal, Report, Verdict};
 use crate::serve::{self, Handler, Problem, Request, Response};
-use crate::settings::{Entry, DEFAULT_DEADLINE};
+use crate::settings::Entry;
 
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 const MAX_DEADLINE: Duration = Duration::from_secs(300);
 const MAX_ATTEMPTS: usize = 4;
 const RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -28,7 +26,7 @@
 pub(crate) struct Front {
     dispatcher: Handle,
     clients: Clients,
-    max_body: size::Bytes,
+    section: Entry,
 }
 
 /// A single request, read and checked.
@@ -48,7 +46,7 @@
         Front {
             dispatcher,
             clients,
-            max_body: section.max_body,
+            section: section.clone(),
         }
     }
 
@@ -65,8 +63,9 @@
     async fn single(&self, request: Request) -> Result<Response> {
         let arrived = Instant::now();
         let (head, body) = request.into_parts();
-        let mut single = Single::read(&head.headers, arrived)?;
-        single.body = serve::read(body, self.max_body.as_usize(), BODY_TIMEOUT).await?;
+        let mut single = Single::read(&head.headers, arrived, self.section.default_deadline)?;
+        let limit = self.section.max_body.as_usize();
+        single.body = serve::read(body, limit, self.section.body_timeout).await?;
         let dispatcher = self.dispatcher.clone();
         let clients = self.clients.clone();
         // A caller that hangs up must not lose the report that frees the place.
@@ -85,10 +84,10 @@
 }
 
 impl Single {
-    fn read(headers: &HeaderMap, arrived: Instant) -> Result<Single> {
+    fn read(headers: &HeaderMap, arrived: Instant, default: Duration) -> Result<Single> {
         let deadline = match optional(headers, "x-deadline")? {
             Some(text) => duration("x-deadline", text)?,
-            None => DEFAULT_DEADLINE,
+            None => default,
         };
         Ok(Single {
             service: name(headers, "x-service")?,
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -1,6 +1,6 @@
 //! The gentiancove binary: reads the command line and runs what it names.
 
-use clap::Parser;
+use std::process::ExitCode;
 
 mod agent;
 mod args;
@@ -13,6 +13,6 @@
 mod settings;
 mod upstream;
 
-fn main() -> miette::Result<()> {
-    args::Cli::parse().run()
+fn main() -> ExitCode {
+    args::main()
 }
--- /dev/null
+++ b/crates/core/src/settings/check.rs
@@ -0,0 +1,280 @@
+//! From the file as typed to settings whose values are all allowed.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::Duration;
+
+use gentian_wire::size::Bytes;
+use serde_json::Value;
+
+use super::{typed, Agent, Controller, Entry, Log, Mistake, Settings};
+
+const ADDRESS: &str = "an IP address and port such as 127.0.0.1:8080";
+const NAME: &str = "a name of 1 to 64 of the characters a-z, A-Z, 0-9, '-', '_' and '.'";
+const PATH: &str = "a path such as \"/var/lib/gentiancove\"";
+const LEVELS: &str = "one of off, error, warn, info, debug, trace";
+const MAX_CONTROL_INSTANCES: usize = 7;
+
+const BODY_BYTES: RangeInclusive<u64> = 1 << 10..=64 << 20;
+const CONNECTIONS: RangeInclusive<u64> = 1..=100_000;
+const SLOTS: RangeInclusive<u64> = 1..=1024;
+const TIMEOUT: RangeInclusive<Duration> = Duration::from_millis(10)..=Duration::from_secs(300);
+
+/// Checks a whole file, or tells all its mistakes.
+pub(super) fn settings(typed: typed::Settings) -> Result<Settings, Vec<Mistake>> {
+    let mut checker = Checker::default();
+    let settings = checker.settings(typed);
+    if let Some(settings) = &settings {
+        checker.relations(settings);
+    }
+    match settings {
+        Some(settings) if checker.mistakes.is_empty() => Ok(settings),
+        _ => Err(checker.mistakes),
+    }
+}
+
+/// Collects mistakes. A method returns none where a value can't be used, and
+/// then it has noted why.
+#[derive(Debug, Default)]
+struct Checker {
+    mistakes: Vec<Mistake>,
+}
+
+impl Checker {
+    fn settings(&mut self, typed: typed::Settings) -> Option<Settings> {
+        self.unknown("", &typed.unknown, typed::Settings::FIELDS);
+        self.any_role(&typed);
+        let name = self.required("name", typed.name, NAME, parse);
+        let data_center = self.required("data_center", typed.data_center, NAME, parse);
+        let rack = self.required("rack", typed.rack, NAME, parse);
+        let region = self.required("region", typed.region, NAME, parse);
+        let control = self.control(typed.control);
+        let entry = typed.entry.map(|entry| self.entry(entry));
+        let agent = typed.agent.map(|agent| self.agent(agent));
+        let controller = typed.controller.map(|section| self.controller(section));
+        let log = self.log(typed.log.unwrap_or_default());
+        Some(Settings {
+            name: name?,
+            data_center: data_center?,
+            rack: rack?,
+            region: region?,
+            control: control?,
+            entry: whole(entry)?,
+            agent: whole(agent)?,
+            controller: whole(controller)?,
+            log: log?,
+        })
+    }
+
+    fn entry(&mut self, typed: typed::Entry) -> Option<Entry> {
+        self.unknown("entry.", &typed.unknown, typed::Entry::FIELDS);
+        let http = self.required("entry.http", typed.http, ADDRESS, parse);
+        let max_body = self.size("entry.max_body", typed.max_body, Bytes(1 << 20));
+        let max_connections = self.count(
+            "entry.max_connections",
+            typed.max_connections,
+            4096,
+            CONNECTIONS,
+        );
+        let header_timeout = self.time("entry.header_timeout", typed.header_timeout, 5_000);
+        let body_timeout = self.time("entry.body_timeout", typed.body_timeout, 5_000);
+        let default_deadline = self.time("entry.default_deadline", typed.default_deadline, 10_000);
+        let drain_timeout = self.time("entry.drain_timeout", typed.drain_timeout, 30_000);
+        Some(Entry {
+            http: http?,
+            max_body: max_body?,
+            max_connections: usize::try_from(max_connections?).ok()?,
+            header_timeout: header_timeout?,
+            body_timeout: body_timeout?,
+            default_deadline: default_deadline?,
+            drain_timeout: drain_timeout?,
+        })
+    }
+
+    fn agent(&mut self, typed: typed::Agent) -> Option<Agent> {
+        self.unknown("agent.", &typed.unknown, typed::Agent::FIELDS);
+        let http = self.required("agent.http", typed.http, ADDRESS, parse);
+        let peer = self.required("agent.peer", typed.peer, ADDRESS, parse);
+        let max_slots = self.count("agent.max_slots", typed.max_slots, 8, SLOTS);
+        let max_connections = self.count(
+            "agent.max_connections",
+            typed.max_connections,
+            64,
+            CONNECTIONS,
+        );
+        let drain_timeout = self.time("agent.drain_timeout", typed.drain_timeout, 30_000);
+        Some(Agent {
+            http: http?,
+            peer: peer?,
+            max_slots: u32::try_from(max_slots?).ok()?,
+            max_connections: u32::try_from(max_connections?).ok()?,
+            drain_timeout: drain_timeout?,
+        })
+    }
+
+    fn controller(&mut self, typed: typed::Controller) -> Option<Controller> {
+        self.unknown("controller.", &typed.unknown, typed::Controller::FIELDS);
+        let http = self.required("controller.http", typed.http, ADDRESS, parse);
+        let peer = self.required("controller.peer", typed.peer, ADDRESS, parse);
+        let data = self.required("controller.data", typed.data, PATH, path);
+        Some(Controller {
+            http: http?,
+            peer: peer?,
+            data: data?,
+        })
+    }
+
+    fn log(&mut self, typed: typed::Log) -> Option<Log> {
+        self.unknown("log.", &typed.unknown, typed::Log::FIELDS);
+        let info = log::LevelFilter::Info;
+        let level = self.optional("log.level", typed.level, info, LEVELS, level);
+        let file = self.optional("log.file", typed.file, None, PATH, |v| path(v).map(Some));
+        Some(Log {
+            level: level?,
+            file: file?,
+        })
+    }
+
+    /// Rules that hold between fields.
+    fn relations(&mut self, settings: &Settings) {
+        for (field, address) in settings.repeated_listeners() {
+            let value = Value::from(address.to_string());
+            self.note(field, Some(value), "an address that no other field has");
+        }
+        if settings.control.is_empty() && settings.controller.is_none() {
+            let allowed = "the peer addresses of 1 to 7 control instances";
+            self.note("control", None, allowed);
+        }
+        if let Some(agent) = &settings.agent {
+            if agent.max_connections < agent.max_slots {
+                let allowed = format!("at least agent.max_slots, {}", agent.max_slots);
+                let value = Value::from(agent.max_connections);
+                self.note("agent.max_connections", Some(value), &allowed);
+            }
+        }
+    }
+
+    fn any_role(&mut self, typed: &typed::Settings) {
+        if typed.entry.is_none() && typed.agent.is_none() && typed.controller.is_none() {
+            let allowed = "at least one of the sections entry, agent and controller";
+            self.note("role", None, allowed);
+        }
+    }
+
+    fn control(&mut self, value: Option<Value>) -> Option<Vec<SocketAddr>> {
+        let allowed = "a list of 1 to 7 different addresses such as [\"127.0.0.1:7000\"]";
+        self.optional("control", value, Vec::new(), allowed, addresses)
+    }
+
+    fn size(&mut self, field: &str, value: Option<Value>, default: Bytes) -> Option<Bytes> {
+        let (least, most) = (Bytes(*BODY_BYTES.start()), Bytes(*BODY_BYTES.end()));
+        let allowed = format!("a size from {least} to {most} such as \"64KiB\"");
+        let read = |value: &Value| parse(value).filter(|size: &Bytes| BODY_BYTES.contains(&size.0));
+        self.optional(field, value, default, &allowed, read)
+    }
+
+    fn time(&mut self, field: &str, value: Option<Value>, default_ms: u64) -> Option<Duration> {
+        let least = humantime::format_duration(*TIMEOUT.start());
+        let most = humantime::format_duration(*TIMEOUT.end());
+        let allowed = format!("a duration from {least} to {most} such as \"500ms\" or \"2s\"");
+        let default = Duration::from_millis(default_ms);
+        self.optional(field, value, default, &allowed, duration)
+    }
+
+    fn count(
+        &mut self,
+        field: &str,
+        value: Option<Value>,
+        default: u64,
+        range: RangeInclusive<u64>,
+    ) -> Option<u64> {
+        let allowed = format!("a whole number from {} to {}", range.start(), range.end());
+        let read = |value: &Value| value.as_u64().filter(|count| range.contains(count));
+        self.optional(field, value, default, &allowed, read)
+    }
+
+    fn required<T>(
+        &mut self,
+        field: &str,
+        value: Option<Value>,
+        allowed: &str,
+        read: impl Fn(&Value) -> Option<T>,
+    ) -> Option<T> {
+        let usable = value.as_ref().and_then(read);
+        if usable.is_none() {
+            self.note(field, value, allowed);
+        }
+        usable
+    }
+
+    fn optional<T>(
+        &mut self,
+        field: &str,
+        value: Option<Value>,
+        default: T,
+        allowed: &str,
+        read: impl Fn(&Value) -> Option<T>,
+    ) -> Option<T> {
+        match value {
+            None => Some(default),
+            value => self.required(field, value, allowed, read),
+        }
+    }
+
+    fn unknown(&mut self, section: &str, unknown: &typed::Unknown, fields: &[&str]) {
+        for (name, value) in unknown {
+            let allowed = format!("no such field, only {}", fields.join(", "));
+            self.note(&format!("{section}{name}"), Some(value.clone()), &allowed);
+        }
+    }
+
+    fn note(&mut self, field: &str, value: Option<Value>, allowed: &str) {
+        self.mistakes.push(Mistake {
+            field: field.to_owned(),
+            value,
+            allowed: allowed.to_owned(),
+        });
+    }
+}
+
+/// Turns a section that may be absent inside out.
+#[allow(clippy::option_option)]
+fn whole<T>(section: Option<Option<T>>) -> Option<Option<T>> {
+    match section {
+        None => Some(None),
+        Some(None) => None,
+        Some(section) => Some(section),
+    }
+}
+
+fn parse<T: FromStr>(value: &Value) -> Option<T> {
+    value.as_str()?.parse().ok()
+}
+
+fn duration(value: &Value) -> Option<Duration> {
+    let duration = humantime::parse_duration(value.as_str()?).ok()?;
+    TIMEOUT.contains(&duration).then_some(duration)
+}
+
+fn level(value: &Value) -> Option<log::LevelFilter> {
+    let text = value.as_str()?;
+    let lower = text.bytes().all(|byte| byte.is_ascii_lowercase());
+    text.parse().ok().filter(|_| lower)
+}
+
+fn path(value: &Value) -> Option<PathBuf> {
+    let text = value.as_str()?;
+    let usable = !text.is_empty() && !text.contains('\0');
+    usable.then(|| PathBuf::from(text))
+}
+
+fn addresses(value: &Value) -> Option<Vec<SocketAddr>> {
+    let list = value.as_array()?;
+    let addresses: Vec<SocketAddr> = list.iter().map(parse).collect::<Option<_>>()?;
+    let distinct: BTreeSet<_> = addresses.iter().collect();
+    let few = addresses.len() <= MAX_CONTROL_INSTANCES;
+    (few && distinct.len() == addresses.len()).then_some(addresses)
+}
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -1,97 +1,168 @@
 //! Settings of one process, read from a JSON file.
+//!
+//! There are two layers. [`typed`] holds the file as it was typed, with any
+//! value in any field, so that one reading finds every mistake. [`check`] turns
+//! it into [`Settings`], where each value is allowed and defaults are filled in.
 
+use std::collections::BTreeSet;
+use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use gentian::wire::id;
-use gentian::wire::size::Bytes;
-use serde::Deserialize;
-
-/// A settings file that can't be used.
-#[derive(Debug, miette::Diagnostic, thiserror::Error)]
-pub(crate) enum Error {
-    /// The file can't be read.
-    #[error("can't read settings file {path:?}: {source}")]
-    Read {
-        path: PathBuf,
-        source: std::io::Error,
-    },
-    /// The file holds no settings.
-    #[error("settings file {path:?}: {source}")]
-    Parse {
-        path: PathBuf,
-        source: serde_json::Error,
-    },
-}
+use gentian_wire::id;
+use gentian_wire::size::Bytes;
+use serde::{Serialize, Serializer};
+
+mod check;
+mod error;
+mod typed;
 
-/// A result whose error is an unusable settings file.
-pub(crate) type Result<T> = std::result::Result<T, Error>;
+pub(crate) use error::{Error, Mistake, Result};
 
 /// The settings of one process.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Serialize)]
 pub(crate) struct Settings {
+    /// Name of the process, unique in the system.
     pub(crate) name: id::Node,
+    /// Data centre that it runs in.
     pub(crate) data_center: id::DataCenter,
+    /// Rack that it runs in.
     pub(crate) rack: id::Rack,
+    /// Region that holds the data centre.
     pub(crate) region: id::Region,
-    /// Peer addresses of the control instances.
-    #[serde(default)]
+    /// Peer addresses of the control instances. Empty only where this process
+    /// is the one control instance itself.
     pub(crate) control: Vec<SocketAddr>,
+    /// The entry role, where this process has it.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) entry: Option<Entry>,
+    /// The agent role, where this process has it.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) agent: Option<Agent>,
+    /// The control role, where this process has it.
+    #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) controller: Option<Controller>,
+    /// Where log lines go.
+    pub(crate) log: Log,
 }
 
 /// Settings of the entry role.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Serialize)]
 pub(crate) struct Entry {
+    /// Address for callers.
     pub(crate) http: SocketAddr,
-    #[serde(default = "default_body")]
+    /// Longest body that is read.
     pub(crate) max_body: Bytes,
-    #[serde(default = "default_connections")]
+    /// Connections that may be open at once.
     pub(crate) max_connections: usize,
+    /// Longest time for a request's header to come whole.
+    #[serde(serialize_with = "write_duration")]
+    pub(crate) header_timeout: Duration,
+    /// Longest time for a request's body to come whole.
+    #[serde(serialize_with = "write_duration")]
+    pub(crate) body_timeout: Duration,
+    /// Deadline of a request that names none.
+    #[serde(serialize_with = "write_duration")]
+    pub(crate) default_deadline: Duration,
+    /// Longest time for requests in progress to end when the process stops.
+    #[serde(serialize_with = "write_duration")]
+    pub(crate) drain_timeout: Duration,
 }
 
 /// Settings of the agent role.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Serialize)]
 pub(crate) struct Agent {
+    /// Address for the upstream beside the agent.
     pub(crate) http: SocketAddr,
+    /// Address for entries.
     pub(crate) peer: SocketAddr,
+    /// Slots of an upstream that are used at most, whatever it announces.
+    pub(crate) max_slots: u32,
+    /// Connections to an upstream that are opened at most, whatever it announces.
+    pub(crate) max_connections: u32,
+    /// Longest time for tasks in progress to end when the process stops.
+    #[serde(serialize_with = "write_duration")]
+    pub(crate) drain_timeout: Duration,
 }
 
 /// Settings of the control role.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[derive(Clone, Debug, Serialize)]
 pub(crate) struct Controller {
+    /// Address for operators.
     pub(crate) http: SocketAddr,
+    /// Address for entries, agents and other control instances.
     pub(crate) peer: SocketAddr,
+    /// Folder that holds all state of this instance.
+    pub(crate) data: PathBuf,
+}
+
+/// Settings of the log.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Log {
+    /// Least severe level that is written.
+    #[serde(serialize_with = "write_level")]
+    pub(crate) level: log::LevelFilter,
+    /// File to append to; standard error where there is none.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) file: Option<PathBuf>,
 }
 
 impl Settings {
-    /// Reads a settings file.
+    /// Reads and checks a settings file.
     pub(crate) fn read(path: &Path) -> Result<Settings> {
-        let text = std::fs::read_to_string(path).map_err(|source| Error::Read {
+        let text = fs::read_to_string(path).map_err(|source| Error::Read {
             path: path.to_owned(),
             source,
         })?;
-        serde_json::from_str(&text).map_err(|source| Error::Parse {
-            path: path.to_owned(),
-            source,
+        Settings::parse(&path.display().to_string(), &text)
+    }
+
+    /// Reads and checks settings; `name` tells in errors where they came from.
+    pub(crate) fn parse(name: &str, text: &str) -> Result<Settings> {
+        let typed: typed::Settings =
+            serde_json::from_str(text).map_err(|source| Error::syntax(name, text, &source))?;
+        check::settings(typed).map_err(|mistakes| Error::Wrong {
+            name: name.to_owned(),
+            mistakes,
         })
     }
-}
 
-/// Longest time a request may take where its caller names none.
-pub(crate) const DEFAULT_DEADLINE: Duration = Duration::from_secs(10);
+    /// The settings in force as a JSON file that gives the same settings again.
+    pub(crate) fn to_json(&self) -> String {
+        serde_json::to_string_pretty(self).expect("settings have text keys only")
+    }
+
+    /// The addresses that the process listens on.
+    fn listeners(&self) -> Vec<(&'static str, SocketAddr)> {
+        let entry = self.entry.iter().map(|e| ("entry.http", e.http));
+        let agent = self.agent.iter();
+        let agent = agent.flat_map(|a| [("agent.http", a.http), ("agent.peer", a.peer)]);
+        let controller = self.controller.iter();
+        let controller =
+            controller.flat_map(|c| [("controller.http", c.http), ("controller.peer", c.peer)]);
+        entry.chain(agent).chain(controller).collect()
+    }
+
+    /// Each address that is listened on twice, with the field that repeats it.
+    fn repeated_listeners(&self) -> Vec<(&'static str, SocketAddr)> {
+        let mut seen = BTreeSet::new();
+        let mut listeners = self.listeners();
+        listeners.retain(|(_, address)| address.port() != 0 && !seen.insert(*address));
+        listeners
+    }
+}
 
-fn default_body() -> Bytes {
-    Bytes(1 << 20)
+fn write_duration<S: Serializer>(
+    duration: &Duration,
+    serializer: S,
+) -> std::result::Result<S::Ok, S::Error> {
+    serializer.collect_str(&humantime::format_duration(*duration))
 }
 
-fn default_connections() -> usize {
-    4096
+fn write_level<S: Serializer>(
+    level: &log::LevelFilter,
+    serializer: S,
+) -> std::result::Result<S::Ok, S::Error> {
+    serializer.serialize_str(&level.as_str().to_ascii_lowercase())
 }
--- /dev/null
+++ b/crates/core/src/settings/typed.rs
@@ -0,0 +1,83 @@
+//! A settings file as it was typed.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde_json::Value;
+
+/// Fields that no setting has, by name.
+pub(super) type Unknown = BTreeMap<String, Value>;
+
+macro_rules! section {
+    ($(#[$doc:meta])* $type:ident { $($field:ident: $kind:ty,)* }) => {
+        $(#[$doc])*
+        #[derive(Debug, Default, Deserialize)]
+        #[serde(default)]
+        pub(super) struct $type {
+            $(pub(super) $field: Option<$kind>,)*
+            #[serde(flatten)]
+            pub(super) unknown: Unknown,
+        }
+
+        impl $type {
+            /// Names of the fields that the section may have.
+            pub(super) const FIELDS: &'static [&'static str] = &[$(stringify!($field)),*];
+        }
+    };
+}
+
+section! {
+    /// The whole file.
+    Settings {
+        name: Value,
+        data_center: Value,
+        rack: Value,
+        region: Value,
+        control: Value,
+        entry: Entry,
+        agent: Agent,
+        controller: Controller,
+        log: Log,
+    }
+}
+
+section! {
+    /// The section `entry`.
+    Entry {
+        http: Value,
+        max_body: Value,
+        max_connections: Value,
+        header_timeout: Value,
+        body_timeout: Value,
+        default_deadline: Value,
+        drain_timeout: Value,
+    }
+}
+
+section! {
+    /// The section `agent`.
+    Agent {
+        http: Value,
+        peer: Value,
+        max_slots: Value,
+        max_connections: Value,
+        drain_timeout: Value,
+    }
+}
+
+section! {
+    /// The section `controller`.
+    Controller {
+        http: Value,
+        peer: Value,
+        data: Value,
+    }
+}
+
+section! {
+    /// The section `log`.
+    Log {
+        level: Value,
+        file: Value,
+    }
+}
--- a/crates/core/src/upstream/announce.rs
+++ b/crates/core/src/upstream/announce.rs
@@ -8,6 +8,9 @@
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 
+use gentian_wire::id;
+use serde::Serialize;
+
 use super::Announcement;
 use crate::client;
 
@@ -15,6 +18,11 @@
 const TIMEOUT: Duration = Duration::from_secs(2);
 const LEAVE_ATTEMPTS: u32 = 3;
 
+#[derive(Serialize)]
+struct Leave<'a> {
+    service: &'a id::Service,
+}
+
 /// Announces the upstream until `stop` turns true, then tells that it leaves.
 pub(super) async fn until_stopped(
     client: &client::Client,
@@ -37,8 +45,11 @@
 }
 
 async fn leave(client: &client::Client, agent: &str, announcement: &Announcement) {
+    let leave = Leave {
+        service: &announcement.service,
+    };
     for _ in 0..LEAVE_ATTEMPTS {
-        match post(client, agent, "/v1/leave", announcement).await {
+        match post(client, agent, "/v1/leave", &leave).await {
             Ok(()) => return,
             Err(error) => log::warn!("leave at agent {agent} failed: {error}"),
         }
@@ -58,9 +69,9 @@
     client: &client::Client,
     agent: &str,
     path: &str,
-    announcement: &Announcement,
+    body: &impl Serialize,
 ) -> Result<(), String> {
-    let body = serde_json::to_vec(announcement).map_err(|error| error.to_string())?;
+    let body = serde_json::to_vec(body).map_err(|error| error.to_string())?;
     let request = Request::post(format!("{agent}{path}"))
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(body)))
--- /dev/null
+++ b/crates/core/tests/operator.rs
@@ -0,0 +1,144 @@
+//! Commands of operators through the real binary, against a fake instance.
+
+mod support;
+
+use serde_json::{json, Value};
+use support::{output, text, Fake};
+use test_case::test_case;
+
+fn control(fake: &Fake) -> String {
+    format!("http://{}", fake.address)
+}
+
+fn answering(status: u16, body: &Value) -> Fake {
+    let body = body.to_string();
+    Fake::start(move |_| (status, body.clone()))
+}
+
+fn patch(control: &str, id: &str) -> (Option<i32>, String, String) {
+    let merge = r#"{"teams":{"barn":{}}}"#;
+    let args = [
+        "config",
+        "patch",
+        "--control",
+        control,
+        "--base",
+        "4",
+        "--author",
+        "ada",
+        "--id",
+        id,
+        merge,
+    ];
+    let output = output(&args);
+    (
+        output.status.code(),
+        text(&output.stdout),
+        text(&output.stderr),
+    )
+}
+
+const ID: &str = "01890a5d-ac96-774b-bcce-b302099a8057";
+
+#[test]
+fn get_prints_the_answer() {
+    let fake = answering(200, &json!({"version": 3, "document": {}}));
+    let output = output(&["config", "get", "--control", &control(&fake)]);
+    let printed: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert_eq!(3, printed["version"]);
+    assert_eq!("GET /v1/config ", fake.next("GET"));
+}
+
+#[test]
+fn patch_sends_base_author_and_id() {
+    let fake = answering(200, &json!({"answer": "accepted", "version": 5}));
+    let (code, stdout, stderr) = patch(&control(&fake), ID);
+    assert_eq!(
+        (Some(0), true),
+        (code, stdout.contains("accepted")),
+        "{stderr}"
+    );
+    let request = fake.next("PATCH /v1/config ");
+    let sent: Value = serde_json::from_str(&request["PATCH /v1/config ".len()..]).expect("JSON");
+    let merge = json!({"teams": {"barn": {}}});
+    assert_eq!(
+        json!({"id": ID, "base": 4, "author": "ada", "merge": merge}),
+        sent
+    );
+    assert!(stderr.contains(ID));
+}
+
+#[test]
+fn patch_goes_to_the_next_instance_with_the_same_id() {
+    let follower = answering(503, &json!({"title": "not the leader", "detail": ""}));
+    let leader = answering(200, &json!({"answer": "accepted"}));
+    let both = format!(
+        "http://127.0.0.1:1,{},{}",
+        control(&follower),
+        control(&leader)
+    );
+    assert_eq!(Some(0), patch(&both, ID).0);
+    assert_eq!(follower.next("PATCH"), leader.next("PATCH"));
+}
+
+#[test_case(409, 3, "in_force"; "conflict exits with 3")]
+#[test_case(422, 1, "invalid: teams.barn"; "invalid exits with 1")]
+#[test_case(503, 4, "nobody answered"; "unavailable exits with 4")]
+fn patch_refused(status: u16, code: i32, told: &str) {
+    let body = json!({"title": "invalid", "detail": "teams.barn", "answer": "x", "in_force": 6});
+    let fake = answering(status, &body);
+    let (found, _, stderr) = patch(&control(&fake), ID);
+    assert_eq!(Some(code), found, "{stderr}");
+    assert!(stderr.contains(told), "{stderr}");
+}
+
+#[test_case(&["config", "patch", "--control", "http://127.0.0.1:9", "--base", "x"]; "base no number")]
+#[test_case(&["config", "get", "--control", "127.0.0.1:9"]; "control without scheme")]
+#[test_case(&["config", "get"]; "control missing")]
+#[test_case(&["config", "patch", "--control", "http://127.0.0.1:9", "--base", "1",
+    "--author", "a", "[1]"]; "patch no object")]
+#[test_case(&["example-upstream", "--agent", "http://127.0.0.1:9", "--mode", "lazy"]; "mode unknown")]
+#[test_case(&["members", "add", "--control", "http://127.0.0.1:9", "here"]; "peer no address")]
+#[test_case(&["dance"]; "command unknown")]
+fn usage_exits_with_2(args: &[&str]) {
+    assert_eq!(Some(2), output(args).status.code());
+}
+
+#[test]
+fn history_lists_versions() {
+    let record = json!({"version": 1, "wall_ms": 0, "author": "ada", "merge": {"a": 1},
+        "digest": "0123456789abcdef"});
+    let fake = answering(200, &json!({"versions": [record]}));
+    let output = output(&[
+        "config",
+        "history",
+        "--control",
+        &control(&fake),
+        "--after",
+        "7",
+    ]);
+    let line = "1\t1970-01-01T00:00:00.000Z\tada\t0123456789ab\t{\"a\":1}\n";
+    assert_eq!(line, text(&output.stdout));
+    fake.next("GET /v1/config/history?after=7 ");
+}
+
+#[test]
+fn status_prints_each_process() {
+    let fake = answering(200, &json!({"role": "entry"}));
+    let output = output(&["status", &control(&fake), "http://127.0.0.1:9"]);
+    assert!(text(&output.stdout).contains("\"role\": \"entry\""));
+    assert_eq!(Some(4), output.status.code());
+}
+
+#[test_case(&["add", "127.0.0.1:7"], r#"{"add":"127.0.0.1:7"}"#; "add")]
+#[test_case(&["remove", "127.0.0.1:7"], r#"{"remove":"127.0.0.1:7"}"#; "remove")]
+#[test_case(&["replace", "127.0.0.1:7", "127.0.0.1:8"],
+    r#"{"add":"127.0.0.1:8","remove":"127.0.0.1:7"}"#; "replace")]
+fn members_are_changed(args: &[&str], sent: &str) {
+    let fake = answering(200, &json!({"members": []}));
+    let control = control(&fake);
+    let mut all = vec!["members", args[0], "--control", &control];
+    all.extend(&args[1..]);
+    assert!(output(&all).status.success());
+    assert_eq!(format!("POST /v1/members {sent}"), fake.next("POST"));
+}
--- a/crates/core/tests/support/system.rs
+++ b/crates/core/tests/support/system.rs
@@ -51,7 +51,8 @@
 
     /// Starts a control instance; returns its peer address too.
     pub(crate) fn control() -> (Process, String) {
-        let section = r#""controller":{"http":"127.0.0.1:0","peer":"127.0.0.1:0"}"#;
+        let section =
+            r#""controller":{"http":"127.0.0.1:0","peer":"127.0.0.1:0","data":"unused.data"}"#;
         let control = run("control", "", section);
         let peer = control.listening("control-peer").to_string();
         (control, peer)
