core: add an open-loop load with seeded arrivals

Cause: response ratio and wasted messages need a tool that does not slow down with the system it measures.

Change: `gentiancove load` draws Poisson arrivals and run times from a seed, times each request from its intended start, checks that the answer repeats the request's own body, and prints ratio, latency, outcomes, goodput and wasted messages with the command that repeats it; JSON on request. The example upstream sleeps on a blocking thread, since the runtime's timers round up to a millisecond.

--- a/crates/core/src/args/error.rs
+++ b/crates/core/src/args/error.rs
@@ -4,8 +4,8 @@
 
 use miette::{Diagnostic, MietteHandlerOpts, Report};
 
-use super::base::Base;
-use crate::{run, settings, upstream};
+use crate::client::Base;
+use crate::{load, run, settings, upstream};
 
 /// Why a command failed.
 #[derive(Debug, Diagnostic, thiserror::Error)]
@@ -48,6 +48,12 @@
     /// An answer is not what it should be.
     #[error("{url} gave an answer that can't be read: {detail}")]
     Answer { url: String, detail: String },
+    /// No load can be made.
+    #[error(transparent)]
+    Load(#[from] load::Error),
+    /// What was checked does not hold.
+    #[error("{0}")]
+    Check(String),
     /// No address answered.
     #[error("nobody answered: {}", list(.attempts))]
     Unreachable { attempts: Vec<(Base, String)> },
@@ -63,6 +69,7 @@
     Usage = 2,
     Conflict = 3,
     Unreachable = 4,
+    Check = 5,
 }
 
 impl Error {
@@ -78,8 +85,11 @@
             Error::Settings(_) | Error::Argument { .. } => Code::Usage,
             Error::Conflict { .. } => Code::Conflict,
             Error::Unreachable { .. } => Code::Unreachable,
+            Error::Load(load::Error::Silent(_)) => Code::Unreachable,
+            Error::Check(_) => Code::Check,
             Error::Upstream(_)
             | Error::Run(_)
+            | Error::Load(load::Error::Start(_))
             | Error::File { .. }
             | Error::Refused { .. }
             | Error::Answer { .. } => Code::Failure,
--- /dev/null
+++ b/crates/core/src/args/load.rs
@@ -0,0 +1,143 @@
+//! `load`: open-loop load against entries.
+
+use std::env;
+use std::time::Duration;
+
+use gentian_wire::id;
+use gentian_wire::rate::PerSecond;
+use gentian_wire::size::Bytes;
+
+use super::{output, Error, Result};
+use crate::client::Base;
+use crate::load::{self, Mixture, Plan, Span};
+
+#[derive(clap::Args, Debug)]
+#[command(
+    args_override_self = true,
+    after_help = "\
+Example:
+  gentiancove load --entries http://127.0.0.1:8080 --service demo --rate 50 --duration 20s
+
+Each request is timed from its intended start. The response ratio is that time over the
+task's own run time plus --network. An answer must repeat its request's body; one that
+does not is counted as wrong, and the exit code is then 5."
+)]
+pub(super) struct Args {
+    /// Base URLs of entries, used in turn
+    #[arg(long, value_name = "URL,...", value_delimiter = ',', required = true)]
+    entries: Vec<Base>,
+    /// Base URLs of agents whose metrics count messages too, beside the entries'
+    #[arg(long, value_name = "URL,...", value_delimiter = ',')]
+    agents: Vec<Base>,
+    /// Service that is asked
+    #[arg(long, default_value = "demo")]
+    service: id::Service,
+    /// Team that asks
+    #[arg(long, default_value = "load")]
+    team: id::Team,
+    /// Mean requests a second; gaps between them are exponential
+    #[arg(long, default_value = "10", value_parser = rate)]
+    rate: PerSecond,
+    /// Time whose requests are counted
+    #[arg(long, default_value = "10s", value_parser = humantime::parse_duration)]
+    duration: Duration,
+    /// Time before that whose requests are not counted
+    #[arg(long, default_value = "0s", value_parser = humantime::parse_duration)]
+    warmup: Duration,
+    /// Fixes arrivals and run times
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Run times of most tasks
+    #[arg(long, value_name = "SPAN", default_value = "50ms..1s")]
+    run: Span,
+    /// Run times of the other tasks
+    #[arg(long, value_name = "SPAN", default_value = "2s..6s")]
+    long_run: Span,
+    /// Fraction of the other tasks
+    #[arg(long, value_name = "0..1", default_value = "0.02", value_parser = share)]
+    long_share: f64,
+    /// Round trip that no answer can do without, a part of the ideal time
+    #[arg(long, value_name = "TIME", default_value = "0s", value_parser = humantime::parse_duration)]
+    network: Duration,
+    /// Deadline of each request
+    #[arg(long, default_value = "10s", value_parser = humantime::parse_duration)]
+    deadline: Duration,
+    /// Says that requests may run more than once
+    #[arg(long)]
+    idempotent: bool,
+    /// Length of each body
+    #[arg(long, default_value = "256B")]
+    body: Bytes,
+    /// Prints the result as JSON
+    #[arg(long)]
+    json: bool,
+}
+
+impl Args {
+    pub(super) fn run(self) -> Result<()> {
+        let json = self.json;
+        let summary = load::run(self.plan())?;
+        match json {
+            true => output::print_line(&summary.to_json())?,
+            false => output::print_line(&summary.to_string())?,
+        }
+        match summary.wrong() {
+            0 => Ok(()),
+            wrong => Err(Error::Check(format!(
+                "{wrong} answers were not their request's own"
+            ))),
+        }
+    }
+
+    fn plan(self) -> Plan {
+        let mixture = Mixture {
+            short: self.run,
+            long: self.long_run,
+            long_share: self.long_share,
+        };
+        load::Builder::new(self.entries, self.service, mixture)
+            .metrics(self.agents)
+            .team(self.team)
+            .rate(self.rate)
+            .duration(self.duration)
+            .warmup(self.warmup)
+            .seed(self.seed)
+            .network(self.network)
+            .deadline(self.deadline)
+            .idempotent(self.idempotent)
+            .body(self.body)
+            .command(repeat())
+            .build()
+    }
+}
+
+/// The command line of this run, to be typed again.
+fn repeat() -> String {
+    let arguments = env::args().skip(1).map(|argument| quote(&argument));
+    let arguments: Vec<_> = arguments.collect();
+    format!("gentiancove {}", arguments.join(" "))
+}
+
+fn quote(argument: &str) -> String {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_=./:,".contains(c);
+    if !argument.is_empty() && argument.chars().all(plain) {
+        return argument.to_owned();
+    }
+    format!("'{}'", argument.replace('\'', r"'\''"))
+}
+
+fn rate(text: &str) -> std::result::Result<PerSecond, String> {
+    let rate: PerSecond = text.parse().map_err(|error| format!("{error}"))?;
+    let usable = (0.01..=100_000.0).contains(&rate.get());
+    usable
+        .then_some(rate)
+        .ok_or_else(|| "must be from 0.01 to 100000".to_owned())
+}
+
+fn share(text: &str) -> std::result::Result<f64, String> {
+    let share = text
+        .parse()
+        .ok()
+        .filter(|share| (0.0..=1.0).contains(share));
+    share.ok_or_else(|| "must be a number from 0 to 1".to_owned())
+}
--- a/crates/core/src/args/mod.rs
+++ b/crates/core/src/args/mod.rs
@@ -4,10 +4,10 @@
 
 use clap::{Parser, Subcommand};
 
-mod base;
 mod check;
 mod config;
 mod error;
+mod load;
 mod members;
 mod operator;
 mod output;
@@ -29,7 +29,8 @@
   1  it failed
   2  the command line or the settings are wrong
   3  the patch names another version than the one in force
-  4  nobody answered; where it was a patch, send it again with the same --id";
+  4  nobody answered; where it was a patch, send it again with the same --id
+  5  a check failed, such as an answer that is not its request's own";
 
 /// A dispatcher for sub-second tasks.
 #[derive(Debug, Parser)]
@@ -53,6 +54,8 @@
     /// Adds, removes or replaces a control instance
     #[command(subcommand)]
     Members(members::Command),
+    /// Sends load to entries and measures what their callers see
+    Load(load::Args),
     /// Runs an upstream that sleeps as asked and echoes what it gets
     ExampleUpstream(upstream::Args),
 }
@@ -74,6 +77,7 @@
             Command::Config(command) => command.run(),
             Command::Status(args) => args.run(),
             Command::Members(command) => command.run(),
+            Command::Load(args) => args.run(),
             Command::ExampleUpstream(args) => args.run(),
         }
     }
--- a/crates/core/src/args/operator.rs
+++ b/crates/core/src/args/operator.rs
@@ -10,8 +10,8 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::base::Base;
 use super::{Error, Result};
+use crate::client::Base;
 
 const TIMEOUT: Duration = Duration::from_secs(10);
 
--- a/crates/core/src/args/status.rs
+++ b/crates/core/src/args/status.rs
@@ -2,8 +2,8 @@
 
 use http::Method;
 
-use super::base::Base;
 use super::{operator, output, Result};
+use crate::client::Base;
 
 #[derive(clap::Args, Debug)]
 #[command(after_help = "\
--- a/crates/core/src/args/upstream.rs
+++ b/crates/core/src/args/upstream.rs
@@ -4,8 +4,8 @@
 
 use gentian_wire::id;
 
-use super::base::Base;
 use super::Result;
+use crate::client::Base;
 use crate::upstream;
 
 #[derive(clap::Args, Debug)]
--- a/crates/core/src/client/mod.rs
+++ b/crates/core/src/client/mod.rs
@@ -7,11 +7,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+mod base;
+
+pub(crate) use base::Base;
+
 /// Longest answer that is read, in bytes.
 pub(crate) const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -41,6 +45,7 @@
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
 }
 
@@ -82,6 +87,7 @@
             .map_err(Error::Body)?;
         Ok(Answer {
             status: parts.status,
+            headers: parts.headers,
             body: body.to_bytes(),
         })
     }
--- /dev/null
+++ b/crates/core/src/load/send.rs
@@ -0,0 +1,162 @@
+//! Sends one request and judges its answer.
+
+use std::sync::{mpsc, Arc};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use gentian_wire::outcome::Outcome;
+use http::{header, Request};
+use http_body_util::Full;
+use serde::Serialize;
+use strum::{Display, EnumCount, EnumIter};
+
+use super::arrivals::Arrival;
+use super::Plan;
+use crate::client::{self, Client};
+
+/// Time past the deadline that an answer is waited for.
+const GRACE: Duration = Duration::from_secs(2);
+
+/// What became of one request, as its caller sees it.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Display,
+    EnumCount,
+    EnumIter,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub(super) enum Fate {
+    /// Its own answer came, whole and in time.
+    Done,
+    /// Its own answer came after the deadline.
+    Late,
+    /// An answer came that is not its own, or is not whole.
+    Wrong,
+    /// It was told that it ran and failed.
+    Failed,
+    /// It was told that it did not run.
+    NotRun,
+    /// It was told that nothing is known.
+    Unknown,
+    /// It was refused as malformed.
+    Refused,
+    /// The connection broke or the answer did not come at all.
+    NoAnswer,
+    /// No connection could be opened.
+    NoConnection,
+}
+
+/// One request that has come to its end.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sample {
+    pub(super) arrival: Arrival,
+    pub(super) fate: Fate,
+    /// Time since the intended start.
+    pub(super) seen: Duration,
+}
+
+/// Sends requests; clones share the connections.
+#[derive(Clone, Debug)]
+pub(super) struct Sender {
+    plan: Arc<Plan>,
+    client: Client,
+    samples: mpsc::Sender<Sample>,
+}
+
+/// What a task gets, and what its answer must repeat.
+#[derive(Serialize)]
+struct Body {
+    run_ms: u64,
+    seed: u64,
+    number: u64,
+    padding: String,
+}
+
+impl Sender {
+    pub(super) fn new(plan: Arc<Plan>, samples: mpsc::Sender<Sample>) -> Sender {
+        let client = Client::new();
+        Sender {
+            plan,
+            client,
+            samples,
+        }
+    }
+
+    /// Sends the request and reports its sample.
+    pub(super) async fn send(self, arrival: Arrival, intended: Instant) {
+        let body = self.body(arrival);
+        let timeout = self.plan.deadline() + GRACE;
+        let answer = self
+            .client
+            .send(self.request(arrival, body.clone()), timeout)
+            .await;
+        let seen = intended.elapsed();
+        let fate = match answer {
+            Ok(answer) => self.judge(&answer, &body, seen),
+            Err(client::Error::Connect(_)) => Fate::NoConnection,
+            Err(_) => Fate::NoAnswer,
+        };
+        let sample = Sample {
+            arrival,
+            fate,
+            seen,
+        };
+        // The collector outlives every sender.
+        let _ = self.samples.send(sample);
+    }
+
+    fn judge(&self, answer: &client::Answer, body: &Bytes, seen: Duration) -> Fate {
+        let outcome = answer.headers.get("x-outcome");
+        let outcome = outcome.and_then(|value| value.to_str().ok()?.parse().ok());
+        match outcome {
+            Some(Outcome::Done) if answer.body != *body => Fate::Wrong,
+            Some(Outcome::Done) if seen > self.plan.deadline() => Fate::Late,
+            Some(Outcome::Done) => Fate::Done,
+            Some(Outcome::Failed) => Fate::Failed,
+            Some(Outcome::NotRun) if answer.status.is_client_error() => Fate::Refused,
+            Some(Outcome::NotRun) => Fate::NotRun,
+            Some(Outcome::Unknown) => Fate::Unknown,
+            None => Fate::Refused,
+        }
+    }
+
+    fn request(&self, arrival: Arrival, body: Bytes) -> Request<Full<Bytes>> {
+        let plan = &self.plan;
+        let deadline = humantime::format_duration(plan.deadline()).to_string();
+        Request::post(plan.entry(arrival.number).join("/v1/requests"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .header("x-service", plan.service().as_str())
+            .header("x-team", plan.team().as_str())
+            .header("x-deadline", deadline)
+            .header("x-idempotent", plan.idempotent().to_string())
+            .body(Full::new(body))
+            .expect("checked names make valid headers")
+    }
+
+    fn body(&self, arrival: Arrival) -> Bytes {
+        let mut body = Body {
+            run_ms: u64::try_from(arrival.run.as_millis()).unwrap_or(u64::MAX),
+            seed: self.plan.seed(),
+            number: arrival.number,
+            padding: String::new(),
+        };
+        let bare = body.write().len();
+        body.padding = "x".repeat(self.plan.body().as_usize().saturating_sub(bare));
+        body.write().into()
+    }
+}
+
+impl Body {
+    fn write(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a body has text keys only")
+    }
+}
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -7,6 +7,7 @@
 mod client;
 mod control;
 mod entry;
+mod load;
 mod renew;
 mod run;
 mod serve;
--- a/crates/core/src/upstream/server.rs
+++ b/crates/core/src/upstream/server.rs
@@ -135,9 +135,12 @@
             Mode::Slow => run_time * SLOW_FACTOR,
             Mode::Normal | Mode::Reset => run_time,
         };
-        if !run_time.is_zero() {
-            tokio::time::sleep(run_time).await;
+        if run_time.is_zero() {
+            return;
         }
+        // The runtime's timers round up to a millisecond, which would show in
+        // the response ratio of a short task. Only a panic can fail the join.
+        let _ = tokio::task::spawn_blocking(move || std::thread::sleep(run_time)).await;
     }
 }
 
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -141,6 +141,16 @@
 impl Fake {
     /// Starts the server on a free port.
     pub(crate) fn start(answer: impl Fn(&str) -> (u16, String) + Send + Sync + 'static) -> Fake {
+        Fake::with_headers(move |request| {
+            let (status, body) = answer(request);
+            (status, String::new(), body)
+        })
+    }
+
+    /// Starts a server whose answers have further header lines.
+    pub(crate) fn with_headers(
+        answer: impl Fn(&str) -> (u16, String, String) + Send + Sync + 'static,
+    ) -> Fake {
         let listener = TcpListener::bind("127.0.0.1:0").expect("port");
         let address = listener.local_addr().expect("address");
         let (sender, requests) = mpsc::channel();
@@ -168,15 +178,15 @@
 fn serve(
     stream: TcpStream,
     sender: &mpsc::Sender<String>,
-    answer: &(impl Fn(&str) -> (u16, String) + ?Sized),
+    answer: &(impl Fn(&str) -> (u16, String, String) + ?Sized),
 ) {
     let mut reader = BufReader::new(stream.try_clone().expect("stream"));
     let mut writer = stream;
     while let Some(request) = read_request(&mut reader) {
-        let (status, body) = answer(&request);
+        let (status, headers, body) = answer(&request);
         let _ = sender.send(request);
         let head = format!(
-            "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n",
+            "HTTP/1.1 {status} X\r\n{headers}content-length: {}\r\n\r\n",
             body.len()
         );
         if writer.write_all((head + &body).as_bytes()).is_err() {
