--- a/crates/core/src/args/run.rs
+++ b/crates/core/src/args/run.rs
@@ -1,4 +1,4 @@
-//! `run`: the roles that a settings file names.
+//! `run`: the roles of one process.
 
 use std::path::PathBuf;
 
@@ -7,11 +7,6 @@
 use crate::settings::Settings;
 
 #[derive(clap::Args, Debug)]
-#[command(after_help = "\
-Example:
-  gentiancove run --settings entry.json
-
-Prints for each role a line with the addresses that it listens on. SIGTERM or SIGINT stops it once the requests in progress have been answered.")]
 pub(super) struct Args {
     /// The JSON settings file
     #[arg(long, value_name = "FILE")]
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -60,17 +60,19 @@
     let mut roles = JoinSet::new();
     if let Some(section) = &settings.controller {
         let role = control::Role::bind(section).await?;
-        println!("control http={} peer={}", role.http()?, role.peer()?);
+        println!("listening control-http {}", role.http()?);
+        println!("listening control-peer {}", role.peer()?);
         roles.spawn(role.run(stopped.clone()));
     }
     if let Some(section) = &settings.agent {
         let role = agent::Role::bind(settings, section).await?;
-        println!("agent http={} peer={}", role.http()?, role.peer()?);
+        println!("listening agent-http {}", role.http()?);
+        println!("listening agent-peer {}", role.peer()?);
         roles.spawn(role.run(stopped.clone()));
     }
     if let Some(section) = &settings.entry {
         let role = entry::Role::bind(settings, section).await?;
-        println!("entry http={}", role.http()?);
+        println!("listening entry-http {}", role.http()?);
         roles.spawn(role.run(stopped.clone()));
     }
     signals.wait().await;
--- a/crates/core/src/settings/check.rs
+++ b/crates/core/src/settings/check.rs
@@ -275,6 +275,6 @@
     let list = value.as_array()?;
     let addresses: Vec<SocketAddr> = list.iter().map(parse).collect::<Option<_>>()?;
     let distinct: BTreeSet<_> = addresses.iter().collect();
-    let allowed = (1..=MAX_CONTROL_INSTANCES).contains(&addresses.len());
-    (allowed && distinct.len() == addresses.len()).then_some(addresses)
+    let few = addresses.len() <= MAX_CONTROL_INSTANCES;
+    (few && distinct.len() == addresses.len()).then_some(addresses)
 }
