--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -14,11 +14,10 @@
 use gentian::wire::control;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio_stream::wrappers::TcpListenerStream;
 
 use crate::renew;
 use crate::run::{self, Error, Result};
-use crate::serve::Server;
+use crate::serve::{self, Server};
 use crate::settings::{Agent, Settings};
 
 const MAX_CONNECTIONS: usize = 256;
@@ -70,9 +69,8 @@
         let service = service::Service::new(incarnation, table.clone(), renewal.held());
         let mut closed = drain.clone();
         let peer = tonic::transport::Server::builder()
-            .tcp_nodelay(true)
             .add_service(AgentServer::new(service))
-            .serve_with_incoming_shutdown(TcpListenerStream::new(self.peer), async move {
+            .serve_with_incoming_shutdown(serve::peers(self.peer), async move {
                 // A closed channel means that the process stops as well.
                 let _ = closed.wait_for(|closed| *closed).await;
             });
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -8,10 +8,9 @@
 use gentian::wire::control::control_server::ControlServer;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio_stream::wrappers::TcpListenerStream;
 
 use crate::run::{Error, Result};
-use crate::serve::{Handler, Problem, Request, Response, Server};
+use crate::serve::{self, Handler, Problem, Request, Response, Server};
 use crate::settings::Controller;
 
 const MAX_CONNECTIONS: usize = 1024;
@@ -47,7 +46,7 @@
         let service = ControlServer::new(service::Service::default());
         let peer = tonic::transport::Server::builder()
             .add_service(service)
-            .serve_with_incoming_shutdown(TcpListenerStream::new(self.peer), async move {
+            .serve_with_incoming_shutdown(serve::peers(self.peer), async move {
                 // A closed channel means that the process stops as well.
                 let _ = stopped.wait_for(|stop| *stop).await;
             });
--- a/crates/core/src/serve/mod.rs
+++ b/crates/core/src/serve/mod.rs
@@ -25,6 +25,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
+use tonic::transport::server::TcpIncoming;
 
 pub(crate) use body::read;
 pub(crate) use problem::Problem;
@@ -93,6 +94,14 @@
     }
 }
 
+/// The connections of a peer listener.
+///
+/// tonic's own `tcp_nodelay` has no effect on a listener that is handed in, and
+/// without it an answer may wait 40 ms for a delayed acknowledgement.
+pub(crate) fn peers(listener: TcpListener) -> TcpIncoming {
+    TcpIncoming::from(listener).with_nodelay(Some(true))
+}
+
 fn connect<H: Handler>(
     stream: TcpStream,
     handler: Arc<H>,
