--- /dev/null
+++ b/crates/route/benches/choice.rs
@@ -0,0 +1,109 @@
+//! Cost of one decision: the choice, the count of the start, and the count of
+//! an answer with its load, at several numbers of upstreams.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::{BenchmarkId, Criterion};
+use gentian_route::choice::{Choice, Known, Random, TwoRandom};
+use gentian_route::view::{Index, Load, Member, View};
+use gentian_wire::id::{Incarnation, Node};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const SLOTS: u32 = 8;
+
+/// A view at about 70 % load, a third of which is this entry's own.
+struct Entry {
+    view: View,
+    running: Vec<Index>,
+    now: Duration,
+    step: Duration,
+    rng: Pcg64Mcg,
+}
+
+impl Entry {
+    fn new(upstreams: u32) -> Entry {
+        let mut view = View::new(&name("entry", 0), "dc-0".parse().expect("a name"));
+        for at in 0..upstreams {
+            view.put(member(at), Duration::ZERO);
+        }
+        let per_second = f64::from(upstreams * SLOTS) * 0.7 / 0.3 / 3.0;
+        let mut entry = Entry {
+            view,
+            running: Vec::new(),
+            now: Duration::ZERO,
+            step: Duration::from_secs_f64(1.0 / per_second),
+            rng: Pcg64Mcg::seed_from_u64(1),
+        };
+        for _ in 0..upstreams * 2 {
+            entry.start(&Known);
+        }
+        entry
+    }
+
+    fn start(&mut self, policy: &impl Choice) {
+        let chosen = policy.choose(&mut self.view, &[], self.now, &mut self.rng);
+        if let Some(index) = black_box(chosen) {
+            self.view.start(index, self.now);
+            self.running.push(index);
+        }
+    }
+
+    fn end(&mut self) {
+        let nth = self.rng.random_range(0..self.running.len());
+        let index = self.running.swap_remove(nth);
+        let load = Load {
+            incarnation: Incarnation(1),
+            slots: SLOTS,
+            busy: self.rng.random_range(2..7),
+            waiting: 0,
+            leaving: false,
+        };
+        self.view.end(index, Some(load), self.now);
+    }
+
+    fn decide(&mut self, policy: &impl Choice) {
+        self.now += self.step;
+        self.start(policy);
+        self.end();
+    }
+}
+
+fn member(at: u32) -> Member {
+    Member {
+        node: name("agent", at),
+        incarnation: Incarnation(1),
+        data_center: format!("dc-{}", at % 3).parse().expect("a name"),
+        slots: SLOTS,
+        connections: 64,
+        allowed: true,
+        leaving: false,
+    }
+}
+
+fn name(kind: &str, at: u32) -> Node {
+    format!("{kind}-{at}").parse().expect("a name")
+}
+
+fn policy(criterion: &mut Criterion, name: &str, policy: &impl Choice) {
+    let mut group = criterion.benchmark_group(name);
+    for upstreams in [10, 100, 1000, 2100] {
+        let mut entry = Entry::new(upstreams);
+        group.bench_function(BenchmarkId::from_parameter(upstreams), |bencher| {
+            bencher.iter(|| entry.decide(policy));
+        });
+    }
+}
+
+fn choice(criterion: &mut Criterion) {
+    policy(criterion, "known", &Known);
+    policy(criterion, "random", &Random);
+    policy(criterion, "two-random", &TwoRandom);
+}
+
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    choice(&mut criterion);
+    criterion.final_summary();
+}
