Route: ejection of failing, refusing and slow upstreams

An upstream that fails every task ends them soonest and is sent the most; one that runs ten times slower holds slots that count as fast. Each is judged against the mean of the others, by failures in a row that chance hardly explains and by the mean logarithm of run time over the learned median.

--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -7,5 +7,6 @@
 //! started, what was answered and with which load.
 
 pub mod choice;
+pub mod eject;
 pub mod runtime;
 pub mod view;
