Limit: loans of quotas, retry budget and the weight of a service

Retries need an outcome that allows them, time for another run and a token; tokens are earned as a share of the requests. The weight sets that share, how sure of a free slot an entry must be, and hedging, which is off below three quarters.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -6,3 +6,6 @@
 
 pub mod after;
 pub mod queue;
+pub mod quota;
+pub mod retry;
+pub mod weight;
--- /dev/null
+++ b/crates/limit/tests/retry.rs
@@ -0,0 +1,110 @@
+//! What is sent again, how often and when.
+
+use std::time::Duration;
+
+use gentian_limit::retry::{Budget, Try};
+use gentian_limit::weight::Weight;
+use gentian_wire::outcome::Outcome;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use test_case::test_case;
+
+fn refused() -> Try {
+    Try {
+        outcome: Outcome::NotRun,
+        idempotent: false,
+        earlier: 0,
+        left: Duration::from_secs(1),
+        run: Duration::from_millis(300),
+    }
+}
+
+#[test_case(Outcome::NotRun, false, true ; "not run")]
+#[test_case(Outcome::Unknown, true, true ; "unknown and idempotent")]
+#[test_case(Outcome::Unknown, false, false ; "unknown and not idempotent")]
+#[test_case(Outcome::Failed, true, false ; "failed")]
+#[test_case(Outcome::Done, true, false ; "done")]
+fn only_what_does_no_harm_is_sent_again(outcome: Outcome, idempotent: bool, again: bool) {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let tried = Try {
+        outcome,
+        idempotent,
+        ..refused()
+    };
+    let backoff = tried.again(&mut Budget::new(0.1), &mut rng);
+    assert_eq!(backoff.is_some(), again);
+}
+
+#[test]
+fn without_time_nothing_is_sent_again() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut budget = Budget::new(0.1);
+    let tried = Try {
+        left: Duration::from_millis(299),
+        ..refused()
+    };
+    assert_eq!(tried.again(&mut budget, &mut rng), None);
+}
+
+#[test]
+fn retries_stay_a_share_of_the_requests() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut budget = Budget::new(0.1);
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        retries += u32::from(refused().again(&mut budget, &mut rng).is_some());
+    }
+    assert!((990..=1021).contains(&retries), "{retries}");
+}
+
+#[test]
+fn an_idle_service_saves_up_no_storm() {
+    let mut budget = Budget::new(0.1);
+    (0..1_000_000).for_each(|_| budget.earn());
+    let saved = (0..1000).filter(|_| budget.spend()).count();
+    assert_eq!(saved, 20);
+}
+
+#[test]
+fn backoffs_grow_and_differ() {
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut budget = Budget::new(1.0);
+    let mut backoff = |earlier| {
+        budget.earn();
+        let tried = Try {
+            earlier,
+            left: Duration::from_secs(9),
+            ..refused()
+        };
+        tried.again(&mut budget, &mut rng).expect("in the budget")
+    };
+    assert_eq!(backoff(0), Duration::ZERO);
+    assert_ne!(backoff(3), backoff(3));
+    for earlier in 1..100 {
+        let most = Duration::from_millis(2 << earlier.min(16)).min(Duration::from_millis(250));
+        let backoff = backoff(earlier);
+        assert!(
+            (most / 2..=most).contains(&backoff),
+            "{backoff:?} after {earlier}"
+        );
+    }
+}
+
+#[test]
+fn the_weight_trades_messages_for_time() {
+    let weight = |number| Weight::try_from(number).expect("from 0 to 1");
+    let (messages, time) = (weight(0.0), weight(1.0));
+    assert!(messages.floor() > time.floor());
+    assert!(messages.budget() < time.budget());
+    assert_eq!(messages.hedge(), None);
+    assert_eq!(Weight::default().hedge(), None);
+    assert!(time.hedge().is_some_and(|quantile| quantile >= 0.95));
+}
+
+#[test_case("1.1" ; "too great")]
+#[test_case("-0.1" ; "negative")]
+#[test_case("NaN" ; "no number")]
+fn a_weight_is_from_0_to_1(text: &str) {
+    assert!(text.parse::<Weight>().is_err());
+}
