core: configuration, views and leases through the replicated state

The thin path kept members in a map that a restart lost, answered version 1 for ever and took any node at its word.

Control now runs `State` behind a small `Log` trait, the leader's table and loans beside it, and answers operators: GET and PATCH /v1/config, its history, and /v1/status. An answer to a node is read first and sent only if this instance still leads after the reading. Entries and agents keep their lease in `Hold`, follow the views change by change, and serve /v1/status. The messages carry changes instead of their sum, and an agent that stops says so.

Two entries of one name in the tests' support got one lease between them, as they must; they have names of their own now.

Seen red: nodes that act without a lease, in both tests that freeze a process; the first form of one of them let the node renew before it was asked, and was made strict. Not seen red here: the check of the leadership after the reading, which needs several instances.

--- a/crates/core/src/agent/announce.rs
+++ b/crates/core/src/agent/announce.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -108,6 +109,7 @@
 pub(crate) struct Table {
     max_slots: u32,
     max_connections: u32,
+    stopping: AtomicBool,
     upstreams: Mutex<BTreeMap<id::Service, Arc<Upstream>>>,
 }
 
@@ -117,6 +119,7 @@
         Table {
             max_slots: section.max_slots,
             max_connections: section.max_connections,
+            stopping: AtomicBool::new(false),
             upstreams: Mutex::default(),
         }
     }
@@ -159,8 +162,9 @@
         }
     }
 
-    /// Marks every upstream as leaving.
+    /// Marks the agent and every upstream as leaving.
     pub(crate) fn leave_all(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
         for upstream in self.lock().values() {
             upstream.state().leaving = true;
         }
@@ -186,6 +190,10 @@
         let upstreams = self.lock();
         upstreams.values().filter(heard).map(message).collect()
     }
+
+    fn leaving(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
 }
 
 fn message(upstream: &Arc<Upstream>) -> control::Upstream {
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -74,7 +74,8 @@
                 // A closed channel means that the process stops as well.
                 let _ = closed.wait_for(|closed| *closed).await;
             });
-        let local = Arc::new(http::Local::new(table.clone()));
+        let local = http::Local::new(table.clone());
+        let local = Arc::new(renew::Status::new("agent", renewal.held(), local));
         let http = self.http.serve(local, drain.clone());
         let leaving = leave(stop, table, drained);
         let (peer, (), (), ()) = tokio::join!(peer, http, renewal.run(drain), leaving);
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,19 +1,27 @@
 //! The control role: membership views, the numbered configuration and leases.
 
+mod operators;
 mod service;
+mod state;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use gentian::wire::control::control_server::ControlServer;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 use crate::run::{Error, Result};
-use crate::serve::{self, Handler, Problem, Request, Response, Server};
+use crate::serve::{self, Server};
 use crate::settings::Controller;
 
+use operators::Operators;
+use service::Service;
+use state::{Alone, Log, Shared};
+
 const MAX_CONNECTIONS: usize = 1024;
+const TICK: Duration = Duration::from_millis(200);
 
 /// The control role, listening.
 #[derive(Debug)]
@@ -43,26 +51,34 @@
     /// Serves until `stop` turns true.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let mut stopped = stop.clone();
-        let service = ControlServer::new(service::Service::default());
+        let shared = Shared::new();
+        let log = Arc::new(Alone::new(shared.clone()));
+        let service = Service::new(log, shared);
+        let operators = Arc::new(Operators::new(service.clone()));
+        let ticking = tokio::spawn(tick(service.clone(), stop.clone()));
         let peer = tonic::transport::Server::builder()
-            .add_service(service)
+            .add_service(ControlServer::new(service))
             .serve_with_incoming_shutdown(serve::peers(self.peer), async move {
                 // A closed channel means that the process stops as well.
                 let _ = stopped.wait_for(|stop| *stop).await;
             });
-        let http = self.http.serve(Arc::new(Operators), stop);
+        let http = self.http.serve(operators, stop);
         let (peer, ()) = tokio::join!(peer, http);
+        // It ends by itself, since it waits for the same stop.
+        let _ = ticking.await;
         if let Err(error) = peer {
             log::error!("control peer server ended: {error}");
         }
     }
 }
 
-struct Operators;
-
-impl Handler for Operators {
-    async fn handle(&self, request: Request) -> Response {
-        let detail = format!("{} is not served here", request.uri().path());
-        Problem::new(404, "not found", &detail).respond()
+/// Proposes what is due until `stop` turns true.
+async fn tick<L: Log>(service: Service<L>, mut stop: watch::Receiver<bool>) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(TICK) => {}
+            _ = stop.wait_for(|stop| *stop) => return,
+        }
+        service.tick().await;
     }
 }
--- /dev/null
+++ b/crates/core/src/control/operators.rs
@@ -0,0 +1,148 @@
+//! What control answers to operators and the monitor, over HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gentian::config::ledger::Answer;
+use gentian::config::patch::{Patch, MAX_PATCH_BYTES};
+use gentian::wire::id::Version;
+use gentian::wire::outcome::Outcome;
+use http::Method;
+use http_body_util::Full;
+use serde_json::{json, Value};
+
+use super::service::Service;
+use super::state::{Error, Leader, Log};
+use crate::serve::{self, Handler, Problem, Request, Response};
+
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The operators' side of a control instance.
+#[derive(Debug)]
+pub(crate) struct Operators<L> {
+    service: Arc<Service<L>>,
+}
+
+impl<L: Log> Operators<L> {
+    pub(crate) fn new(service: Service<L>) -> Operators<L> {
+        Operators {
+            service: Arc::new(service),
+        }
+    }
+
+    /// The version in force; only the leader can tell which that is.
+    fn config(&self) -> Result<Response, Problem> {
+        let config = self.service.read(|inner| {
+            let ledger = inner.state.ledger();
+            json!({
+                "version": ledger.version(),
+                "digest": ledger.digest(),
+                "document": ledger.document(),
+            })
+        });
+        match config {
+            Some(config) => Ok(respond(200, &config)),
+            None => Err(self.not_leader()),
+        }
+    }
+
+    /// The accepted versions; `complete` tells whether there may be later ones.
+    fn history(&self, query: &str) -> Result<Response, Problem> {
+        let after = parse_after(query)?;
+        let leads = self.service.read(|_| ()).is_some();
+        let inner = self.service.shared().read();
+        let ledger = inner.state.ledger();
+        let versions: Vec<_> = ledger.history(after).collect();
+        let history = json!({ "versions": versions, "complete": leads });
+        Ok(respond(200, &history))
+    }
+
+    fn status(&self) -> Response {
+        let leader = match self.service.leader() {
+            Leader::Own { .. } => json!("this instance"),
+            Leader::Other(Some(address)) => json!(address),
+            Leader::Other(None) => Value::Null,
+        };
+        let now = self.service.shared().now();
+        let inner = self.service.shared().read();
+        let window = inner.state.window();
+        let status = json!({
+            "role": "control",
+            "leader": leader,
+            "version": inner.state.ledger().version(),
+            "digest": inner.state.ledger().digest(),
+            "view": window.number(),
+            "view_age_ms": inner.view_age(now).as_millis() as u64,
+            "oldest_view": window.floor(),
+            "members": window.members().values().collect::<Vec<_>>(),
+        });
+        respond(200, &status)
+    }
+
+    async fn patch(&self, request: Request) -> Result<Response, Problem> {
+        let limit = 2 * MAX_PATCH_BYTES;
+        let body = serve::read(request.into_body(), limit, BODY_TIMEOUT).await?;
+        let patch: Patch = serde_json::from_slice(&body)
+            .map_err(|error| Problem::bad(&format!("the patch is unreadable: {error}")))?;
+        match self.service.patch(patch).await {
+            Ok(answer) => Ok(respond(status(&answer), &json!(answer))),
+            Err(Error::NotLeader) => Err(self.not_leader()),
+            Err(error @ Error::Unknown) => {
+                let detail = format!("{error}; send the patch again with the same id");
+                Err(Problem::new(503, "not known", &detail).outcome(Outcome::Unknown))
+            }
+        }
+    }
+
+    fn not_leader(&self) -> Problem {
+        let detail = match self.service.leader() {
+            Leader::Other(Some(address)) => format!("the leader is the instance at {address}"),
+            Leader::Own { .. } | Leader::Other(None) => "no leader is known".to_owned(),
+        };
+        Problem::busy(&detail)
+    }
+}
+
+impl<L: Log> Handler for Operators<L> {
+    async fn handle(&self, request: Request) -> Response {
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().unwrap_or_default().to_owned();
+        let answer = match (request.method(), path.as_str()) {
+            (&Method::GET, "/v1/config") => self.config(),
+            (&Method::PATCH, "/v1/config") => self.patch(request).await,
+            (&Method::GET, "/v1/config/history") => self.history(&query),
+            (&Method::GET, "/v1/status") => Ok(self.status()),
+            _ => Err(Problem::new(
+                404,
+                "not found",
+                &format!("{} {path} is not served here", request.method()),
+            )),
+        };
+        answer.unwrap_or_else(|problem| problem.respond())
+    }
+}
+
+fn status(answer: &Answer) -> u16 {
+    match answer {
+        Answer::Accepted { .. } => 200,
+        Answer::Conflict { .. } | Answer::Reused => 409,
+        Answer::Invalid { .. } => 422,
+    }
+}
+
+fn parse_after(query: &str) -> Result<Version, Problem> {
+    let value = query
+        .split('&')
+        .find_map(|part| part.strip_prefix("after="));
+    let version = value.unwrap_or("0").parse();
+    version.map_err(|error| Problem::bad(&format!("after: {error}")))
+}
+
+fn respond(status: u16, body: &Value) -> Response {
+    http::Response::builder()
+        .status(status)
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body.to_string())))
+        .expect("the headers are valid")
+}
--- /dev/null
+++ b/crates/core/src/control/state/log.rs
@@ -0,0 +1,71 @@
+//! The replicated log, as the control service uses it.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use gentian::quorum::Machine;
+
+use super::Shared;
+
+/// Why a payload got no reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub(crate) enum Error {
+    /// Nothing was proposed, since this instance doesn't lead.
+    #[error("this control instance does not lead")]
+    NotLeader,
+    /// The payload may or may not be accepted.
+    #[error("leadership was lost before the change was known to be accepted")]
+    Unknown,
+}
+
+/// A result whose error is a payload without a reply.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+/// Who leads, as far as this instance knows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Leader {
+    /// This instance leads in the given term: at the time of the call a majority
+    /// has confirmed it, and all that was accepted before is applied here.
+    Own { term: u64 },
+    /// Another instance, or none that is known. A lone instance never says so.
+    #[allow(dead_code)]
+    Other(Option<SocketAddr>),
+}
+
+/// A replicated log that feeds a [`Shared`] state.
+pub(crate) trait Log: Send + Sync + 'static {
+    /// Proposes a payload and returns the machine's reply once it is applied.
+    fn propose(&self, payload: Vec<u8>) -> impl Future<Output = Result<Vec<u8>>> + Send;
+
+    /// Who leads at the time of the call.
+    fn leader(&self) -> Leader;
+}
+
+/// The log of a lone control instance, in memory.
+#[derive(Debug)]
+pub(crate) struct Alone {
+    machine: Mutex<(u64, Shared)>,
+}
+
+impl Alone {
+    /// A log that applies what is proposed at once.
+    pub(crate) fn new(machine: Shared) -> Alone {
+        Alone {
+            machine: Mutex::new((0, machine)),
+        }
+    }
+}
+
+impl Log for Alone {
+    async fn propose(&self, payload: Vec<u8>) -> Result<Vec<u8>> {
+        let mut machine = self.machine.lock().expect("no thread panics with it");
+        machine.0 += 1;
+        let index = machine.0;
+        Ok(machine.1.apply(index, &payload))
+    }
+
+    fn leader(&self) -> Leader {
+        Leader::Own { term: 1 }
+    }
+}
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -51,6 +51,7 @@
         let (dispatcher, thread) = dispatch::start();
         tokio::spawn(follow(renewal.held(), dispatcher.clone()));
         let front = http::Front::new(dispatcher, call::Clients::default(), &self.section);
+        let front = renew::Status::new("entry", renewal.held(), front);
         let requests = self.http.serve(Arc::new(front), stop.clone());
         // The lease is renewed until the last request has ended.
         let (ended, end) = watch::channel(false);
--- /dev/null
+++ b/crates/core/src/renew/held.rs
@@ -0,0 +1,142 @@
+//! What a node knows of the system, and until when it may act on it.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gentian::config::document::{Document, Problem};
+use gentian::member::member;
+use gentian::member::renewal::{Grant, Hold, Reverted};
+use gentian::member::view::{self, Delta, Window};
+use gentian::wire::control::{Member, RenewReply};
+use gentian::wire::id::{Version, View};
+
+/// A grant that the node can't act on.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum Error {
+    #[error("the configuration is unreadable: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("the configuration is not allowed here: {}", list(.0))]
+    Document(Vec<Problem>),
+    #[error("the view is malformed: {0}")]
+    Member(#[from] member::Error),
+    #[error("the view does not follow: {0}")]
+    View(#[from] view::Error),
+    #[error("the view ends at {found} where {named} was named")]
+    Ends { found: View, named: View },
+    #[error(transparent)]
+    Reverted(#[from] Reverted),
+}
+
+/// A result whose error is a grant that the node can't act on.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+/// What a node knows of the system, and until when it may act on it.
+#[derive(Clone, Debug)]
+pub(crate) struct Held {
+    origin: Instant,
+    hold: Hold,
+    /// When the view came into force, at the latest.
+    view_since: Instant,
+    /// The version in force.
+    pub(crate) version: u64,
+    /// The configuration in force.
+    pub(crate) document: Arc<Document>,
+    /// The view in force.
+    pub(crate) view: u64,
+    /// The view's members.
+    pub(crate) members: Vec<Member>,
+    /// All views that are still of use.
+    pub(crate) window: Arc<Window>,
+}
+
+impl Default for Held {
+    /// Nothing is in force before the first renewal.
+    fn default() -> Held {
+        let now = Instant::now();
+        Held {
+            origin: now,
+            hold: Hold::default(),
+            view_since: now,
+            version: 0,
+            document: Arc::default(),
+            view: 0,
+            members: Vec::new(),
+            window: Arc::default(),
+        }
+    }
+}
+
+impl Held {
+    /// Whether the node may act on what it knows.
+    pub(crate) fn in_force(&self, now: Instant) -> bool {
+        self.hold.in_force(self.since_origin(now)).is_some()
+    }
+
+    /// How long the view has been in force, at least.
+    pub(crate) fn view_age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.view_since)
+    }
+
+    /// What the node holds after a grant for the request sent at `sent`.
+    pub(super) fn renewed(
+        &self,
+        sent: Instant,
+        received: Instant,
+        reply: &RenewReply,
+    ) -> Result<Held> {
+        let mut held = self.clone();
+        held.hold.take(Grant {
+            sent: self.since_origin(sent),
+            lease: Duration::from_millis(reply.lease_ms.into()),
+            version: Version(reply.version),
+            view: View(reply.view),
+        })?;
+        held.take_document(reply)?;
+        held.take_view(received, reply)?;
+        Ok(held)
+    }
+
+    fn take_document(&mut self, reply: &RenewReply) -> Result<()> {
+        if reply.version > self.version {
+            let value = serde_json::from_slice(&reply.document)?;
+            let document = Document::read(&value).map_err(Error::Document)?;
+            self.document = Arc::new(document);
+            self.version = reply.version;
+        }
+        Ok(())
+    }
+
+    fn take_view(&mut self, received: Instant, reply: &RenewReply) -> Result<()> {
+        let age = Duration::from_millis(reply.view_age_ms);
+        let since = received.checked_sub(age).unwrap_or(self.origin);
+        let same = reply.view == self.view;
+        self.view_since = if same {
+            since.min(self.view_since)
+        } else {
+            since
+        };
+        let delta = Delta::read(reply)?;
+        let floor = View(reply.floor);
+        if same && !reply.whole && floor == self.window.floor() {
+            return Ok(());
+        }
+        let window = Arc::make_mut(&mut self.window);
+        window.follow(delta)?;
+        let (found, named) = (window.number(), View(reply.view));
+        if found != named {
+            return Err(Error::Ends { found, named });
+        }
+        self.members = window.members().values().map(Member::from).collect();
+        self.view = reply.view;
+        Ok(())
+    }
+
+    fn since_origin(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.origin)
+    }
+}
+
+fn list(problems: &[Problem]) -> String {
+    let texts: Vec<String> = problems.iter().map(Problem::to_string).collect();
+    texts.join("; ")
+}
--- /dev/null
+++ b/crates/core/src/renew/status.rs
@@ -0,0 +1,55 @@
+//! `GET /v1/status` of a node: what it holds, and whether that is in force.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http::Method;
+use http_body_util::Full;
+use serde_json::json;
+use tokio::sync::watch;
+
+use super::Held;
+use crate::serve::{Handler, Request, Response};
+
+/// Answers for the status, and passes all else on.
+#[derive(Debug)]
+pub(crate) struct Status<H> {
+    role: &'static str,
+    held: watch::Receiver<Arc<Held>>,
+    inner: H,
+}
+
+impl<H> Status<H> {
+    pub(crate) fn new(role: &'static str, held: watch::Receiver<Arc<Held>>, inner: H) -> Status<H> {
+        Status { role, held, inner }
+    }
+
+    fn status(&self) -> Response {
+        let now = Instant::now();
+        let held = self.held.borrow().clone();
+        let status = json!({
+            "role": self.role,
+            "in_force": held.in_force(now),
+            "version": held.version,
+            "view": held.view,
+            "view_age_ms": held.view_age(now).as_millis() as u64,
+            "oldest_view": held.window.floor(),
+            "members": held.window.members().len(),
+        });
+        http::Response::builder()
+            .status(200)
+            .header("content-type", "application/json")
+            .body(Full::new(Bytes::from(status.to_string())))
+            .expect("the headers are valid")
+    }
+}
+
+impl<H: Handler> Handler for Status<H> {
+    async fn handle(&self, request: Request) -> Response {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/v1/status") => self.status(),
+            _ => self.inner.handle(request).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/config.rs
@@ -0,0 +1,132 @@
+//! Configuration through separate processes: patches, races, record, reach.
+
+mod support;
+
+use std::time::{Duration, Instant};
+
+use serde_json::{json, Value};
+use support::call;
+use support::system::{poll, System};
+use uuid::Uuid;
+
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
+
+fn get(url: &str) -> Value {
+    let (status, body) = call("GET", url, &[], "");
+    assert_eq!(status.as_u16(), 200, "{body}");
+    serde_json::from_str(&body).expect("JSON")
+}
+
+fn config(control: &str) -> String {
+    format!("http://{control}/v1/config")
+}
+
+fn patch(url: &str, id: u128, base: u64, merge: &Value) -> (u16, Value) {
+    let body = json!({"id": Uuid::from_u128(id), "base": base, "author": "vet", "merge": merge});
+    let (status, body) = call("PATCH", url, &[], &body.to_string());
+    (status.as_u16(), serde_json::from_str(&body).expect("JSON"))
+}
+
+#[test]
+fn a_patch_is_in_force_on_every_node_within_a_lease() {
+    let system = System::with_entries(2, 2);
+    let url = config(&system.control_http);
+    for base in 0..3 {
+        let queue = json!({"limits": {"queue": 100 + base}});
+        let (status, answer) = patch(&url, base.into(), base, &queue);
+        assert_eq!(status, 200, "{answer}");
+        let begun = Instant::now();
+        for address in system.agent_addresses.iter().chain(&system.entry_addresses) {
+            poll(|| {
+                let node = get(&format!("http://{address}/v1/status"));
+                let current = node["in_force"] == true && node["version"] == base + 1;
+                current.then_some(())
+            });
+        }
+        println!(
+            "version {} in force everywhere after {:?}",
+            base + 1,
+            begun.elapsed()
+        );
+        assert!(begun.elapsed() < IN_FORCE_WITHIN);
+    }
+}
+
+#[test]
+fn one_of_two_racing_patches_wins_and_a_resent_one_gets_its_first_answer() {
+    let (_control, http, _) = System::operated_control();
+    let url = config(&http);
+    let send = |id| {
+        let url = url.clone();
+        std::thread::spawn(move || patch(&url, id, 0, &json!({"limits": {"queue": id as u64}})))
+    };
+    let racers: Vec<_> = (1..9).map(send).collect();
+    let answers: Vec<_> = racers
+        .into_iter()
+        .map(|r| r.join().expect("an answer"))
+        .collect();
+    let won = answers.iter().filter(|answer| answer.0 == 200).count();
+    let lost = answers.iter().filter(|answer| answer.0 == 409).count();
+    assert_eq!((won, lost), (1, 7), "{answers:?}");
+    for (id, first) in (1..9).zip(&answers) {
+        let again = patch(&url, id, 0, &json!({"limits": {"queue": id as u64}}));
+        assert_eq!(again, *first);
+    }
+    assert_eq!(patch(&url, 1, 0, &json!({})).1["answer"], "reused");
+    let history = get(&format!("{url}/history"));
+    assert_eq!(history["versions"].as_array().map(Vec::len), Some(1));
+    assert_eq!(history["versions"][0]["digest"], get(&url)["digest"]);
+}
+
+#[test]
+fn a_bad_patch_is_told_all_that_is_wrong_and_changes_nothing() {
+    let (_control, http, _) = System::operated_control();
+    let url = config(&http);
+    let merge = json!({"limits": {"queue": 0}, "services": {"a": {"candidates": 99}}});
+    let (status, answer) = patch(&url, 1, 0, &merge);
+    assert_eq!(
+        (status, answer["problems"].as_array().map(Vec::len)),
+        (422, Some(2))
+    );
+    assert_eq!(get(&url)["version"], 0);
+}
+
+/// What a node says of itself: whether it may act, and on which version.
+fn node(address: &str) -> (bool, u64) {
+    let node = get(&format!("http://{address}/v1/status"));
+    let version = node["version"].as_u64().expect("a number");
+    (node["in_force"] == true, version)
+}
+
+#[test]
+fn a_frozen_node_wakes_up_with_nothing_old_in_force() {
+    let system = System::start(1);
+    let agent = &system.agent_addresses[0];
+    system.agents[0].signal(libc::SIGSTOP);
+    let url = config(&system.control_http);
+    let (status, _) = patch(&url, 1, 0, &json!({"limits": {"queue": 7}}));
+    assert_eq!(status, 200);
+    std::thread::sleep(IN_FORCE_WITHIN);
+    // So that the node can't renew before it is asked.
+    system.control.signal(libc::SIGSTOP);
+    system.agents[0].signal(libc::SIGCONT);
+    assert_eq!(node(agent), (false, 0));
+    system.control.signal(libc::SIGCONT);
+    poll(|| (node(agent) == (true, 1)).then_some(()));
+}
+
+#[test]
+fn nodes_act_on_nothing_a_lease_after_control_has_frozen() {
+    let system = System::start(1);
+    system.control.signal(libc::SIGSTOP);
+    std::thread::sleep(IN_FORCE_WITHIN);
+    for address in [&system.agent_addresses[0], &system.entry_addresses[0]] {
+        assert!(!node(address).0, "{address} holds a lease");
+    }
+    let headers = [("x-service", "demo"), ("x-team", "barn")];
+    let (status, answer) = system.request(&headers, "{}");
+    assert_eq!(status.as_u16(), 503);
+    assert!(answer.contains(r#""outcome":"not_run""#), "{answer}");
+    system.control.signal(libc::SIGCONT);
+    poll(|| node(&system.entry_addresses[0]).0.then_some(()));
+}
--- a/crates/core/tests/support/system.rs
+++ b/crates/core/tests/support/system.rs
@@ -12,6 +12,7 @@
 /// One control instance, some agents with an upstream each, and one entry.
 pub(crate) struct System {
     pub(crate) control: Process,
+    pub(crate) control_http: String,
     pub(crate) agents: Vec<Process>,
     pub(crate) agent_addresses: Vec<String>,
     pub(crate) upstreams: Vec<Process>,
@@ -28,9 +29,10 @@
 
     /// Starts a system with `agents` agents and `entries` entries.
     pub(crate) fn with_entries(agents: usize, entries: usize) -> System {
-        let (control, peer) = System::control();
+        let (control, control_http, peer) = System::operated_control();
         let mut system = System {
             control,
+            control_http,
             agents: Vec::new(),
             agent_addresses: Vec::new(),
             upstreams: Vec::new(),
@@ -39,8 +41,8 @@
             entry_addresses: Vec::new(),
         };
         (0..agents).for_each(|index| system.add_agent(index, &peer));
-        for _ in 0..entries {
-            let entry = System::entry(&peer);
+        for index in 0..entries {
+            let entry = System::named_entry(&format!("entry-{index}"), &peer);
             let address = entry.listening("entry-http").to_string();
             system.entries.push(entry);
             system.entry_addresses.push(address);
@@ -51,17 +53,29 @@
 
     /// Starts a control instance; returns its peer address too.
     pub(crate) fn control() -> (Process, String) {
+        let (control, _, peer) = System::operated_control();
+        (control, peer)
+    }
+
+    /// Starts a control instance; returns its addresses for operators and peers.
+    pub(crate) fn operated_control() -> (Process, String, String) {
         let section =
             r#""controller":{"http":"127.0.0.1:0","peer":"127.0.0.1:0","data":"unused.data"}"#;
         let control = run("control", "", section);
+        let http = control.listening("control-http").to_string();
         let peer = control.listening("control-peer").to_string();
-        (control, peer)
+        (control, http, peer)
     }
 
     /// Starts an entry that renews at the given control instance.
     pub(crate) fn entry(control: &str) -> Process {
+        System::named_entry("entry", control)
+    }
+
+    /// Two processes of one name can't both hold a lease.
+    fn named_entry(name: &str, control: &str) -> Process {
         let section = r#""entry":{"http":"127.0.0.1:0"}"#;
-        run("entry", control, section)
+        run(name, control, section)
     }
 
     fn add_agent(&mut self, index: usize, control: &str) {
--- /dev/null
+++ b/crates/member/src/view/convert.rs
@@ -0,0 +1,61 @@
+//! Deltas as the messages that carry them.
+
+use gentian_wire::control;
+use gentian_wire::id::View;
+
+use super::{Change, Delta, Whole};
+use crate::member::{Member, Result};
+
+impl Delta {
+    /// Puts the delta into a reply.
+    pub fn write(&self, reply: &mut control::RenewReply) {
+        let (floor, changes) = match self {
+            Delta::Changes { floor, changes } => (floor, changes),
+            Delta::Whole(whole) => {
+                reply.whole = true;
+                reply.members = whole.oldest.iter().map(control::Member::from).collect();
+                (&whole.floor, &whole.changes)
+            }
+        };
+        reply.floor = floor.0;
+        reply.changes = changes.iter().map(control::Change::from).collect();
+    }
+
+    /// Reads the delta of a reply.
+    pub fn read(reply: &control::RenewReply) -> Result<Delta> {
+        let floor = View(reply.floor);
+        let changes = reply.changes.iter().map(Change::try_from);
+        let changes = changes.collect::<Result<_>>()?;
+        if !reply.whole {
+            return Ok(Delta::Changes { floor, changes });
+        }
+        let oldest = reply.members.iter().map(Member::try_from);
+        Ok(Delta::Whole(Whole {
+            floor,
+            oldest: oldest.collect::<Result<_>>()?,
+            changes,
+        }))
+    }
+}
+
+impl From<&Change> for control::Change {
+    fn from(change: &Change) -> control::Change {
+        control::Change {
+            view: change.view.0,
+            node: change.node.to_string(),
+            member: change.member.as_ref().map(control::Member::from),
+        }
+    }
+}
+
+impl TryFrom<&control::Change> for Change {
+    type Error = crate::member::Error;
+
+    fn try_from(message: &control::Change) -> Result<Change> {
+        Ok(Change {
+            view: View(message.view),
+            node: message.node.parse()?,
+            member: message.member.as_ref().map(Member::try_from).transpose()?,
+        })
+    }
+}
--- a/crates/member/src/view/mod.rs
+++ b/crates/member/src/view/mod.rs
@@ -7,6 +7,7 @@
 //! a member that came and went between two renewals may have started tasks.
 
 mod age;
+mod convert;
 mod delta;
 
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -78,6 +78,13 @@
     ]
 }
 
+/// The delta as it comes out of a message.
+fn carried(delta: &Delta) -> Delta {
+    let mut reply = gentian_wire::control::RenewReply::default();
+    delta.write(&mut reply);
+    Delta::read(&reply).expect("a good reply")
+}
+
 fn equal(window: &Window, model: &Model) -> Result<(), TestCaseError> {
     for (number, members) in (0..).zip(&model.0) {
         let kept = number >= window.floor().0 && number <= window.number().0;
@@ -113,7 +120,7 @@
                     let restored = Window::try_from(window.whole()).expect("a good snapshot");
                     ensure(restored == window, || "restart".to_owned())?;
                 }
-                Step::Ask => replies.push(window.delta(node.number())),
+                Step::Ask => replies.push(carried(&window.delta(node.number()))),
                 Step::Deliver if !replies.is_empty() => {
                     let _ = node.follow(replies.remove(0));
                 }
