core: run a whole system in one process with `local`

Cause: a newcomer needs one command that shows the main path.

Change: `gentiancove local` holds all roles and an example upstream on embedded settings, sends an example and prints its answer. The roles of one process stop in order: entry, agent, control, so that what is in progress keeps its agent and its lease. Where a process is the one control instance itself, `control` may be left out of its settings. `members` names instances by the ids that quorum gives them, and a command by its own id.

A fault found by its test: a SIGTERM that came before the example was answered was waited for twice, so the process went on (local_serves_until_terminated, red, then green).

--- a/crates/core/src/args/error.rs
+++ b/crates/core/src/args/error.rs
@@ -5,7 +5,7 @@
 use miette::{Diagnostic, MietteHandlerOpts, Report};
 
 use crate::client::Base;
-use crate::{load, run, settings, upstream};
+use crate::{load, local, run, settings, upstream};
 
 /// Why a command failed.
 #[derive(Debug, Diagnostic, thiserror::Error)]
@@ -20,6 +20,10 @@
     /// A role can't be started.
     #[error(transparent)]
     Run(#[from] run::Error),
+    /// No local system runs.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Local(#[from] local::Error),
     /// An argument can't be used.
     #[error("argument {argument} is {value:?}: {allowed}")]
     #[diagnostic(help("see --help"))]
@@ -89,6 +93,7 @@
             Error::Check(_) => Code::Check,
             Error::Upstream(_)
             | Error::Run(_)
+            | Error::Local(_)
             | Error::Load(load::Error::Start(_))
             | Error::File { .. }
             | Error::Refused { .. }
--- a/crates/core/src/args/mod.rs
+++ b/crates/core/src/args/mod.rs
@@ -8,6 +8,7 @@
 mod config;
 mod error;
 mod load;
+mod local;
 mod members;
 mod operator;
 mod output;
@@ -19,6 +20,7 @@
 
 const HELP: &str = "\
 Examples:
+  gentiancove local
   gentiancove run --settings entry.json
   gentiancove check-settings --settings entry.json
   gentiancove config get --control http://127.0.0.1:7001
@@ -44,6 +46,8 @@
 enum Command {
     /// Runs the roles that a settings file names, until SIGTERM
     Run(run::Args),
+    /// Runs a whole system with an example upstream in one process
+    Local(local::Args),
     /// Checks a settings file and prints the settings in force
     CheckSettings(check::Args),
     /// Reads and changes the numbered configuration
@@ -73,6 +77,7 @@
     fn run(self) -> Result<()> {
         match self {
             Command::Run(args) => args.run(),
+            Command::Local(args) => args.run(),
             Command::CheckSettings(args) => args.run(),
             Command::Config(command) => command.run(),
             Command::Status(args) => args.run(),
--- /dev/null
+++ b/crates/core/src/local/mod.rs
@@ -0,0 +1,162 @@
+//! A whole system in one process, with an example upstream.
+//!
+//! It shows on one machine what the system does, on embedded settings. A real
+//! one has a process for each role, on instances that fail apart.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use tokio::sync::watch;
+
+use crate::client::{self, Client};
+use crate::run::{self, Roles, Signals};
+use crate::settings::{self, Settings};
+use crate::upstream;
+
+const SETTINGS: &str = include_str!("settings.json");
+const SERVICE: &str = "demo";
+const TEAM: &str = "local";
+const EXAMPLE: &str = r#"{"run_ms":80,"text":"refresh the teat-cup alarm of stall 7"}"#;
+
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+const READY_POLL: Duration = Duration::from_millis(100);
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Why no local system runs.
+#[derive(Debug, miette::Diagnostic, thiserror::Error)]
+pub(crate) enum Error {
+    /// The embedded settings can't be used with the given addresses.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Settings(#[from] settings::Error),
+    /// A role can't be started.
+    #[error(transparent)]
+    Run(#[from] run::Error),
+    /// The upstream can't be started.
+    #[error(transparent)]
+    Upstream(#[from] upstream::Error),
+    /// The example request was not answered.
+    #[error(
+        "the example was not answered within {}: {last}",
+        humantime::format_duration(READY_TIMEOUT)
+    )]
+    Silent {
+        /// What was answered last.
+        last: String,
+    },
+}
+
+/// A result whose error tells why no local system runs.
+pub(crate) type Result<T> = std::result::Result<T, Error>;
+
+/// Where a local system listens and keeps its data.
+#[derive(Clone, Debug)]
+pub(crate) struct Places {
+    /// Address for callers.
+    pub(crate) entry: SocketAddr,
+    /// Address for upstreams.
+    pub(crate) agent: SocketAddr,
+    /// Address for operators.
+    pub(crate) control: SocketAddr,
+    /// Folder of the control instance.
+    pub(crate) data: PathBuf,
+}
+
+/// Starts a system, sends it an example, and serves until SIGTERM; with `once`
+/// it stops after the example.
+pub(crate) fn run(places: &Places, once: bool) -> Result<()> {
+    let settings = settings(places)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(run::Error::Start)?;
+    runtime.block_on(serve(&settings, once))
+}
+
+fn settings(places: &Places) -> Result<Settings> {
+    let mut settings = Settings::parse("embedded in the program", SETTINGS)?;
+    if let Some(section) = &mut settings.entry {
+        section.http = places.entry;
+    }
+    if let Some(section) = &mut settings.agent {
+        section.http = places.agent;
+    }
+    if let Some(section) = &mut settings.controller {
+        section.http = places.control;
+        section.data.clone_from(&places.data);
+    }
+    Ok(settings)
+}
+
+async fn serve(settings: &Settings, once: bool) -> Result<()> {
+    let mut signals = Signals::listen().map_err(run::Error::Start)?;
+    let roles = Roles::bind(settings).await?;
+    let entry = url(roles.entry_http());
+    let upstream = upstream(&url(roles.agent_http())).await?;
+    let (stop, stopped) = watch::channel(false);
+    let roles = tokio::spawn(roles.run(stopped.clone()));
+    let upstream = tokio::spawn(upstream.serve(stopped));
+    let result = tokio::select! {
+        result = show(&entry, once) => result,
+        () = signals.wait() => Ok(()),
+    };
+    stop.send_replace(true);
+    // A panic in either has been printed already.
+    let _ = tokio::join!(roles, upstream);
+    result
+}
+
+async fn upstream(agent: &str) -> Result<upstream::Upstream> {
+    let service = SERVICE.parse().expect("a valid name");
+    let upstream = upstream::Builder::new(service, agent.to_owned())
+        .bind()
+        .await?;
+    println!("listening upstream {}", upstream.address());
+    Ok(upstream)
+}
+
+/// Sends the example until it is answered, and prints the answer. Returns then
+/// with `once`, and never without.
+async fn show(entry: &str, once: bool) -> Result<()> {
+    let client = Client::new();
+    let start = Instant::now();
+    loop {
+        let answer = ask(&client, entry).await;
+        match answer {
+            Ok(body) => break println!("asked    {EXAMPLE}\nanswered {body}"),
+            Err(last) if start.elapsed() > READY_TIMEOUT => return Err(Error::Silent { last }),
+            Err(_) => tokio::time::sleep(READY_POLL).await,
+        }
+    }
+    if once {
+        return Ok(());
+    }
+    println!(
+        "try      curl -d '{EXAMPLE}' -H 'x-service: {SERVICE}' -H 'x-team: {TEAM}' {entry}/v1/requests"
+    );
+    std::future::pending().await
+}
+
+async fn ask(client: &Client, entry: &str) -> std::result::Result<String, String> {
+    let request = Request::post(format!("{entry}/v1/requests"))
+        .header("x-service", SERVICE)
+        .header("x-team", TEAM)
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from_static(EXAMPLE.as_bytes())))
+        .map_err(|error| error.to_string())?;
+    let answer = client.send(request, REQUEST_TIMEOUT).await;
+    let answer = answer.map_err(|error: client::Error| error.to_string())?;
+    let body = String::from_utf8_lossy(&answer.body).into_owned();
+    match answer.status.is_success() {
+        true => Ok(body),
+        false => Err(format!("{}: {body}", answer.status)),
+    }
+}
+
+fn url(address: Option<SocketAddr>) -> String {
+    address.map_or_else(String::new, |address| format!("http://{address}"))
+}
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -8,6 +8,7 @@
 mod control;
 mod entry;
 mod load;
+mod local;
 mod renew;
 mod run;
 mod serve;
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -1,13 +1,15 @@
 //! Starts the roles that the settings name and stops them on SIGTERM or SIGINT.
 
+use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::time::SystemTime;
 
 use gentian::wire::control as wire;
 
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::JoinHandle;
 
 use crate::settings::Settings;
 use crate::{agent, control, entry};
@@ -19,7 +21,7 @@
     #[error("can't listen on {field} {address}: {source}")]
     Listen {
         field: &'static str,
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         source: io::Error,
     },
     /// The runtime can't be started.
@@ -31,7 +33,7 @@
     /// Makes the error for `field`, whose address can't be listened on.
     pub(crate) fn listen(
         field: &'static str,
-        address: std::net::SocketAddr,
+        address: SocketAddr,
     ) -> impl FnOnce(io::Error) -> Error {
         move |source| Error::Listen {
             field,
@@ -56,46 +58,122 @@
 async fn serve(settings: &Settings) -> Result<()> {
     // Before the roles start, so that no signal is missed.
     let mut signals = Signals::listen()?;
+    let roles = Roles::bind(settings).await?;
     let (stop, stopped) = watch::channel(false);
-    let mut roles = JoinSet::new();
-    if let Some(section) = &settings.controller {
-        let role = control::Role::bind(section).await?;
-        println!("listening control-http {}", role.http()?);
-        println!("listening control-peer {}", role.peer()?);
-        roles.spawn(role.run(stopped.clone()));
-    }
-    if let Some(section) = &settings.agent {
-        let role = agent::Role::bind(settings, section).await?;
-        println!("listening agent-http {}", role.http()?);
-        println!("listening agent-peer {}", role.peer()?);
-        roles.spawn(role.run(stopped.clone()));
-    }
-    if let Some(section) = &settings.entry {
-        let role = entry::Role::bind(settings, section).await?;
-        println!("listening entry-http {}", role.http()?);
-        roles.spawn(role.run(stopped.clone()));
-    }
+    let running = tokio::spawn(roles.run(stopped));
     signals.wait().await;
     stop.send_replace(true);
-    while roles.join_next().await.is_some() {}
+    // A panic in a role has been printed already.
+    let _ = running.await;
     Ok(())
 }
 
+/// The roles of one process, listening.
+#[derive(Debug)]
+pub(crate) struct Roles {
+    control: Option<control::Role>,
+    agent: Option<agent::Role>,
+    entry: Option<entry::Role>,
+}
+
+impl Roles {
+    /// Listens on all addresses that the settings name, and prints each.
+    pub(crate) async fn bind(settings: &Settings) -> Result<Roles> {
+        let mut settings = settings.clone();
+        let mut roles = Roles {
+            control: None,
+            agent: None,
+            entry: None,
+        };
+        if let Some(section) = &settings.controller {
+            let role = control::Role::bind(section).await?;
+            println!("listening control-http {}", role.http()?);
+            println!("listening control-peer {}", role.peer()?);
+            if settings.control.is_empty() {
+                settings.control.push(role.peer()?);
+            }
+            roles.control = Some(role);
+        }
+        if let Some(section) = &settings.agent {
+            let role = agent::Role::bind(&settings, section).await?;
+            println!("listening agent-http {}", role.http()?);
+            println!("listening agent-peer {}", role.peer()?);
+            roles.agent = Some(role);
+        }
+        if let Some(section) = &settings.entry {
+            let role = entry::Role::bind(&settings, section).await?;
+            println!("listening entry-http {}", role.http()?);
+            roles.entry = Some(role);
+        }
+        Ok(roles)
+    }
+
+    /// Address for callers, where there is an entry.
+    pub(crate) fn entry_http(&self) -> Option<SocketAddr> {
+        self.entry.as_ref()?.http().ok()
+    }
+
+    /// Address for the upstream, where there is an agent.
+    pub(crate) fn agent_http(&self) -> Option<SocketAddr> {
+        self.agent.as_ref()?.http().ok()
+    }
+
+    /// Runs until `stop` turns true. The entry stops first, then the agent that
+    /// its requests need, then control that both need for their leases.
+    pub(crate) async fn run(self, mut stop: watch::Receiver<bool>) {
+        let entry = self.entry.map(|role| Running::start(|stop| role.run(stop)));
+        let agent = self.agent.map(|role| Running::start(|stop| role.run(stop)));
+        let control = self
+            .control
+            .map(|role| Running::start(|stop| role.run(stop)));
+        // A closed channel means that the process stops as well.
+        let _ = stop.wait_for(|stop| *stop).await;
+        for role in [entry, agent, control].into_iter().flatten() {
+            role.stop().await;
+        }
+    }
+}
+
+/// A role that serves.
+struct Running {
+    stop: watch::Sender<bool>,
+    task: JoinHandle<()>,
+}
+
+impl Running {
+    fn start<F>(run: impl FnOnce(watch::Receiver<bool>) -> F) -> Running
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let (stop, stopped) = watch::channel(false);
+        let task = tokio::spawn(run(stopped));
+        Running { stop, task }
+    }
+
+    async fn stop(self) {
+        self.stop.send_replace(true);
+        // A panic in the role has been printed already.
+        let _ = self.task.await;
+    }
+}
+
 /// The signals that stop the process.
-struct Signals {
+pub(crate) struct Signals {
     terminate: Signal,
     interrupt: Signal,
 }
 
 impl Signals {
-    fn listen() -> io::Result<Signals> {
+    /// Takes the signals over from now on.
+    pub(crate) fn listen() -> io::Result<Signals> {
         Ok(Signals {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
         })
     }
 
-    async fn wait(&mut self) {
+    /// Waits for the first signal.
+    pub(crate) async fn wait(&mut self) {
         tokio::select! {
             _ = self.terminate.recv() => {}
             _ = self.interrupt.recv() => {}
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use crate::client;
+use crate::run::Signals;
 
 mod announce;
 mod server;
@@ -184,30 +185,19 @@
         .build()
         .map_err(Error::Runtime)?;
     runtime.block_on(async {
-        let stop = stop_on_signal()?;
+        let mut signals = Signals::listen().map_err(Error::Signal)?;
         let upstream = builder.bind().await?;
         println!("listening upstream {}", upstream.address());
-        upstream.serve(stop).await;
+        let (stop, stopped) = watch::channel(false);
+        let serving = tokio::spawn(upstream.serve(stopped));
+        signals.wait().await;
+        stop.send_replace(true);
+        // A panic in the upstream has been printed already.
+        let _ = serving.await;
         Ok(())
     })
 }
 
-fn stop_on_signal() -> Result<watch::Receiver<bool>> {
-    use tokio::signal::unix::{signal, SignalKind};
-
-    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Signal)?;
-    let (stop, stopped) = watch::channel(false);
-    tokio::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => (),
-            _ = interrupt.recv() => (),
-        }
-        stop.send_replace(true);
-    });
-    Ok(stopped)
-}
-
 /// Returns once nothing has run for a while: a task that the agent started just
 /// before it heard of the leave may still be on its way.
 async fn until_quiet(tally: &tally::Tally) {
--- /dev/null
+++ b/crates/core/tests/local.rs
@@ -0,0 +1,85 @@
+//! `local` and `run` through the real binary.
+
+mod support;
+
+use std::net::TcpListener;
+
+use support::{call, output, text, Process};
+
+const PORTS: [&str; 6] = [
+    "--entry",
+    "127.0.0.1:0",
+    "--agent",
+    "127.0.0.1:0",
+    "--control",
+    "127.0.0.1:0",
+];
+
+fn local<'a>(data: &'a str, more: &[&'a str]) -> Vec<&'a str> {
+    let mut args = vec!["local", "--data", data];
+    args.extend(PORTS);
+    args.extend(more);
+    args
+}
+
+#[test]
+fn once_prints_the_answered_example() {
+    let data = tempfile::tempdir().expect("folder");
+    let output = output(&local(data.path().to_str().expect("path"), &["--once"]));
+    let stdout = text(&output.stdout);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    let body = |word: &str| {
+        let line = stdout.lines().find(|line| line.starts_with(word));
+        line.expect("a line").split_once('{').expect("a body").1
+    };
+    assert_eq!(body("asked"), body("answered"));
+}
+
+#[test]
+fn local_serves_until_terminated() {
+    let data = tempfile::tempdir().expect("folder");
+    let mut process = Process::start(&local(data.path().to_str().expect("path"), &[]));
+    let entry = process.listening("entry-http");
+    let upstream = process.listening("upstream");
+    support::system::poll(|| {
+        let headers = [("x-service", "demo"), ("x-team", "barn")];
+        let (status, _) = call(
+            "POST",
+            &format!("http://{entry}/v1/requests"),
+            &headers,
+            "{}",
+        );
+        status.is_success().then_some(())
+    });
+    process.terminate();
+    assert!(process.wait().success());
+    for address in [entry, upstream] {
+        TcpListener::bind(address).expect("the address is free again");
+    }
+}
+
+#[test]
+fn taken_address_is_named() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("port");
+    let address = taken.local_addr().expect("address").to_string();
+    let data = tempfile::tempdir().expect("folder");
+    let more = ["--entry", &address];
+    let output = output(&local(data.path().to_str().expect("path"), &more));
+    assert_eq!(Some(1), output.status.code());
+    let told = format!("listen on entry.http {address}");
+    assert!(
+        text(&output.stderr).contains(&told),
+        "{}",
+        text(&output.stderr)
+    );
+}
+
+#[test]
+fn run_refuses_wrong_settings_before_it_listens() {
+    let file = tempfile::NamedTempFile::new().expect("file");
+    std::fs::write(file.path(), r#"{"name":"a b"}"#).expect("file");
+    let output = output(&["run", "--settings", file.path().to_str().expect("path")]);
+    assert_eq!(Some(2), output.status.code());
+    assert_eq!("", text(&output.stdout));
+    assert!(text(&output.stderr).contains("5 mistakes"));
+}
--- a/crates/core/tests/operator.rs
+++ b/crates/core/tests/operator.rs
@@ -98,7 +98,9 @@
 #[test_case(&["config", "patch", "--control", "http://127.0.0.1:9", "--base", "1",
     "--author", "a", "[1]"]; "patch no object")]
 #[test_case(&["example-upstream", "--agent", "http://127.0.0.1:9", "--mode", "lazy"]; "mode unknown")]
-#[test_case(&["members", "add", "--control", "http://127.0.0.1:9", "here"]; "peer no address")]
+#[test_case(&["members", "add", "--control", "http://127.0.0.1:9",
+    "00000000000000aa", "here"]; "peer no address")]
+#[test_case(&["members", "remove", "--control", "http://127.0.0.1:9", "aa"]; "member id too short")]
 #[test_case(&["dance"]; "command unknown")]
 fn usage_exits_with_2(args: &[&str]) {
     assert_eq!(Some(2), output(args).status.code());
@@ -130,15 +132,26 @@
     assert_eq!(Some(4), output.status.code());
 }
 
-#[test_case(&["add", "127.0.0.1:7"], r#"{"add":"127.0.0.1:7"}"#; "add")]
-#[test_case(&["remove", "127.0.0.1:7"], r#"{"remove":"127.0.0.1:7"}"#; "remove")]
-#[test_case(&["replace", "127.0.0.1:7", "127.0.0.1:8"],
-    r#"{"add":"127.0.0.1:8","remove":"127.0.0.1:7"}"#; "replace")]
-fn members_are_changed(args: &[&str], sent: &str) {
+#[test_case(&["add", "00000000000000aa", "127.0.0.1:7"],
+    r#"{"add":{"address":"127.0.0.1:7","id":"00000000000000aa"}}"#; "add")]
+#[test_case(&["remove", "00000000000000aa"], r#"{"remove":{"id":"00000000000000aa"}}"#; "remove")]
+#[test_case(&["replace", "00000000000000aa", "00000000000000bb", "127.0.0.1:8"],
+    r#"{"replace":{"address":"127.0.0.1:8","id":"00000000000000bb","old":"00000000000000aa"}}"#;
+    "replace")]
+fn members_are_changed(args: &[&str], change: &str) {
     let fake = answering(200, &json!({"members": []}));
     let control = control(&fake);
-    let mut all = vec!["members", args[0], "--control", &control];
+    let command = "0123456789abcdef0123456789abcdef";
+    let mut all = vec![
+        "members",
+        args[0],
+        "--control",
+        &control,
+        "--command",
+        command,
+    ];
     all.extend(&args[1..]);
     assert!(output(&all).status.success());
-    assert_eq!(format!("POST /v1/members {sent}"), fake.next("POST"));
+    let sent = format!(r#"POST /v1/members {{"change":{change},"command":"{command}"}}"#);
+    assert_eq!(sent, fake.next("POST"));
 }
