core: report service-level burn, and count what the roles do

Cause: operators and the monitor need to see how fast error budgets go, and the measure of wasted messages needs counters in the processes.

`report` adds the entries up and shows burn rates over 5m, 1h, 6h and 3d with alerts on two windows each, as text, JSON and a page that loads nothing else. Each role has a prometheus registry of its own at /metrics; entry and agent tell /live, /ready and /v1/status.

A fault found by its test: 1 - 0.99 is not 0.01 in binary, so an alert was missed exactly at its rate (slower burn over six hours pages, red, then green by rounding the complement).

--- a/crates/core/src/agent/http.rs
+++ b/crates/core/src/agent/http.rs
@@ -4,13 +4,16 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use gentian::wire::id;
+use gentian::wire::{control, id};
 use http::Method;
 use http_body_util::Full;
 use serde::de::DeserializeOwned;
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 use super::announce::{Announcement, Table};
+use crate::metrics;
+use crate::renew::{Announce, Held};
 use crate::serve::{self, Handler, Problem, Request, Response};
 
 const MAX_BODY_BYTES: usize = 16 * 1024;
@@ -23,6 +26,27 @@
 #[derive(Debug)]
 pub(crate) struct Local {
     table: Arc<Table>,
+    held: watch::Receiver<Arc<Held>>,
+    metrics: Arc<metrics::Agent>,
+}
+
+/// What the agent knows, for operators.
+#[derive(Serialize)]
+struct Status {
+    role: &'static str,
+    lease: bool,
+    version: u64,
+    view: u64,
+    upstreams: Vec<Upstream>,
+}
+
+/// An upstream that is heard of now.
+#[derive(Serialize)]
+struct Upstream {
+    service: String,
+    slots: u32,
+    connections: u32,
+    leaving: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -32,15 +56,27 @@
 }
 
 impl Local {
-    pub(crate) fn new(table: Arc<Table>) -> Local {
-        Local { table }
+    pub(crate) fn new(
+        table: Arc<Table>,
+        held: watch::Receiver<Arc<Held>>,
+        metrics: Arc<metrics::Agent>,
+    ) -> Local {
+        Local {
+            table,
+            held,
+            metrics,
+        }
     }
 
-    async fn route(&self, request: Request) -> Result<()> {
+    async fn route(&self, request: Request) -> Result<Response> {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
-            (&Method::POST, "/v1/announce") => self.announce(request).await,
-            (&Method::POST, "/v1/leave") => self.leave(request).await,
+            (&Method::POST, "/v1/announce") => self.announce(request).await.map(done),
+            (&Method::POST, "/v1/leave") => self.leave(request).await.map(done),
+            (&Method::GET, "/live") => Ok(serve::text("live\n")),
+            (&Method::GET, "/ready") => self.ready(),
+            (&Method::GET, "/metrics") => Ok(self.page()),
+            (&Method::GET, "/v1/status") => Ok(self.status()),
             (_, "/v1/announce" | "/v1/leave") => {
                 Err(Problem::new(405, "method not allowed", "use POST"))
             }
@@ -48,6 +84,34 @@
         }
     }
 
+    fn ready(&self) -> Result<Response> {
+        match self.in_force() {
+            true => Ok(serve::text("ready\n")),
+            false => Err(Problem::busy("the agent holds no lease from control")),
+        }
+    }
+
+    fn page(&self) -> Response {
+        let held = self.held.borrow().clone();
+        self.metrics.page(&held, held.in_force(Instant::now()))
+    }
+
+    fn status(&self) -> Response {
+        let held = self.held.borrow().clone();
+        let upstreams = self.table.upstreams().into_iter();
+        serve::json(&Status {
+            role: "agent",
+            lease: self.in_force(),
+            version: held.version,
+            view: held.view,
+            upstreams: upstreams.map(Upstream::from).collect(),
+        })
+    }
+
+    fn in_force(&self) -> bool {
+        self.held.borrow().in_force(Instant::now())
+    }
+
     async fn announce(&self, request: Request) -> Result<()> {
         let announcement: Announcement = parse(request).await?;
         if announcement.slots == 0 {
@@ -73,10 +137,21 @@
     }
 }
 
+impl From<control::Upstream> for Upstream {
+    fn from(upstream: control::Upstream) -> Upstream {
+        Upstream {
+            service: upstream.service,
+            slots: upstream.slots,
+            connections: upstream.connections,
+            leaving: upstream.leaving,
+        }
+    }
+}
+
 impl Handler for Local {
     async fn handle(&self, request: Request) -> Response {
         match self.route(request).await {
-            Ok(()) => done(),
+            Ok(response) => response,
             Err(problem) => problem.respond(),
         }
     }
@@ -87,7 +162,7 @@
     serde_json::from_slice(&body).map_err(|error| Problem::bad(&error.to_string()))
 }
 
-fn done() -> Response {
+fn done((): ()) -> Response {
     http::Response::builder()
         .status(204)
         .body(Full::new(Bytes::new()))
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::metrics;
 use crate::renew;
 use crate::run::{self, Error, Result};
 use crate::serve::{self, Server};
@@ -66,7 +67,9 @@
         let table = Arc::new(announce::Table::new(&self.section));
         let (drained, drain) = watch::channel(false);
         let renewal = renew::Loop::new(self.node, table.clone(), &self.control);
-        let service = service::Service::new(incarnation, table.clone(), renewal.held());
+        let metrics = Arc::new(metrics::Agent::new());
+        let service =
+            service::Service::new(incarnation, table.clone(), renewal.held(), metrics.clone());
         let mut closed = drain.clone();
         let peer = tonic::transport::Server::builder()
             .add_service(AgentServer::new(service))
@@ -74,7 +77,7 @@
                 // A closed channel means that the process stops as well.
                 let _ = closed.wait_for(|closed| *closed).await;
             });
-        let local = Arc::new(http::Local::new(table.clone()));
+        let local = Arc::new(http::Local::new(table.clone(), renewal.held(), metrics));
         let http = self.http.serve(local, drain.clone());
         let leaving = leave(stop, table, drained);
         let (peer, (), (), ()) = tokio::join!(peer, http, renewal.run(drain), leaving);
--- a/crates/core/src/agent/service.rs
+++ b/crates/core/src/agent/service.rs
@@ -16,6 +16,7 @@
 
 use super::announce::{Refusal, Slot, Table, Upstream};
 use super::pool;
+use crate::metrics;
 use crate::renew::Held;
 
 /// Names the task to the upstream, which may repeat it in its answer.
@@ -28,6 +29,7 @@
     incarnation: u64,
     table: Arc<Table>,
     held: watch::Receiver<Arc<Held>>,
+    metrics: Arc<metrics::Agent>,
 }
 
 impl Service {
@@ -35,11 +37,13 @@
         incarnation: u64,
         table: Arc<Table>,
         held: watch::Receiver<Arc<Held>>,
+        metrics: Arc<metrics::Agent>,
     ) -> Service {
         Service {
             incarnation,
             table,
             held,
+            metrics,
         }
     }
 
@@ -58,7 +62,7 @@
         let time = Duration::from_millis(u64::from(request.time_left_ms));
         // The call goes on past the deadline and past a caller that hangs up,
         // since the slot is taken until the upstream has finished.
-        let running = tokio::spawn(execute(slot, request, task));
+        let running = tokio::spawn(execute(slot, request, task, self.metrics.clone()));
         match tokio::time::timeout(time, running).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(_)) | Err(_) => outcome(Outcome::Unknown),
@@ -75,9 +79,22 @@
     }
 }
 
-async fn execute(slot: Slot, request: StartRequest, task: Task) -> StartReply {
+async fn execute(
+    slot: Slot,
+    request: StartRequest,
+    task: Task,
+    metrics: Arc<metrics::Agent>,
+) -> StartReply {
     let started = Instant::now();
+    let time = Duration::from_millis(u64::from(request.time_left_ms));
+    let running = metrics.begin();
     let mut reply = call(&slot, &request, task).await;
+    drop(running);
+    if reply.outcome() != Outcome::NotRun {
+        metrics
+            .messages()
+            .exchange(reply.outcome().into(), started.elapsed() <= time);
+    }
     reply.run_us = u32::try_from(started.elapsed().as_micros()).unwrap_or(u32::MAX);
     let upstream = slot.upstream().clone();
     drop(slot);
@@ -165,6 +182,8 @@
         if reply.load.is_none() {
             reply.load = self.table.get(&service).map(|upstream| load(&upstream));
         }
+        self.metrics
+            .answered(reply.outcome().into(), reply.reason());
         reply.task = task;
         reply.incarnation = self.incarnation;
         Ok(Response::new(reply))
--- a/crates/core/src/args/mod.rs
+++ b/crates/core/src/args/mod.rs
@@ -12,6 +12,7 @@
 mod members;
 mod operator;
 mod output;
+mod report;
 mod run;
 mod status;
 mod upstream;
@@ -32,7 +33,7 @@
   2  the command line or the settings are wrong
   3  the patch names another version than the one in force
   4  nobody answered; where it was a patch, send it again with the same --id
-  5  a check failed, such as an answer that is not its request's own";
+  5  a check failed, such as an answer that is not its request's own, or an alert";
 
 /// A dispatcher for sub-second tasks.
 #[derive(Debug, Parser)]
@@ -55,6 +56,8 @@
     Config(config::Command),
     /// Shows what an entry, an agent or a control instance knows
     Status(status::Args),
+    /// Reports how fast services and teams use up their error budgets
+    Report(report::Args),
     /// Adds, removes or replaces a control instance
     #[command(subcommand)]
     Members(members::Command),
@@ -81,6 +84,7 @@
             Command::CheckSettings(args) => args.run(),
             Command::Config(command) => command.run(),
             Command::Status(args) => args.run(),
+            Command::Report(args) => args.run(),
             Command::Members(command) => command.run(),
             Command::Load(args) => args.run(),
             Command::ExampleUpstream(args) => args.run(),
--- a/crates/core/src/args/operator.rs
+++ b/crates/core/src/args/operator.rs
@@ -7,6 +7,7 @@
 
 use http::Method;
 use oxhttp::model::{header, Body, Request, StatusCode};
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -55,11 +56,18 @@
 impl Answer {
     /// The JSON body of a good answer.
     pub(super) fn json(self) -> Result<Value> {
-        if self.status.is_success() {
-            self.any_json()
-        } else {
-            Err(self.refused())
+        self.parse()
+    }
+
+    /// The JSON body of a good answer as a type of its own.
+    pub(super) fn parse<T: DeserializeOwned>(self) -> Result<T> {
+        if !self.status.is_success() {
+            return Err(self.refused());
         }
+        serde_json::from_str(&self.body).map_err(|error| Error::Answer {
+            url: self.url,
+            detail: error.to_string(),
+        })
     }
 
     /// The JSON body, whatever the status.
--- a/crates/core/src/args/output.rs
+++ b/crates/core/src/args/output.rs
@@ -1,6 +1,8 @@
 //! Writing to standard output.
 
+use std::fs;
 use std::io::{self, Write};
+use std::path::Path;
 
 use super::{Error, Result};
 
@@ -22,6 +24,11 @@
     print(&format!("{text}\n"))
 }
 
+/// Writes a text to a file.
+pub(super) fn save(path: &Path, text: &str) -> Result<()> {
+    fs::write(path, text).map_err(file_error(&path.display().to_string()))
+}
+
 /// Makes the error of a file that can't be used.
 pub(super) fn file_error(path: &str) -> impl FnOnce(io::Error) -> Error {
     let path = path.to_owned();
--- a/crates/core/src/entry/http.rs
+++ b/crates/core/src/entry/http.rs
@@ -1,5 +1,6 @@
 //! What callers may ask of an entry.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 
 use super::call::Clients;
 use super::dispatch::{Demand, Handle, Place, Refusal, Report, Verdict};
+use super::meter::Meter;
 use crate::serve::{self, Handler, Problem, Request, Response};
 use crate::settings::Entry;
 
@@ -27,6 +29,7 @@
 pub(crate) struct Front {
     dispatcher: Handle,
     clients: Clients,
+    meter: Arc<Meter>,
     max_body: size::Bytes,
     body_timeout: Duration,
     default_deadline: Duration,
@@ -45,10 +48,16 @@
 }
 
 impl Front {
-    pub(crate) fn new(dispatcher: Handle, clients: Clients, section: &Entry) -> Front {
+    pub(crate) fn new(
+        dispatcher: Handle,
+        clients: Clients,
+        meter: Arc<Meter>,
+        section: &Entry,
+    ) -> Front {
         Front {
             dispatcher,
             clients,
+            meter,
             max_body: section.max_body,
             body_timeout: section.body_timeout,
             default_deadline: section.default_deadline,
@@ -60,21 +69,36 @@
         match (request.method(), path.as_str()) {
             (&Method::POST, "/v1/requests") => self.single(request).await,
             (_, "/v1/requests") => Err(Problem::new(405, "method not allowed", "use POST")),
-            (&Method::GET, "/live") => Ok(text(200, "live\n")),
-            _ => Err(Problem::new(404, "not found", &path)),
+            (&Method::GET, path) => self.meter.page(path).ok_or_else(|| missing(path)),
+            (_, path) => Err(missing(path)),
         }
     }
 
     async fn single(&self, request: Request) -> Result<Response> {
         let arrived = Instant::now();
+        let _in_progress = self.meter.begin();
+        let single = self.read(request, arrived).await;
+        let single = single.inspect_err(|_| self.meter.malformed())?;
+        let (service, team) = (single.service.clone(), single.team.clone());
+        let (dispatcher, clients) = (self.dispatcher.clone(), self.clients.clone());
+        let meter = self.meter.clone();
+        // A caller that hangs up must not lose the report that frees the place.
+        let running = tokio::spawn(async move {
+            let result = attempt(&dispatcher, &clients, &meter, single).await;
+            let outcome = result
+                .as_ref()
+                .map_or_else(Problem::told, |_| Outcome::Done);
+            meter.answered(&service, &team, outcome, arrived.elapsed());
+            result
+        });
+        running.await.unwrap_or_else(|_| Err(gave_none()))
+    }
+
+    async fn read(&self, request: Request, arrived: Instant) -> Result<Single> {
         let (head, body) = request.into_parts();
         let mut single = Single::read(&head.headers, arrived, self.default_deadline)?;
         single.body = serve::read(body, self.max_body.as_usize(), self.body_timeout).await?;
-        let dispatcher = self.dispatcher.clone();
-        let clients = self.clients.clone();
-        // A caller that hangs up must not lose the report that frees the place.
-        let running = tokio::spawn(async move { attempt(&dispatcher, &clients, single).await });
-        running.await.unwrap_or_else(|_| Err(gave_none()))
+        Ok(single)
     }
 }
 
@@ -131,7 +155,12 @@
     }
 }
 
-async fn attempt(dispatcher: &Handle, clients: &Clients, single: Single) -> Result<Response> {
+async fn attempt(
+    dispatcher: &Handle,
+    clients: &Clients,
+    meter: &Meter,
+    single: Single,
+) -> Result<Response> {
     let mut demand = single.demand();
     loop {
         let place = match dispatcher.place(demand.clone()).await {
@@ -142,6 +171,7 @@
         let message = single.message(fresh_key(), &place, left);
         let reply = clients.start(&place.address, message, left).await;
         let outcome = Outcome::from(reply.outcome());
+        meter.exchange(outcome, Instant::now() <= single.deadline);
         dispatcher.report(report(&place, &single, &reply));
         let last = demand.refused_by.len() + 1 >= MAX_ATTEMPTS;
         if last || !outcome.may_retry(single.idempotent) {
@@ -196,6 +226,10 @@
         .unwrap_or_else(|_| text(502, "the upstream's answer is no HTTP answer\n"))
 }
 
+fn missing(path: &str) -> Problem {
+    Problem::new(404, "not found", path)
+}
+
 fn gave_none() -> Problem {
     let detail = "the task was sent and gave no answer in time";
     Problem::new(504, "unknown", detail).outcome(Outcome::Unknown)
--- /dev/null
+++ b/crates/core/src/entry/meter.rs
@@ -0,0 +1,157 @@
+//! What an entry counts about its answers, and the pages that tell it.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use gentian::wire::id;
+use gentian::wire::outcome::Outcome;
+use gentian_config::document::{Document, Objectives};
+use serde::Serialize;
+use tokio::sync::watch;
+
+use crate::metrics::{self, Guard};
+use crate::renew::Held;
+use crate::report::burn::{Book, Verdict};
+use crate::report::Snapshot;
+use crate::serve::{json, text, Problem, Response};
+
+/// Counts answers, for the metrics and for the service-level burn.
+#[derive(Debug)]
+pub(crate) struct Meter {
+    name: id::Node,
+    started: Instant,
+    metrics: metrics::Entry,
+    held: watch::Receiver<Arc<Held>>,
+    book: Mutex<Book>,
+    document: Mutex<(u64, Arc<Document>)>,
+}
+
+/// What the entry knows, for operators.
+#[derive(Serialize)]
+struct Status<'a> {
+    role: &'static str,
+    name: &'a id::Node,
+    lease: bool,
+    version: u64,
+    view: u64,
+    agents: usize,
+}
+
+impl Meter {
+    pub(crate) fn new(name: id::Node, held: watch::Receiver<Arc<Held>>) -> Meter {
+        Meter {
+            name,
+            started: Instant::now(),
+            metrics: metrics::Entry::new(),
+            held,
+            book: Mutex::default(),
+            document: Mutex::default(),
+        }
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub(crate) fn begin(&self) -> Guard {
+        self.metrics.begin()
+    }
+
+    /// Counts a request that was refused for what it holds.
+    pub(crate) fn malformed(&self) {
+        self.metrics.malformed();
+    }
+
+    /// Counts an exchange with an agent.
+    pub(crate) fn exchange(&self, outcome: Outcome, in_time: bool) {
+        self.metrics.messages().exchange(outcome, in_time);
+    }
+
+    /// Counts an answered request.
+    pub(crate) fn answered(
+        &self,
+        service: &id::Service,
+        team: &id::Team,
+        outcome: Outcome,
+        latency: Duration,
+    ) {
+        self.metrics.answered(outcome, latency);
+        let limit = Duration::from_millis(self.objectives(service).latency_ms.into());
+        let verdict = match outcome {
+            Outcome::Done if latency <= limit => Verdict::Good,
+            Outcome::Done => Verdict::Slow,
+            Outcome::Failed | Outcome::NotRun | Outcome::Unknown => Verdict::Unavailable,
+        };
+        let now = self.started.elapsed();
+        let mut book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
+        book.add(now, service, team, verdict);
+    }
+
+    /// Answers `GET` on the entry's own pages; none for other paths.
+    pub(crate) fn page(&self, path: &str) -> Option<Response> {
+        match path {
+            "/live" => Some(text("live\n")),
+            "/ready" => Some(self.ready()),
+            "/metrics" => Some(self.metrics_page()),
+            "/v1/slo" => Some(json(&self.snapshot())),
+            "/v1/status" => Some(self.status()),
+            _ => None,
+        }
+    }
+
+    fn ready(&self) -> Response {
+        if self.in_force() {
+            return text("ready\n");
+        }
+        Problem::busy("the entry holds no lease from control").respond()
+    }
+
+    fn metrics_page(&self) -> Response {
+        let held = self.held.borrow().clone();
+        self.metrics.page(&held, held.in_force(Instant::now()))
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let now = self.started.elapsed();
+        let book = self.book.lock().unwrap_or_else(PoisonError::into_inner);
+        Snapshot::take(self.name.clone(), now, &book, |service| {
+            self.objectives(service)
+        })
+    }
+
+    fn status(&self) -> Response {
+        let held = self.held.borrow().clone();
+        json(&Status {
+            role: "entry",
+            name: &self.name,
+            lease: self.in_force(),
+            version: held.version,
+            view: held.view,
+            agents: held.members.len(),
+        })
+    }
+
+    fn in_force(&self) -> bool {
+        self.held.borrow().in_force(Instant::now())
+    }
+
+    fn objectives(&self, service: &id::Service) -> Objectives {
+        let document = self.document();
+        let service = document.services.get(service);
+        service.map_or_else(Objectives::default, |service| service.objectives.clone())
+    }
+
+    /// The configuration in force, read again only when its version changes.
+    fn document(&self) -> Arc<Document> {
+        let held = self.held.borrow().clone();
+        let mut known = self.document.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.0 != held.version {
+            *known = (held.version, Arc::new(read(&held.document)));
+        }
+        known.1.clone()
+    }
+}
+
+/// Control checks a document before it accepts it, so an unreadable one is of
+/// a later release; its objectives are then the defaults.
+fn read(document: &[u8]) -> Document {
+    let value = serde_json::from_slice(document).unwrap_or_default();
+    Document::read(&value).unwrap_or_default()
+}
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -4,11 +4,12 @@
 mod call;
 pub(crate) mod dispatch;
 mod http;
+mod meter;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use gentian::wire::control;
+use gentian::wire::{control, id};
 use tokio::sync::watch;
 
 use crate::renew::{self, Held};
@@ -20,6 +21,7 @@
 #[derive(Debug)]
 pub(crate) struct Role {
     http: Server,
+    name: id::Node,
     node: control::Node,
     section: Entry,
     control: Vec<SocketAddr>,
@@ -35,6 +37,7 @@
         node.address = http.address()?.to_string();
         Ok(Role {
             http,
+            name: settings.name.clone(),
             node,
             section: section.clone(),
             control: settings.control.clone(),
@@ -50,7 +53,9 @@
         let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), &self.control);
         let (dispatcher, thread) = dispatch::start();
         tokio::spawn(follow(renewal.held(), dispatcher.clone()));
-        let front = http::Front::new(dispatcher, call::Clients::default(), &self.section);
+        let meter = Arc::new(meter::Meter::new(self.name, renewal.held()));
+        let clients = call::Clients::default();
+        let front = http::Front::new(dispatcher, clients, meter, &self.section);
         let requests = self.http.serve(Arc::new(front), stop.clone());
         // The lease is renewed until the last request has ended.
         let (ended, end) = watch::channel(false);
--- /dev/null
+++ b/crates/core/src/metrics/agent.rs
@@ -0,0 +1,86 @@
+//! Metrics of an agent.
+
+use gentian_wire::agent::Reason;
+use gentian_wire::outcome::Outcome;
+use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+
+use super::{by_outcome, page, register, Guard, Lease, Messages};
+use crate::renew::Held;
+use crate::serve::Response;
+
+/// Metrics of one agent.
+#[derive(Debug)]
+pub(crate) struct Agent {
+    registry: Registry,
+    starts: IntCounterVec,
+    refusals: IntCounterVec,
+    running: IntGauge,
+    messages: Messages,
+    lease: Lease,
+}
+
+impl Agent {
+    pub(crate) fn new() -> Agent {
+        let registry = Registry::new();
+        let refusals = IntCounterVec::new(
+            Opts::new(
+                "gentian_agent_refusals_total",
+                "Starts that were refused, by reason; none of them ran",
+            ),
+            &["reason"],
+        );
+        let refusals = register(&registry, refusals);
+        for number in 1.. {
+            let Ok(reason) = Reason::try_from(number) else {
+                break;
+            };
+            refusals.with_label_values(&[label(reason).as_str()]);
+        }
+        let running = IntGauge::new("gentian_agent_tasks_running", "Tasks on the upstream now");
+        Agent {
+            starts: by_outcome(
+                &registry,
+                "gentian_agent_starts_total",
+                "Starts answered, by outcome",
+            ),
+            refusals,
+            running: register(&registry, running),
+            messages: Messages::new(&registry),
+            lease: Lease::new(&registry),
+            registry,
+        }
+    }
+
+    /// Counts an answered start, with its reason where it was refused.
+    pub(crate) fn answered(&self, outcome: Outcome, reason: Reason) {
+        let outcome = outcome.to_string();
+        self.starts.with_label_values(&[outcome.as_str()]).inc();
+        if reason != Reason::Unspecified {
+            self.refusals
+                .with_label_values(&[label(reason).as_str()])
+                .inc();
+        }
+    }
+
+    /// Messages with upstreams.
+    pub(crate) fn messages(&self) -> &Messages {
+        &self.messages
+    }
+
+    /// Counts a task as on the upstream until the guard is dropped.
+    pub(crate) fn begin(&self) -> Guard {
+        Guard::new(&self.running)
+    }
+
+    /// The page at `/metrics`.
+    pub(crate) fn page(&self, held: &Held, in_force: bool) -> Response {
+        self.lease.set(held, in_force);
+        page(&self.registry)
+    }
+}
+
+/// A reason as a label: `REASON_NO_LEASE` is `no_lease`.
+fn label(reason: Reason) -> String {
+    let name = reason.as_str_name().trim_start_matches("REASON_");
+    name.to_ascii_lowercase()
+}
--- /dev/null
+++ b/crates/core/src/metrics/entry.rs
@@ -0,0 +1,91 @@
+//! Metrics of an entry.
+
+use std::time::Duration;
+
+use gentian_wire::outcome::Outcome;
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Registry};
+
+use super::{by_outcome, page, register, Guard, Lease, Messages};
+use crate::renew::Held;
+use crate::serve::Response;
+
+/// Upper bounds of latency buckets, in seconds: tasks last 50 ms to several s.
+const LATENCY_BOUNDS: [f64; 13] = [
+    0.005, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.5, 5.0, 10.0,
+];
+
+/// Metrics of one entry.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    registry: Registry,
+    requests: IntCounterVec,
+    malformed: IntCounter,
+    latency: Histogram,
+    in_progress: IntGauge,
+    messages: Messages,
+    lease: Lease,
+}
+
+impl Entry {
+    pub(crate) fn new() -> Entry {
+        let registry = Registry::new();
+        let latency = HistogramOpts::new(
+            "gentian_entry_request_seconds",
+            "Time from a request's header to its answer, for those done",
+        );
+        let latency = Histogram::with_opts(latency.buckets(LATENCY_BOUNDS.to_vec()));
+        let malformed = IntCounter::new(
+            "gentian_entry_malformed_total",
+            "Requests refused for what they hold; nothing was started",
+        );
+        let in_progress = IntGauge::new(
+            "gentian_entry_requests_in_progress",
+            "Requests that have no answer yet",
+        );
+        Entry {
+            requests: by_outcome(
+                &registry,
+                "gentian_entry_requests_total",
+                "Requests answered, by outcome",
+            ),
+            malformed: register(&registry, malformed),
+            latency: register(&registry, latency),
+            in_progress: register(&registry, in_progress),
+            messages: Messages::new(&registry),
+            lease: Lease::new(&registry),
+            registry,
+        }
+    }
+
+    /// Counts an answered request.
+    pub(crate) fn answered(&self, outcome: Outcome, latency: Duration) {
+        let outcome_name = outcome.to_string();
+        self.requests
+            .with_label_values(&[outcome_name.as_str()])
+            .inc();
+        if outcome == Outcome::Done {
+            self.latency.observe(latency.as_secs_f64());
+        }
+    }
+
+    /// Counts a request that was refused for what it holds.
+    pub(crate) fn malformed(&self) {
+        self.malformed.inc();
+    }
+
+    /// Counts a request as in progress until the guard is dropped.
+    pub(crate) fn begin(&self) -> Guard {
+        Guard::new(&self.in_progress)
+    }
+
+    /// Messages with agents.
+    pub(crate) fn messages(&self) -> &Messages {
+        &self.messages
+    }
+
+    /// The page at `/metrics`.
+    pub(crate) fn page(&self, held: &Held, in_force: bool) -> Response {
+        self.lease.set(held, in_force);
+        page(&self.registry)
+    }
+}
--- /dev/null
+++ b/crates/core/src/metrics/mod.rs
@@ -0,0 +1,141 @@
+//! Prometheus metrics, one typed struct for each role.
+//!
+//! Each role has a registry of its own, served at its own address, so that
+//! adding up all addresses counts nothing twice where one process has several
+//! roles. docs/OPERATIONS.md lists every metric; a test compares the two.
+
+mod agent;
+mod entry;
+
+use bytes::Bytes;
+use gentian_wire::outcome::Outcome;
+use prometheus::core::Collector;
+use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use strum::VariantNames;
+
+pub(crate) use agent::Agent;
+pub(crate) use entry::Entry;
+
+use crate::renew::Held;
+use crate::serve::{respond, Response};
+
+/// Messages of one exchange: a request and its answer.
+const PER_EXCHANGE: u64 = 2;
+
+/// Messages with the next hop.
+#[derive(Clone, Debug)]
+pub(crate) struct Messages {
+    total: IntCounter,
+    wasted: IntCounterVec,
+}
+
+impl Messages {
+    fn new(registry: &Registry) -> Messages {
+        let total = IntCounter::new(
+            "gentian_messages_total",
+            "Requests sent to the next hop, and their answers",
+        );
+        let wasted = IntCounterVec::new(
+            Opts::new(
+                "gentian_messages_wasted_total",
+                "Those of them that led to no answer in time, by outcome",
+            ),
+            &["outcome"],
+        );
+        let wasted = register(registry, wasted);
+        for outcome in ["not_run", "failed", "unknown", "late"] {
+            wasted.with_label_values(&[outcome]);
+        }
+        Messages {
+            total: register(registry, total),
+            wasted,
+        }
+    }
+
+    /// Counts an exchange whose task ended so, and whether in time.
+    pub(crate) fn exchange(&self, outcome: Outcome, in_time: bool) {
+        self.total.inc_by(PER_EXCHANGE);
+        let waste = match outcome {
+            Outcome::Done if in_time => return,
+            Outcome::Done => "late".to_owned(),
+            outcome => outcome.to_string(),
+        };
+        self.wasted
+            .with_label_values(&[waste.as_str()])
+            .inc_by(PER_EXCHANGE);
+    }
+}
+
+/// What a node holds under its lease.
+#[derive(Clone, Debug)]
+pub(crate) struct Lease {
+    held: IntGauge,
+    version: IntGauge,
+    view: IntGauge,
+}
+
+impl Lease {
+    fn new(registry: &Registry) -> Lease {
+        let gauge = |name, help| register(registry, IntGauge::new(name, help));
+        Lease {
+            held: gauge("gentian_lease_held", "1 while the node may act, else 0"),
+            version: gauge("gentian_config_version", "Configuration version in force"),
+            view: gauge("gentian_view", "Membership view in force"),
+        }
+    }
+
+    fn set(&self, held: &Held, in_force: bool) {
+        self.held.set(i64::from(in_force));
+        self.version
+            .set(i64::try_from(held.version).unwrap_or(i64::MAX));
+        self.view.set(i64::try_from(held.view).unwrap_or(i64::MAX));
+    }
+}
+
+/// Something in progress, counted by a gauge until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Guard {
+    gauge: IntGauge,
+}
+
+impl Guard {
+    fn new(gauge: &IntGauge) -> Guard {
+        gauge.inc();
+        Guard {
+            gauge: gauge.clone(),
+        }
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.gauge.dec();
+    }
+}
+
+/// Makes a counter for each outcome, so that none is absent before its first.
+fn by_outcome(registry: &Registry, name: &str, help: &str) -> IntCounterVec {
+    let counter = IntCounterVec::new(Opts::new(name, help), &["outcome"]);
+    let counter = register(registry, counter);
+    for outcome in Outcome::VARIANTS {
+        counter.with_label_values(&[*outcome]);
+    }
+    counter
+}
+
+fn register<C: Collector + Clone + 'static>(
+    registry: &Registry,
+    collector: prometheus::Result<C>,
+) -> C {
+    let collector = collector.expect("names and labels are valid");
+    let registered = registry.register(Box::new(collector.clone()));
+    registered.expect("each name is registered once");
+    collector
+}
+
+/// The page at `/metrics`.
+fn page(registry: &Registry) -> Response {
+    let text = TextEncoder::new().encode_to_string(&registry.gather());
+    let text = text.expect("gathered metrics are consistent");
+    respond(prometheus::TEXT_FORMAT, Bytes::from(text))
+}
--- /dev/null
+++ b/crates/core/src/report/burn/ring.rs
@@ -0,0 +1,86 @@
+//! A ring of buckets of equal length in time.
+
+use std::time::Duration;
+
+use super::Counts;
+
+/// Counts of the newest buckets; the oldest one makes room for a new one.
+#[derive(Clone, Debug)]
+pub(super) struct Ring {
+    width: Duration,
+    buckets: Box<[Bucket]>,
+    /// Number of the newest bucket since time zero.
+    newest: u64,
+}
+
+impl Ring {
+    /// `length` buckets that hold `width` of time each.
+    pub(super) fn new(width: Duration, length: usize) -> Ring {
+        Ring {
+            width,
+            buckets: vec![Bucket::default(); length].into(),
+            newest: 0,
+        }
+    }
+
+    /// Adds to the bucket of `now`. A time before the newest bucket counts to
+    /// the newest one.
+    pub(super) fn add(&mut self, now: Duration, counts: Counts) {
+        let number = self.number(now).max(self.newest);
+        self.advance(number);
+        let bucket = &mut self.buckets[self.newest as usize % self.buckets.len()];
+        bucket.add(counts);
+    }
+
+    /// The sum over the buckets that hold any of the last `length` of time.
+    pub(super) fn sum(&self, now: Duration, length: Duration) -> Counts {
+        let last = self.number(now).max(self.newest);
+        let first = self.number(now.saturating_sub(length));
+        let oldest = (self.newest + 1).saturating_sub(self.buckets.len() as u64);
+        let buckets = first.max(oldest)..=self.newest.min(last);
+        buckets
+            .map(|number| self.buckets[number as usize % self.buckets.len()].counts())
+            .fold(Counts::default(), Counts::plus)
+    }
+
+    fn advance(&mut self, number: u64) {
+        let gap = (number - self.newest).min(self.buckets.len() as u64);
+        for passed in 0..gap {
+            let index = (number - passed) as usize % self.buckets.len();
+            self.buckets[index] = Bucket::default();
+        }
+        self.newest = number;
+    }
+
+    fn number(&self, now: Duration) -> u64 {
+        now.as_secs() / self.width.as_secs()
+    }
+}
+
+/// Counts at half their width: an entry answers less than four billion requests
+/// in ten minutes.
+#[derive(Clone, Copy, Debug, Default)]
+struct Bucket {
+    total: u32,
+    unavailable: u32,
+    slow: u32,
+}
+
+impl Bucket {
+    fn add(&mut self, counts: Counts) {
+        let add = |sum: &mut u32, more: u64| {
+            *sum = sum.saturating_add(u32::try_from(more).unwrap_or(u32::MAX));
+        };
+        add(&mut self.total, counts.total);
+        add(&mut self.unavailable, counts.unavailable);
+        add(&mut self.slow, counts.slow);
+    }
+
+    fn counts(self) -> Counts {
+        Counts {
+            total: self.total.into(),
+            unavailable: self.unavailable.into(),
+            slow: self.slow.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/report/snapshot.rs
@@ -0,0 +1,58 @@
+//! What one entry tells about its answers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gentian_config::document::Objectives;
+use gentian_wire::id;
+use serde::{Deserialize, Serialize};
+use strum::IntoEnumIterator;
+
+use super::burn::{Book, Counts, Window};
+
+/// All counts of one entry.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Snapshot {
+    /// Name of the entry.
+    pub(crate) entry: id::Node,
+    /// How long the entry has counted, in seconds. It keeps nothing over a
+    /// restart, so a window longer than this is not covered whole.
+    pub(crate) covered_s: u64,
+    /// Counts by service and team.
+    pub(crate) series: Vec<Series>,
+}
+
+/// Counts of one service and team.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(crate) struct Series {
+    pub(crate) service: id::Service,
+    pub(crate) team: id::Team,
+    /// What the service is measured against.
+    pub(crate) objectives: Objectives,
+    /// Counts by window.
+    pub(crate) windows: BTreeMap<Window, Counts>,
+}
+
+impl Snapshot {
+    /// Takes a snapshot of `book` at `now`, the time since the process started.
+    pub(crate) fn take(
+        entry: id::Node,
+        now: Duration,
+        book: &Book,
+        objectives: impl Fn(&id::Service) -> Objectives,
+    ) -> Snapshot {
+        let series = book.iter().map(|(service, team, track)| Series {
+            service: service.clone(),
+            team: team.clone(),
+            objectives: objectives(service),
+            windows: Window::iter().map(|w| (w, track.sum(now, w))).collect(),
+        });
+        let mut series: Vec<Series> = series.collect();
+        series.sort_by(|a, b| (&a.service, &a.team).cmp(&(&b.service, &b.team)));
+        Snapshot {
+            entry,
+            covered_s: now.as_secs(),
+            series,
+        }
+    }
+}
--- a/crates/core/src/serve/mod.rs
+++ b/crates/core/src/serve/mod.rs
@@ -7,6 +7,7 @@
 //! progress finish.
 
 mod body;
+mod page;
 mod problem;
 
 use std::convert::Infallible;
@@ -28,6 +29,7 @@
 use tonic::transport::server::TcpIncoming;
 
 pub(crate) use body::read;
+pub(crate) use page::{json, respond, text};
 pub(crate) use problem::Problem;
 
 /// A request as it comes from the network.
--- a/crates/core/src/serve/problem.rs
+++ b/crates/core/src/serve/problem.rs
@@ -57,6 +57,11 @@
         self
     }
 
+    /// The outcome that it tells; one that names none started nothing.
+    pub(crate) fn told(&self) -> Outcome {
+        self.outcome.unwrap_or(Outcome::NotRun)
+    }
+
     /// The response that carries the problem.
     pub(crate) fn respond(&self) -> Response {
         let body = serde_json::to_vec(self).unwrap_or_default();
--- /dev/null
+++ b/crates/core/tests/metrics.rs
@@ -0,0 +1,117 @@
+//! What processes tell about themselves, and whether the page for operators
+//! lists all of it.
+
+mod support;
+
+use std::collections::BTreeSet;
+
+use support::call;
+use support::system::{poll, System};
+
+const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
+const HEADERS: [(&str, &str); 2] = [("x-service", "demo"), ("x-team", "barn")];
+
+fn get(address: impl std::fmt::Display, path: &str) -> (u16, String) {
+    let (status, body) = call("GET", &format!("http://{address}{path}"), &[], "");
+    (status.as_u16(), body)
+}
+
+/// Value of a sample, with its labels in its name.
+fn value(metrics: &str, sample: &str) -> f64 {
+    let lines = metrics.lines().filter_map(|line| line.rsplit_once(' '));
+    let mut found = lines.filter(|(name, _)| *name == sample);
+    found.next().expect(sample).1.parse().expect("number")
+}
+
+#[test]
+fn page_lists_each_metric_of_each_role() {
+    let system = System::start(1);
+    let addresses = [&system.entry_addresses[0], &system.agent_addresses[0]];
+    let told = addresses.map(|address| get(address, "/metrics").1);
+    let told = told.iter().flat_map(|metrics| metrics.lines());
+    let told = told.filter_map(|line| line.strip_prefix("# HELP ")?.split(' ').next());
+    let listed = PAGE
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `gentian_"));
+    let listed = listed.filter_map(|line| line.split(['`', '{']).next());
+    let listed: BTreeSet<_> = listed.map(|name| format!("gentian_{name}")).collect();
+    let told: BTreeSet<_> = told.map(str::to_owned).collect();
+    assert_eq!(listed, told);
+}
+
+#[test]
+fn requests_and_messages_are_counted() {
+    let system = System::start(1);
+    let entry = &system.entry_addresses[0];
+    let before = get(entry, "/metrics").1;
+    system.request(&HEADERS, "{}");
+    system.request(&[("x-service", "demo")], "no team");
+    let after = get(entry, "/metrics").1;
+    let grown = |sample| value(&after, sample) - value(&before, sample);
+    assert_eq!(1.0, grown("gentian_entry_requests_total{outcome=\"done\"}"));
+    assert_eq!(1.0, grown("gentian_entry_malformed_total"));
+    assert_eq!(1.0, grown("gentian_entry_request_seconds_count"));
+    assert_eq!(2.0, grown("gentian_messages_total"));
+    assert_eq!(
+        0.0,
+        grown("gentian_messages_wasted_total{outcome=\"late\"}")
+    );
+    assert_eq!(0.0, value(&after, "gentian_entry_requests_in_progress"));
+    assert_eq!(1.0, value(&after, "gentian_lease_held"));
+}
+
+#[test]
+fn late_answer_counts_as_wasted() {
+    let system = System::start(1);
+    let headers = [HEADERS[0], HEADERS[1], ("x-deadline", "100ms")];
+    let (status, _) = system.request(&headers, r#"{"run_ms":400}"#);
+    assert_eq!(504, status.as_u16());
+    let entry = get(&system.entry_addresses[0], "/metrics").1;
+    assert_eq!(
+        2.0,
+        value(&entry, "gentian_messages_wasted_total{outcome=\"unknown\"}")
+    );
+    poll(|| {
+        let agent = get(&system.agent_addresses[0], "/metrics").1;
+        let late = value(&agent, "gentian_messages_wasted_total{outcome=\"late\"}");
+        (late == 2.0).then_some(())
+    });
+}
+
+#[test]
+fn node_without_lease_lives_but_is_not_ready() {
+    let entry = System::entry("127.0.0.1:1");
+    let address = entry.listening("entry-http");
+    assert_eq!(200, get(address, "/live").0);
+    assert_eq!(503, get(address, "/ready").0);
+    assert!(get(address, "/v1/status").1.contains("\"lease\":false"));
+    assert_eq!(
+        0.0,
+        value(&get(address, "/metrics").1, "gentian_lease_held")
+    );
+}
+
+#[test]
+fn status_tells_lease_and_upstreams() {
+    let system = System::start(1);
+    let (entry, agent) = (&system.entry_addresses[0], &system.agent_addresses[0]);
+    assert_eq!((200, 200), (get(entry, "/ready").0, get(agent, "/ready").0));
+    let urls = [format!("http://{entry}"), format!("http://{agent}")];
+    let output = support::output(&["status", &urls[0], &urls[1]]);
+    let stdout = support::text(&output.stdout);
+    for told in [
+        "\"role\": \"entry\"",
+        "\"lease\": true",
+        "\"service\": \"demo\"",
+    ] {
+        assert!(stdout.contains(told), "{told} in {stdout}");
+    }
+}
+
+#[test]
+fn unknown_paths_are_told() {
+    let system = System::start(1);
+    for address in [&system.entry_addresses[0], &system.agent_addresses[0]] {
+        assert_eq!(404, get(address, "/nothing").0);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/report.rs
@@ -0,0 +1,185 @@
+//! `report` through the real binary: against fakes, and against a whole system.
+
+mod support;
+
+use serde_json::{json, Value};
+use support::system::System;
+use support::{output, text, Fake};
+use test_case::test_case;
+
+/// Counts of one window: all, not done, done but late.
+type Counts = (u64, u64, u64);
+
+fn entry(name: &str, team: &str, windows: [Counts; 4]) -> Fake {
+    let names = ["5m", "1h", "6h", "3d"];
+    let windows = names
+        .iter()
+        .zip(windows)
+        .map(|(name, (total, unavailable, slow))| {
+            let counts = json!({"total": total, "unavailable": unavailable, "slow": slow});
+            ((*name).to_owned(), counts)
+        });
+    let objectives = json!({"availability": 0.99, "latency": 0.9, "latency_ms": 500});
+    let snapshot = json!({
+        "entry": name,
+        "covered_s": 7200,
+        "series": [{
+            "service": "dashboard",
+            "team": team,
+            "objectives": objectives,
+            "windows": windows.collect::<serde_json::Map<_, _>>(),
+        }],
+    });
+    Fake::start(move |_| (200, snapshot.to_string()))
+}
+
+const QUIET: [Counts; 4] = [(100, 0, 0); 4];
+
+/// Exit code and standard output of a report over these entries.
+fn report(entries: &[&Fake], more: &[&str]) -> (Option<i32>, String) {
+    let urls: Vec<_> = entries
+        .iter()
+        .map(|fake| format!("http://{}", fake.address))
+        .collect();
+    let urls = urls.join(",");
+    let mut args = vec!["report", "--entries", &urls];
+    args.extend(more);
+    let output = output(&args);
+    (output.status.code(), text(&output.stdout))
+}
+
+fn row<'a>(report: &'a Value, team: &Value) -> &'a Value {
+    let rows = report["rows"].as_array().expect("rows");
+    rows.iter().find(|row| row["team"] == *team).expect("row")
+}
+
+#[test]
+fn json_adds_up_entries_and_teams() {
+    let first = entry(
+        "e1",
+        "barn",
+        [(100, 1, 0), (100, 2, 0), (100, 4, 0), (100, 8, 0)],
+    );
+    let second = entry(
+        "e2",
+        "vets",
+        [(300, 3, 0), (300, 6, 0), (300, 12, 0), (300, 24, 0)],
+    );
+    let (code, stdout) = report(&[&first, &second], &["--format", "json"]);
+    assert_eq!(Some(0), code);
+    let report: Value = serde_json::from_str(&stdout).expect("JSON");
+    assert_eq!(json!(["e1", "e2"]), report["entries"]);
+    let whole = &row(&report, &Value::Null)["windows"]["1h"];
+    assert_eq!(
+        json!([400, 8]),
+        json!([whole["total"], whole["unavailable"]])
+    );
+    assert!((whole["availability"].as_f64().expect("rate") - 2.0).abs() < 1e-9);
+    assert_eq!(300, row(&report, &json!("vets"))["windows"]["5m"]["total"]);
+}
+
+#[test_case([(100, 15, 0), (100, 15, 0), (900, 15, 0), (9000, 15, 0)], "page 1h", 5;
+    "fast burn pages")]
+#[test_case([(100, 0, 0), (100, 15, 0), (900, 15, 0), (9000, 15, 0)], "none", 0;
+    "fast burn that has ended does not page")]
+#[test_case([(100, 0, 0), (100, 6, 0), (100, 6, 0), (9000, 6, 0)], "page 6h", 5;
+    "slower burn over six hours pages")]
+#[test_case([(100, 0, 0), (100, 0, 0), (100, 2, 0), (100, 2, 0)], "ticket 3d", 5;
+    "slow burn makes a ticket")]
+#[test_case([(100, 0, 100), (100, 0, 100), (100, 0, 100), (100, 0, 100)], "page 6h", 5;
+    "latency burns apart from availability")]
+#[test_case(QUIET, "none", 0; "no bad answer, no alert")]
+#[test_case([(0, 0, 0); 4], "none", 0; "no answer, no alert")]
+fn alerts(windows: [Counts; 4], expected: &str, code: i32) {
+    let fake = entry("e1", "barn", windows);
+    let (found, stdout) = report(&[&fake], &["--format", "json", "--check"]);
+    let report: Value = serde_json::from_str(&stdout).expect("JSON");
+    let alerts = row(&report, &json!("barn"))["alerts"].clone();
+    let told = match alerts.as_array().expect("alerts").first() {
+        None => "none".to_owned(),
+        Some(alert) => {
+            let word = |field: &str| alert[field].as_str().expect("word").to_owned();
+            format!("{} {}", word("severity"), word("long"))
+        }
+    };
+    assert_eq!((expected, Some(code)), (told.as_str(), found));
+}
+
+#[test]
+fn text_names_rates_and_alerts() {
+    let fake = entry("e1", "barn", [(100, 15, 0); 4]);
+    let (_, stdout) = report(&[&fake], &[]);
+    for line in [
+        "1 entries, counted for 2h",
+        "dashboard / barn",
+        "burn availability  5m   15.00",
+        "PAGE: availability burns at 14.4 or more over 1h and 5m",
+    ] {
+        assert!(stdout.contains(line), "{line} in {stdout}");
+    }
+}
+
+#[test]
+fn page_loads_nothing_else() {
+    let fake = entry("e1", "barn", [(100, 15, 0); 4]);
+    let file = tempfile::NamedTempFile::new().expect("file");
+    let path = file.path().to_str().expect("path");
+    let (code, stdout) = report(&[&fake], &["--format", "html", "--output", path]);
+    assert_eq!((Some(0), ""), (code, stdout.as_str()));
+    let page = std::fs::read_to_string(path).expect("page");
+    assert!(page.starts_with("<!doctype html>"));
+    for part in ["barn", "15.00", "class=\"state page\"", "<svg"] {
+        assert!(page.contains(part), "{part}");
+    }
+    for part in [
+        "http://", "https://", "src=", "href=", "url(", "@import", "<script",
+    ] {
+        assert!(!page.contains(part), "{part}");
+    }
+    for tag in [
+        "div", "svg", "g", "article", "section", "main", "p", "h2", "h3", "h4",
+    ] {
+        let opened = page.matches(&format!("<{tag}>")).count();
+        let opened = opened + page.matches(&format!("<{tag} ")).count();
+        assert_eq!(opened, page.matches(&format!("</{tag}>")).count(), "{tag}");
+    }
+}
+
+#[test_case(200, "{}", 1; "answer unreadable")]
+#[test_case(404, "", 1; "answer is an error")]
+#[test_case(503, "", 4; "entry unavailable")]
+fn entry_that_tells_nothing(status: u16, body: &'static str, code: i32) {
+    let fake = Fake::start(move |_| (status, body.to_owned()));
+    assert_eq!(Some(code), report(&[&fake], &[]).0);
+}
+
+#[test]
+fn format_unknown_exits_with_2() {
+    assert_eq!(
+        Some(2),
+        report(&[&entry("e", "t", QUIET)], &["--format", "pdf"]).0
+    );
+}
+
+#[test]
+fn whole_system_counts_its_answers() {
+    let system = System::start(1);
+    let headers = [("x-service", "demo"), ("x-team", "barn")];
+    let none = [("x-service", "nowhere"), ("x-team", "barn")];
+    for headers in [headers, headers, none] {
+        system.request(&headers, "{}");
+    }
+    system.request(&[("x-service", "demo")], "no team: counts for nothing");
+    let url = format!("http://{}", system.entry_addresses[0]);
+    let args = ["report", "--entries", &url, "--format", "json"];
+    let report: Value = serde_json::from_slice(&output(&args).stdout).expect("JSON");
+    let rows = report["rows"].as_array().expect("rows");
+    let barn = rows.iter().filter(|row| row["team"] == "barn");
+    let counts: Vec<_> = barn
+        .map(|row| {
+            let window = &row["windows"]["3d"];
+            json!([row["service"], window["total"], window["unavailable"]])
+        })
+        .collect();
+    assert_eq!(json!([["demo", 2, 0], ["nowhere", 1, 1]]), json!(counts));
+}
