core: log changes of state with their ids

Cause: on call, one needs to see when a node got or lost its lease, which version is in force and which upstreams came and left.

Change: simplelog writes to log.file or standard error; only lines of this program, only changes of state. `local` waits until the entry knows an agent, so that its example is not counted as refused ten times.

--- a/crates/core/src/agent/announce.rs
+++ b/crates/core/src/agent/announce.rs
@@ -1,6 +1,7 @@
 //! The upstreams that announce themselves to this agent.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -33,6 +34,18 @@
     pub(crate) rack: Option<id::Rack>,
 }
 
+impl fmt::Display for Announcement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Announcement {
+            service,
+            address,
+            incarnation,
+            ..
+        } = self;
+        write!(f, "{service} {address} incarnation {incarnation}")
+    }
+}
+
 /// One upstream as the agent knows it.
 #[derive(Debug)]
 pub(crate) struct Upstream {
@@ -140,6 +153,7 @@
             busy: 0,
         });
         let service = announcement.service.clone();
+        log::info!("upstream {announcement} announced");
         let upstream = Upstream {
             announcement,
             pool,
@@ -152,6 +166,7 @@
     pub(crate) fn leave(&self, service: &id::Service) -> bool {
         match self.lock().get(service) {
             Some(upstream) => {
+                log::info!("upstream {} leaves", upstream.announcement);
                 upstream.state().leaving = true;
                 true
             }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -53,6 +53,8 @@
         let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), &self.control);
         let (dispatcher, thread) = dispatch::start();
         tokio::spawn(follow(renewal.held(), dispatcher.clone()));
+        let node = format!("entry {}", self.name);
+        tokio::spawn(renew::log_changes(node, renewal.held()));
         let meter = Arc::new(meter::Meter::new(self.name, renewal.held()));
         let clients = call::Clients::default();
         let front = http::Front::new(dispatcher, clients, meter, &self.section);
--- a/crates/core/src/local/mod.rs
+++ b/crates/core/src/local/mod.rs
@@ -10,9 +10,11 @@
 use bytes::Bytes;
 use http::Request;
 use http_body_util::Full;
+use serde_json::Value;
 use tokio::sync::watch;
 
 use crate::client::{self, Client};
+use crate::logging;
 use crate::run::{self, Roles, Signals};
 use crate::settings::{self, Settings};
 use crate::upstream;
@@ -70,6 +72,7 @@
 /// it stops after the example.
 pub(crate) fn run(places: &Places, once: bool) -> Result<()> {
     let settings = settings(places)?;
+    logging::start(&settings.log).map_err(run::Error::Log)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -124,6 +127,9 @@
 async fn show(entry: &str, once: bool) -> Result<()> {
     let client = Client::new();
     let start = Instant::now();
+    while !hears_agent(&client, entry).await && start.elapsed() < READY_TIMEOUT {
+        tokio::time::sleep(READY_POLL).await;
+    }
     loop {
         let answer = ask(&client, entry).await;
         match answer {
@@ -141,6 +147,18 @@
     std::future::pending().await
 }
 
+/// Whether the entry knows an agent, so that requests sent before count for
+/// nothing in the report.
+async fn hears_agent(client: &Client, entry: &str) -> bool {
+    let request = Request::get(format!("{entry}/v1/status")).body(Full::<Bytes>::default());
+    let request = request.expect("an address makes a valid request");
+    let Ok(answer) = client.send(request, REQUEST_TIMEOUT).await else {
+        return false;
+    };
+    let status: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    status["agents"].as_u64() > Some(0)
+}
+
 async fn ask(client: &Client, entry: &str) -> std::result::Result<String, String> {
     let request = Request::post(format!("{entry}/v1/requests"))
         .header("x-service", SERVICE)
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod load;
 mod local;
+mod logging;
 mod metrics;
 mod renew;
 mod report;
--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -1,6 +1,8 @@
 //! A node's lease: renewed against control, with the view and the configuration
 //! that are in force under it.
 
+mod lines;
+
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -10,6 +12,8 @@
 use tokio::sync::watch;
 use tonic::transport::{Channel, Endpoint};
 
+pub(crate) use lines::log_changes;
+
 const PERIOD: Duration = Duration::from_millis(1000);
 const RETRY: Duration = Duration::from_millis(200);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -12,7 +12,7 @@
 use tokio::task::JoinHandle;
 
 use crate::settings::Settings;
-use crate::{agent, control, entry};
+use crate::{agent, control, entry, logging};
 
 /// A role that can't be started.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
@@ -24,6 +24,9 @@
         address: SocketAddr,
         source: io::Error,
     },
+    /// The log can't be written.
+    #[error(transparent)]
+    Log(#[from] logging::Error),
     /// The runtime can't be started.
     #[error("can't start the process: {0}")]
     Start(#[from] io::Error),
@@ -48,6 +51,7 @@
 
 /// Runs until the process is told to stop and all roles have finished.
 pub(crate) fn run(settings: &Settings) -> Result<()> {
+    logging::start(&settings.log)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .thread_name("traffic")
@@ -59,12 +63,16 @@
     // Before the roles start, so that no signal is missed.
     let mut signals = Signals::listen()?;
     let roles = Roles::bind(settings).await?;
+    let name = &settings.name;
+    log::info!("process {name} runs");
     let (stop, stopped) = watch::channel(false);
     let running = tokio::spawn(roles.run(stopped));
     signals.wait().await;
+    log::info!("process {name} stops");
     stop.send_replace(true);
     // A panic in a role has been printed already.
     let _ = running.await;
+    log::info!("process {name} has stopped");
     Ok(())
 }
 
--- a/crates/core/src/settings/check.rs
+++ b/crates/core/src/settings/check.rs
@@ -129,9 +129,11 @@
 
     fn log(&mut self, typed: typed::Log) -> Option<Log> {
         self.unknown("log.", &typed.unknown, typed::Log::FIELDS);
-        let info = log::LevelFilter::Info;
-        let level = self.optional("log.level", typed.level, info, LEVELS, level);
-        let file = self.optional("log.file", typed.file, None, PATH, |v| path(v).map(Some));
+        let default = Log::default();
+        let level = self.optional("log.level", typed.level, default.level, LEVELS, level);
+        let file = self.optional("log.file", typed.file, default.file, PATH, |v| {
+            path(v).map(Some)
+        });
         Some(Log {
             level: level?,
             file: file?,
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -108,6 +108,15 @@
     pub(crate) file: Option<PathBuf>,
 }
 
+impl Default for Log {
+    fn default() -> Log {
+        Log {
+            level: log::LevelFilter::Info,
+            file: None,
+        }
+    }
+}
+
 impl Settings {
     /// Reads and checks a settings file.
     pub(crate) fn read(path: &Path) -> Result<Settings> {
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -14,8 +14,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::client;
 use crate::run::Signals;
+use crate::settings::Log;
+use crate::{client, logging};
 
 mod announce;
 mod server;
@@ -37,6 +38,9 @@
         address: SocketAddr,
         source: std::io::Error,
     },
+    /// The log can't be written.
+    #[error(transparent)]
+    Log(#[from] logging::Error),
     /// The signal handler can't be installed.
     #[error("cannot wait for SIGTERM: {0}")]
     Signal(std::io::Error),
@@ -179,6 +183,7 @@
 
 /// Runs an upstream until SIGTERM or SIGINT.
 pub(crate) fn run(builder: Builder) -> Result<()> {
+    logging::start(&Log::default())?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
--- /dev/null
+++ b/crates/core/tests/logging.rs
@@ -0,0 +1,83 @@
+//! The log through the real binary.
+
+mod support;
+
+use std::fs;
+use std::path::Path;
+
+use serde_json::{json, Value};
+use support::system::poll;
+use support::{call, output, text, Process};
+
+fn settings(log: &Value) -> String {
+    json!({
+        "name": "all", "data_center": "beauce", "rack": "r1", "region": "quebec",
+        "entry": {"http": "127.0.0.1:0"},
+        "agent": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0"},
+        "controller": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0", "data": "unused.data"},
+        "log": log,
+    })
+    .to_string()
+}
+
+fn write(folder: &Path, log: &Value) -> String {
+    let path = folder.join("settings.json");
+    fs::write(&path, settings(log)).expect("settings");
+    path.to_str().expect("path").to_owned()
+}
+
+/// Serves some requests, stops, and returns the log.
+fn log_of_a_run(level: &str) -> String {
+    let folder = tempfile::tempdir().expect("folder");
+    let log = folder.path().join("log");
+    let path = write(folder.path(), &json!({"level": level, "file": log}));
+    let mut process = Process::start(&["run", "--settings", &path]);
+    let agent = format!("http://{}", process.listening("agent-http"));
+    let entry = format!("http://{}/v1/requests", process.listening("entry-http"));
+    let _upstream = Process::start(&["example-upstream", "--agent", &agent]);
+    let mut served = 0;
+    poll(|| {
+        let headers = [("x-service", "demo"), ("x-team", "barn")];
+        let (status, _) = call("POST", &entry, &headers, "{}");
+        served += u32::from(status.is_success());
+        (served == 20).then_some(())
+    });
+    process.terminate();
+    assert!(process.wait().success());
+    fs::read_to_string(log).expect("log")
+}
+
+#[test]
+fn changes_of_state_are_logged_with_ids_and_requests_are_not() {
+    let log = log_of_a_run("info");
+    for told in [
+        "process all runs",
+        "entry all: lease held",
+        "agent all: lease held",
+        "upstream demo 127.0.0.1:",
+        "process all stops",
+        "process all has stopped",
+    ] {
+        assert!(log.contains(told), "{told} in {log}");
+    }
+    assert!(log.lines().count() < 20, "{log}");
+}
+
+#[test]
+fn level_off_logs_nothing() {
+    assert_eq!("", log_of_a_run("off"));
+}
+
+#[test]
+fn file_that_cannot_be_opened_is_named() {
+    let folder = tempfile::tempdir().expect("folder");
+    let path = write(folder.path(), &json!({"file": "/no/such/folder/log"}));
+    let output = output(&["run", "--settings", &path]);
+    assert_eq!(Some(1), output.status.code());
+    let told = "cannot append to log.file \"/no/such/folder/log\"";
+    assert!(
+        text(&output.stderr).contains(told),
+        "{}",
+        text(&output.stderr)
+    );
+}
