--- a/crates/core/src/agent/http.rs
+++ b/crates/core/src/agent/http.rs
@@ -9,8 +9,11 @@
 use http_body_util::Full;
 use serde::de::DeserializeOwned;
 use serde::Deserialize;
+use tokio::sync::watch;
 
 use super::announce::{Announcement, Table};
+use crate::metrics;
+use crate::renew::Held;
 use crate::serve::{self, Handler, Problem, Request, Response};
 
 const MAX_BODY_BYTES: usize = 16 * 1024;
@@ -23,6 +26,8 @@
 #[derive(Debug)]
 pub(crate) struct Local {
     table: Arc<Table>,
+    held: watch::Receiver<Arc<Held>>,
+    metrics: Arc<metrics::Agent>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -32,15 +37,26 @@
 }
 
 impl Local {
-    pub(crate) fn new(table: Arc<Table>) -> Local {
-        Local { table }
+    pub(crate) fn new(
+        table: Arc<Table>,
+        held: watch::Receiver<Arc<Held>>,
+        metrics: Arc<metrics::Agent>,
+    ) -> Local {
+        Local {
+            table,
+            held,
+            metrics,
+        }
     }
 
-    async fn route(&self, request: Request) -> Result<()> {
+    async fn route(&self, request: Request) -> Result<Response> {
         let path = request.uri().path().to_owned();
         match (request.method(), path.as_str()) {
-            (&Method::POST, "/v1/announce") => self.announce(request).await,
-            (&Method::POST, "/v1/leave") => self.leave(request).await,
+            (&Method::POST, "/v1/announce") => self.announce(request).await.map(done),
+            (&Method::POST, "/v1/leave") => self.leave(request).await.map(done),
+            (&Method::GET, "/live") => Ok(serve::text("live\n")),
+            (&Method::GET, "/ready") => self.ready(),
+            (&Method::GET, "/metrics") => Ok(self.page()),
             (_, "/v1/announce" | "/v1/leave") => {
                 Err(Problem::new(405, "method not allowed", "use POST"))
             }
@@ -48,6 +64,22 @@
         }
     }
 
+    fn ready(&self) -> Result<Response> {
+        match self.in_force() {
+            true => Ok(serve::text("ready\n")),
+            false => Err(Problem::busy("the agent holds no lease from control")),
+        }
+    }
+
+    fn page(&self) -> Response {
+        let held = self.held.borrow().clone();
+        self.metrics.page(&held, held.in_force(Instant::now()))
+    }
+
+    fn in_force(&self) -> bool {
+        self.held.borrow().in_force(Instant::now())
+    }
+
     async fn announce(&self, request: Request) -> Result<()> {
         let announcement: Announcement = parse(request).await?;
         if announcement.slots == 0 {
@@ -76,7 +108,7 @@
 impl Handler for Local {
     async fn handle(&self, request: Request) -> Response {
         match self.route(request).await {
-            Ok(()) => done(),
+            Ok(response) => response,
             Err(problem) => problem.respond(),
         }
     }
@@ -87,7 +119,7 @@
     serde_json::from_slice(&body).map_err(|error| Problem::bad(&error.to_string()))
 }
 
-fn done() -> Response {
+fn done((): ()) -> Response {
     http::Response::builder()
         .status(204)
         .body(Full::new(Bytes::new()))
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::metrics;
 use crate::renew;
 use crate::run::{self, Error, Result};
 use crate::serve::{self, Server};
@@ -63,10 +64,14 @@
     /// this agent leaves, and the tasks in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let incarnation = self.node.incarnation;
+        let node = format!("agent {}", self.node.name);
         let table = Arc::new(announce::Table::new(&self.section));
         let (drained, drain) = watch::channel(false);
         let renewal = renew::Loop::new(self.node, table.clone(), &self.control);
-        let service = service::Service::new(incarnation, table.clone(), renewal.held());
+        tokio::spawn(renew::log_changes(node, renewal.held()));
+        let metrics = Arc::new(metrics::Agent::new());
+        let service =
+            service::Service::new(incarnation, table.clone(), renewal.held(), metrics.clone());
         let mut closed = drain.clone();
         let peer = tonic::transport::Server::builder()
             .add_service(AgentServer::new(service))
@@ -74,7 +79,7 @@
                 // A closed channel means that the process stops as well.
                 let _ = closed.wait_for(|closed| *closed).await;
             });
-        let local = http::Local::new(table.clone());
+        let local = http::Local::new(table.clone(), renewal.held(), metrics);
         let local = Arc::new(renew::Status::new("agent", renewal.held(), local));
         let http = self.http.serve(local, drain.clone());
         let leaving = leave(stop, table, drained);
--- a/crates/core/src/args/mod.rs
+++ b/crates/core/src/args/mod.rs
@@ -8,9 +8,11 @@
 mod config;
 mod error;
 mod load;
+mod local;
 mod members;
 mod operator;
 mod output;
+mod report;
 mod run;
 mod status;
 mod upstream;
@@ -19,6 +21,7 @@
 
 const HELP: &str = "\
 Examples:
+  gentiancove local
   gentiancove run --settings entry.json
   gentiancove check-settings --settings entry.json
   gentiancove config get --control http://127.0.0.1:7001
@@ -30,7 +33,7 @@
   2  the command line or the settings are wrong
   3  the patch names another version than the one in force
   4  nobody answered; where it was a patch, send it again with the same --id
-  5  a check failed, such as an answer that is not its request's own";
+  5  a check failed, such as an answer that is not its request's own, or an alert";
 
 /// A dispatcher for sub-second tasks.
 #[derive(Debug, Parser)]
@@ -44,6 +47,8 @@
 enum Command {
     /// Runs the roles that a settings file names, until SIGTERM
     Run(run::Args),
+    /// Runs a whole system with an example upstream in one process
+    Local(local::Args),
     /// Checks a settings file and prints the settings in force
     CheckSettings(check::Args),
     /// Reads and changes the numbered configuration
@@ -51,6 +56,8 @@
     Config(config::Command),
     /// Shows what an entry, an agent or a control instance knows
     Status(status::Args),
+    /// Reports how fast services and teams use up their error budgets
+    Report(report::Args),
     /// Adds, removes or replaces a control instance
     #[command(subcommand)]
     Members(members::Command),
@@ -73,9 +80,11 @@
     fn run(self) -> Result<()> {
         match self {
             Command::Run(args) => args.run(),
+            Command::Local(args) => args.run(),
             Command::CheckSettings(args) => args.run(),
             Command::Config(command) => command.run(),
             Command::Status(args) => args.run(),
+            Command::Report(args) => args.run(),
             Command::Members(command) => command.run(),
             Command::Load(args) => args.run(),
             Command::ExampleUpstream(args) => args.run(),
--- a/crates/core/src/renew/held.rs
+++ b/crates/core/src/renew/held.rs
@@ -72,6 +72,13 @@
         self.hold.in_force(self.since_origin(now)).is_some()
     }
 
+    /// Until when the node may act, where it holds a lease.
+    pub(crate) fn until(&self) -> Option<Instant> {
+        let now = Instant::now();
+        let left = self.hold.left(self.since_origin(now));
+        (!left.is_zero()).then(|| now + left)
+    }
+
     /// How long the view has been in force, at least.
     pub(crate) fn view_age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.view_since)
--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -5,6 +5,8 @@
 mod peers;
 mod status;
 
+mod lines;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,6 +18,8 @@
 use peers::Peers;
 pub(crate) use status::Status;
 
+pub(crate) use lines::log_changes;
+
 const PERIOD: Duration = Duration::from_millis(1000);
 const RETRY: Duration = Duration::from_millis(200);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
--- a/crates/core/src/renew/status.rs
+++ b/crates/core/src/renew/status.rs
@@ -3,14 +3,12 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use bytes::Bytes;
 use http::Method;
-use http_body_util::Full;
 use serde_json::json;
 use tokio::sync::watch;
 
 use super::Held;
-use crate::serve::{Handler, Request, Response};
+use crate::serve::{self, Handler, Request, Response};
 
 /// Answers for the status, and passes all else on.
 #[derive(Debug)]
@@ -37,11 +35,7 @@
             "oldest_view": held.window.floor(),
             "members": held.window.members().len(),
         });
-        http::Response::builder()
-            .status(200)
-            .header("content-type", "application/json")
-            .body(Full::new(Bytes::from(status.to_string())))
-            .expect("the headers are valid")
+        serve::json(&status)
     }
 }
 
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -91,6 +91,24 @@
         let pid = libc::pid_t::try_from(self.child.id()).expect("pid");
         // SAFETY: kill takes no pointers, and the child isn't reaped before.
         unsafe { libc::kill(pid, signal) };
+        if signal == libc::SIGSTOP {
+            self.wait_until_stopped();
+        }
+    }
+
+    /// Waits until every thread has stopped: a signal is under way for a while.
+    fn wait_until_stopped(&self) {
+        let folder = format!("/proc/{}/task", self.child.id());
+        let start = Instant::now();
+        loop {
+            let threads = std::fs::read_dir(&folder).expect("threads of a running process");
+            let mut threads = threads.filter_map(|thread| thread.ok().map(|t| t.path()));
+            if threads.all(|thread| is_stopped(&thread)) {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "process does not stop");
+            thread::sleep(Duration::from_millis(1));
+        }
     }
 
     /// Waits for the end.
@@ -106,6 +124,18 @@
     }
 }
 
+/// Whether a thread is stopped; one that has ended runs no more either.
+fn is_stopped(thread: &std::path::Path) -> bool {
+    let Ok(stat) = std::fs::read_to_string(thread.join("stat")) else {
+        return true;
+    };
+    let state = stat
+        .rsplit(") ")
+        .next()
+        .and_then(|rest| rest.chars().next());
+    state == Some('T')
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
