--- a/crates/quorum/src/store/mod.rs
+++ b/crates/quorum/src/store/mod.rs
@@ -9,6 +9,7 @@
 
 use std::io;
 
+pub use file::File;
 pub use memory::Memory;
 
 use crate::{
