core: the control role runs on the replicated log

Cause: control kept its state in the memory of one process. Change: one thread owns the replica and its store, syncs once per group of events, and sends before it syncs; messages travel as one-way tonic calls, batched per receiver. Members are changed by address over /v1/members and `members`; whatever runs at an address is asked for its id, so a resent change finds its work done. `members init` founds a cluster, at one instance only; an empty folder waits for it. The lone log in memory goes away, so the tests' and scripts/measure's control is initialized and waited for; no assertion changed.

--- a/crates/core/src/args/members.rs
+++ b/crates/core/src/args/members.rs
@@ -16,6 +16,14 @@
         #[command(flatten)]
         control: Control,
     },
+    /// Makes the instances the first members of a new cluster, once and for all
+    Init {
+        #[command(flatten)]
+        control: Control,
+        /// Peer addresses of all the instances, that of the control URL included
+        #[arg(required = true)]
+        peers: Vec<SocketAddr>,
+    },
     /// Adds an instance, which votes once it holds everything accepted
     Add {
         #[command(flatten)]
@@ -45,6 +53,7 @@
     pub(super) fn run(self) -> Result<()> {
         let members = match self {
             Command::List { control } => control.get("/v1/members")?,
+            Command::Init { control, peers } => init(&control, &peers)?,
             Command::Add { control, peer } => change(&control, &json!({ "add": peer }))?,
             Command::Remove { control, peer } => change(&control, &json!({ "remove": peer }))?,
             Command::Replace { control, old, new } => {
@@ -59,3 +68,11 @@
 fn change(control: &Control, change: &Value) -> Result<Value> {
     control.send(&Method::POST, "/v1/members", change)?.json()
 }
+
+/// Two instances that both founded a cluster would never agree, so only one is asked.
+fn init(control: &Control, peers: &[SocketAddr]) -> Result<Value> {
+    let body = json!({ "init": peers });
+    control
+        .send_once(&Method::POST, "/v1/members", &body)?
+        .json()
+}
--- a/crates/core/src/args/operator.rs
+++ b/crates/core/src/args/operator.rs
@@ -34,6 +34,11 @@
     pub(super) fn send(&self, method: &Method, path: &str, body: &Value) -> Result<Answer> {
         first(&self.control, method, path, Some(body))
     }
+
+    /// Sends JSON to the first instance only, answer or not.
+    pub(super) fn send_once(&self, method: &Method, path: &str, body: &Value) -> Result<Answer> {
+        first(&self.control[..1], method, path, Some(body))
+    }
 }
 
 /// Any answer, errors included.
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! The control role: membership views, the numbered configuration and leases.
 
+mod membership;
 mod operators;
+mod replica;
 mod service;
 mod state;
 
@@ -16,9 +18,13 @@
 use crate::serve::{self, Server};
 use crate::settings::Controller;
 
+use membership::Membership;
 use operators::Operators;
+use replica::Handle;
 use service::Service;
-use state::{Alone, Log, Shared};
+use state::{Log, Shared};
+
+pub(crate) use replica::StartError;
 
 const MAX_CONNECTIONS: usize = 1024;
 const TICK: Duration = Duration::from_millis(200);
@@ -28,16 +34,26 @@
 pub(crate) struct Role {
     http: Server,
     peer: TcpListener,
+    shared: Shared,
+    replica: Handle,
 }
 
 impl Role {
-    /// Listens on the addresses of `section`.
+    /// Opens the data folder and listens on the addresses of `section`.
     pub(crate) async fn bind(section: &Controller) -> Result<Role> {
         let http = Server::bind(section.http, MAX_CONNECTIONS).await;
         let http = http.map_err(Error::listen("controller.http", section.http))?;
         let peer = TcpListener::bind(section.peer).await;
         let peer = peer.map_err(Error::listen("controller.peer", section.peer))?;
-        Ok(Role { http, peer })
+        let shared = Shared::new();
+        let address = peer.local_addr()?.to_string();
+        let replica = Handle::start(&section.data, address, shared.clone())?;
+        Ok(Role {
+            http,
+            peer,
+            shared,
+            replica,
+        })
     }
 
     pub(crate) fn http(&self) -> Result<SocketAddr> {
@@ -51,12 +67,12 @@
     /// Serves until `stop` turns true.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let mut stopped = stop.clone();
-        let shared = Shared::new();
-        let log = Arc::new(Alone::new(shared.clone()));
-        let service = Service::new(log, shared);
-        let operators = Arc::new(Operators::new(service.clone()));
+        let service = Service::new(Arc::new(self.replica.clone()), self.shared);
+        let operators = Operators::new(service.clone());
+        let operators = Arc::new(Membership::new(self.replica.clone(), operators));
         let ticking = tokio::spawn(tick(service.clone(), stop.clone()));
         let peer = tonic::transport::Server::builder()
+            .add_service(self.replica.server())
             .add_service(ControlServer::new(service))
             .serve_with_incoming_shutdown(serve::peers(self.peer), async move {
                 // A closed channel means that the process stops as well.
@@ -64,6 +80,7 @@
             });
         let http = self.http.serve(operators, stop);
         let (peer, ()) = tokio::join!(peer, http);
+        self.replica.stop();
         // It ends by itself, since it waits for the same stop.
         let _ = ticking.await;
         if let Err(error) = peer {
--- a/crates/core/src/control/state/log.rs
+++ b/crates/core/src/control/state/log.rs
@@ -2,11 +2,6 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Mutex;
-
-use gentian::quorum::Machine;
-
-use super::Shared;
 
 /// Why a payload got no reply.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
@@ -28,12 +23,11 @@
     /// This instance leads in the given term: at the time of the call a majority
     /// has confirmed it, and all that was accepted before is applied here.
     Own { term: u64 },
-    /// Another instance, or none that is known. A lone instance never says so.
-    #[allow(dead_code)]
+    /// Another instance, or none that is known.
     Other(Option<SocketAddr>),
 }
 
-/// A replicated log that feeds a [`Shared`] state.
+/// A replicated log that feeds a [`Shared`](super::Shared) state.
 pub(crate) trait Log: Send + Sync + 'static {
     /// Proposes a payload and returns the machine's reply once it is applied.
     fn propose(&self, payload: Vec<u8>) -> impl Future<Output = Result<Vec<u8>>> + Send;
@@ -41,31 +35,3 @@
     /// Who leads at the time of the call.
     fn leader(&self) -> Leader;
 }
-
-/// The log of a lone control instance, in memory.
-#[derive(Debug)]
-pub(crate) struct Alone {
-    machine: Mutex<(u64, Shared)>,
-}
-
-impl Alone {
-    /// A log that applies what is proposed at once.
-    pub(crate) fn new(machine: Shared) -> Alone {
-        Alone {
-            machine: Mutex::new((0, machine)),
-        }
-    }
-}
-
-impl Log for Alone {
-    async fn propose(&self, payload: Vec<u8>) -> Result<Vec<u8>> {
-        let mut machine = self.machine.lock().expect("no thread panics with it");
-        machine.0 += 1;
-        let index = machine.0;
-        Ok(machine.1.apply(index, &payload))
-    }
-
-    fn leader(&self) -> Leader {
-        Leader::Own { term: 1 }
-    }
-}
--- a/crates/core/src/control/state/mod.rs
+++ b/crates/core/src/control/state/mod.rs
@@ -14,7 +14,7 @@
 use gentian::wire::id::{Version, View};
 
 pub(crate) use book::{Book, LEASE, LOAN};
-pub(crate) use log::{Alone, Error, Leader, Log};
+pub(crate) use log::{Error, Leader, Log};
 
 /// The replicated state, shared between the log that feeds it and its readers.
 #[derive(Clone, Debug)]
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -22,6 +22,9 @@
         address: std::net::SocketAddr,
         source: io::Error,
     },
+    /// The data folder of the control role can't be used.
+    #[error(transparent)]
+    Replica(#[from] control::StartError),
     /// The runtime can't be started.
     #[error("can't start the process: {0}")]
     Start(#[from] io::Error),
--- /dev/null
+++ b/crates/core/tests/support/cluster.rs
@@ -0,0 +1,179 @@
+//! Control instances in processes of their own.
+
+use std::io::Write;
+use std::process::Output;
+
+use oxhttp::model::StatusCode;
+use serde_json::{json, Value};
+use tempfile::{NamedTempFile, TempDir};
+
+use super::system::poll;
+use super::{call, output, Process};
+
+/// One control instance that keeps its addresses and data over restarts.
+pub(crate) struct Instance {
+    pub(crate) process: Process,
+    pub(crate) http: String,
+    pub(crate) peer: String,
+    data: TempDir,
+}
+
+impl Instance {
+    /// Starts an instance on free ports and an empty data folder.
+    pub(crate) fn start() -> Instance {
+        let data = tempfile::tempdir().expect("temporary folder");
+        let process = run("127.0.0.1:0", "127.0.0.1:0", &data);
+        Instance {
+            http: process.listening("control-http").to_string(),
+            peer: process.listening("control-peer").to_string(),
+            process,
+            data,
+        }
+    }
+
+    /// Kills the process.
+    pub(crate) fn kill(&mut self) {
+        self.process.kill();
+        self.process.wait();
+    }
+
+    /// Starts the process again.
+    pub(crate) fn restart(&mut self) {
+        self.process = run(&self.http, &self.peer, &self.data);
+        self.process.listening("control-peer");
+    }
+
+    /// Deletes the data folder's content.
+    pub(crate) fn lose_disk(&mut self) {
+        self.kill();
+        self.data = tempfile::tempdir().expect("temporary folder");
+    }
+
+    /// Runs another process on the same data folder to its end.
+    pub(crate) fn run_beside(&self) -> Output {
+        let file = settings("127.0.0.1:0", "127.0.0.1:0", &self.data);
+        output(&["run", "--settings", path(&file)])
+    }
+
+    /// Calls the instance's operator side.
+    pub(crate) fn call(&self, method: &str, path: &str, body: &Value) -> (StatusCode, Value) {
+        let url = format!("http://{}{path}", self.http);
+        let headers = [("content-type", "application/json")];
+        let (status, body) = call(method, &url, &headers, &body.to_string());
+        (status, serde_json::from_str(&body).unwrap_or(Value::Null))
+    }
+
+    /// What the instance tells of the members.
+    pub(crate) fn members(&self) -> Value {
+        self.call("GET", "/v1/members", &Value::Null).1
+    }
+}
+
+fn run(http: &str, peer: &str, data: &TempDir) -> Process {
+    let file = settings(http, peer, data);
+    let mut process = Process::start(&["run", "--settings", path(&file)]);
+    process.keep(file);
+    process
+}
+
+fn settings(http: &str, peer: &str, data: &TempDir) -> NamedTempFile {
+    let data = data.path();
+    let text = json!({
+        "name": "control", "data_center": "beauce", "rack": "r1", "region": "quebec",
+        "controller": { "http": http, "peer": peer, "data": data },
+    });
+    let mut file = NamedTempFile::new().expect("temporary file");
+    write!(file, "{text}").expect("settings");
+    file
+}
+
+fn path(file: &NamedTempFile) -> &str {
+    file.path().to_str().expect("path")
+}
+
+/// Control instances that agree.
+pub(crate) struct Cluster {
+    pub(crate) instances: Vec<Instance>,
+    /// Instances that are not to be called, since they are frozen or dead.
+    pub(crate) silent: Vec<usize>,
+}
+
+impl Cluster {
+    /// Starts and initializes a cluster and waits for its leader.
+    pub(crate) fn start(size: usize) -> Cluster {
+        let cluster = Cluster::empty(size);
+        let peers: Vec<_> = cluster.instances.iter().map(|i| &i.peer).collect();
+        let (status, answer) = cluster.change(0, &json!({ "init": peers }));
+        assert_eq!(status.as_u16(), 200, "{answer}");
+        cluster.leader();
+        cluster
+    }
+
+    /// Starts instances with empty data folders.
+    pub(crate) fn empty(size: usize) -> Cluster {
+        Cluster {
+            instances: (0..size).map(|_| Instance::start()).collect(),
+            silent: Vec::new(),
+        }
+    }
+
+    /// Sends a change of the members to one instance.
+    pub(crate) fn change(&self, instance: usize, body: &Value) -> (StatusCode, Value) {
+        self.instances[instance].call("POST", "/v1/members", body)
+    }
+
+    /// The instance that a majority has confirmed, if there is one now.
+    pub(crate) fn find_leader(&self) -> Option<usize> {
+        let mut called = (0..self.instances.len()).filter(|i| !self.silent.contains(i));
+        called.find(|i| self.instances[*i].members()["leads"] == json!(true))
+    }
+
+    /// Waits for a leader.
+    pub(crate) fn leader(&self) -> usize {
+        poll(|| self.find_leader())
+    }
+
+    /// Has a change accepted by whoever leads; returns the new version.
+    pub(crate) fn patch(&self, team: &str) -> u64 {
+        let id = uuid();
+        poll(|| {
+            let leader = &self.instances[self.leader()];
+            let (status, config) = leader.call("GET", "/v1/config", &Value::Null);
+            let base = config["version"].as_u64().filter(|_| status.is_success())?;
+            let patch = json!({ "id": id, "base": base, "author": "ada", "merge": { "teams": { team: {} } } });
+            let (status, answer) = leader.call("PATCH", "/v1/config", &patch);
+            answer["version"].as_u64().filter(|_| status.is_success())
+        })
+    }
+
+    /// The version that the leader has in force.
+    pub(crate) fn version(&self) -> u64 {
+        poll(|| {
+            let leader = &self.instances[self.leader()];
+            let (status, config) = leader.call("GET", "/v1/config", &Value::Null);
+            config["version"].as_u64().filter(|_| status.is_success())
+        })
+    }
+
+    /// Has an instance replaced that lost its disk, and waits until it votes.
+    pub(crate) fn replace(&self, lost: usize) {
+        let peer = &self.instances[lost].peer;
+        let body = json!({ "remove": peer, "add": peer });
+        poll(|| {
+            self.change(self.leader(), &body)
+                .0
+                .is_success()
+                .then_some(())
+        });
+        poll(|| {
+            let members = self.instances[self.leader()].members();
+            let members = members["members"].as_array()?.clone();
+            let whole = members.len() == self.instances.len();
+            (whole && members.iter().all(|m| m["voter"] == json!(true))).then_some(())
+        });
+    }
+}
+
+fn uuid() -> String {
+    uuid::Uuid::now_v7().to_string()
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod cluster;
 pub(crate) mod system;
 
 use std::io::{BufRead, BufReader, Write};
@@ -38,6 +39,7 @@
     child: Child,
     lines: mpsc::Receiver<String>,
     settings: Option<tempfile::NamedTempFile>,
+    folder: Option<tempfile::TempDir>,
 }
 
 impl Process {
@@ -57,6 +59,7 @@
             child,
             lines,
             settings: None,
+            folder: None,
         }
     }
 
@@ -76,6 +79,11 @@
         self.settings = Some(settings);
     }
 
+    /// Keeps a data folder for as long as the process.
+    pub(crate) fn keep_folder(&mut self, folder: tempfile::TempDir) {
+        self.folder = Some(folder);
+    }
+
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
         self.signal(libc::SIGTERM);
--- a/crates/core/tests/support/system.rs
+++ b/crates/core/tests/support/system.rs
@@ -7,7 +7,7 @@
 use oxhttp::model::StatusCode;
 use tempfile::NamedTempFile;
 
-use super::{call, Process, PATIENCE};
+use super::{call, output, text, Process, PATIENCE};
 
 /// One control instance, some agents with an upstream each, and one entry.
 pub(crate) struct System {
@@ -59,11 +59,20 @@
 
     /// Starts a control instance; returns its addresses for operators and peers.
     pub(crate) fn operated_control() -> (Process, String, String) {
-        let section =
-            r#""controller":{"http":"127.0.0.1:0","peer":"127.0.0.1:0","data":"unused.data"}"#;
-        let control = run("control", "", section);
+        let data = tempfile::tempdir().expect("temporary folder");
+        let section = format!(
+            r#""controller":{{"http":"127.0.0.1:0","peer":"127.0.0.1:0","data":{:?}}}"#,
+            data.path()
+        );
+        let mut control = run("control", "", &section);
+        control.keep_folder(data);
         let http = control.listening("control-http").to_string();
         let peer = control.listening("control-peer").to_string();
+        let url = format!("http://{http}");
+        let told = output(&["members", "init", "--control", &url, &peer]);
+        assert!(told.status.success(), "{}", text(&told.stderr));
+        let config = format!("{url}/v1/config");
+        poll(|| (call("GET", &config, &[], "").0.as_u16() == 200).then_some(()));
         (control, http, peer)
     }
 
--- a/crates/quorum/src/message.rs
+++ b/crates/quorum/src/message.rs
@@ -132,24 +132,62 @@
     body: Option<Body>,
 }
 
-impl Message {
-    /// Encodes the message.
+impl From<&Message> for Frame {
+    fn from(message: &Message) -> Self {
+        Self {
+            cluster: message.cluster.get(),
+            term: message.term,
+            body: Some(message.body.clone()),
+        }
+    }
+}
+
+impl TryFrom<Frame> for Message {
+    type Error = Error;
+
+    fn try_from(frame: Frame) -> Result<Self> {
+        Ok(Self {
+            cluster: id::Cluster::new(frame.cluster).ok_or(Error::Missing("cluster"))?,
+            term: frame.term,
+            body: frame.body.ok_or(Error::Missing("body"))?,
+        })
+    }
+}
+
+/// Messages of one member that travel together.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Letter {
+    /// Where the sender takes answers; the receiver may not know the members yet.
+    pub address: String,
+    /// The messages, in the order of their sending.
+    pub messages: Vec<Message>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct LetterFrame {
+    #[prost(string, tag = "1")]
+    address: String,
+    #[prost(message, repeated, tag = "2")]
+    messages: Vec<Frame>,
+}
+
+impl Letter {
+    /// Encodes the letter.
     pub fn encode(&self) -> Vec<u8> {
-        let frame = Frame {
-            cluster: self.cluster.get(),
-            term: self.term,
-            body: Some(self.body.clone()),
+        let frame = LetterFrame {
+            address: self.address.clone(),
+            messages: self.messages.iter().map(Frame::from).collect(),
         };
         frame.encode_to_vec()
     }
 
     /// Decodes what [`encode`](Self::encode) wrote.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        let frame = Frame::decode(bytes)?;
+        let frame = LetterFrame::decode(bytes)?;
+        let messages = frame.messages.into_iter().map(Message::try_from);
         Ok(Self {
-            cluster: id::Cluster::new(frame.cluster).ok_or(Error::Missing("cluster"))?,
-            term: frame.term,
-            body: frame.body.ok_or(Error::Missing("body"))?,
+            address: frame.address,
+            messages: messages.collect::<Result<_>>()?,
         })
     }
 }
--- a/crates/quorum/src/replica/change.rs
+++ b/crates/quorum/src/replica/change.rs
@@ -29,7 +29,12 @@
         self.hard.cluster = id::Cluster::random(&mut self.rng).get();
         self.set_term(1);
         self.hard.vote = self.id.get();
+        let alone = members.majority() == 1;
         self.append_own(Some(Body::Members(members)));
+        if alone {
+            // No leader before it could still hold a lease.
+            self.deadline = self.now;
+        }
         self.flush();
         Ok(())
     }
--- a/crates/quorum/tests/common/mod.rs
+++ b/crates/quorum/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use gentian_quorum::{
     id::{Command, Member},
     members::{Change, Peer},
+    message::Letter,
     replica::{Error, Position, Role, Settings},
     store::Memory,
     Action, Body, Message, Replica, Store,
@@ -413,7 +414,11 @@
         if self.rng.random_bool(self.loss) || self.is_cut(from, to) {
             return;
         }
-        let message = Message::decode(&message.encode()).unwrap();
+        let letter = Letter {
+            address: from.to_string(),
+            messages: vec![message],
+        };
+        let message = Letter::decode(&letter.encode()).unwrap().messages.remove(0);
         let copies = if self.rng.random_bool(self.loss / 2.0) {
             2
         } else {
