--- a/crates/core/tests/logging.rs
+++ b/crates/core/tests/logging.rs
@@ -6,15 +6,15 @@
 use std::path::Path;
 
 use serde_json::{json, Value};
-use support::system::poll;
+use support::system::{init, poll};
 use support::{call, output, text, Process};
 
-fn settings(log: &Value) -> String {
+fn settings(folder: &Path, log: &Value) -> String {
     json!({
         "name": "all", "data_center": "beauce", "rack": "r1", "region": "quebec",
         "entry": {"http": "127.0.0.1:0"},
         "agent": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0"},
-        "controller": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0", "data": "unused.data"},
+        "controller": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0", "data": folder.join("data")},
         "log": log,
     })
     .to_string()
@@ -22,7 +22,7 @@
 
 fn write(folder: &Path, log: &Value) -> String {
     let path = folder.join("settings.json");
-    fs::write(&path, settings(log)).expect("settings");
+    fs::write(&path, settings(folder, log)).expect("settings");
     path.to_str().expect("path").to_owned()
 }
 
@@ -32,6 +32,7 @@
     let log = folder.path().join("log");
     let path = write(folder.path(), &json!({"level": level, "file": log}));
     let mut process = Process::start(&["run", "--settings", &path]);
+    init(&process);
     let agent = format!("http://{}", process.listening("agent-http"));
     let entry = format!("http://{}/v1/requests", process.listening("entry-http"));
     let _upstream = Process::start(&["example-upstream", "--agent", &agent]);
--- a/crates/quorum/tests/common/mod.rs
+++ b/crates/quorum/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use gentian_quorum::{
     id::{Command, Member},
     members::{Change, Peer},
+    message::Letter,
     replica::{Error, Position, Role, Settings},
     store::Memory,
     Action, Body, Message, Replica, Store,
@@ -401,7 +402,8 @@
     }
 
     fn apply(&mut self, id: Member, entry: &gentian_quorum::Entry) {
-        self.model.applied(entry);
+        let term = self.nodes[&id].replica.term();
+        self.model.applied(entry, term);
         let node = self.node(id);
         if node.waiting.remove(&entry.index) == Some(entry.term) {
             self.model.acknowledge(entry.index);
@@ -412,7 +414,11 @@
         if self.rng.random_bool(self.loss) || self.is_cut(from, to) {
             return;
         }
-        let message = Message::decode(&message.encode()).unwrap();
+        let letter = Letter {
+            address: from.to_string(),
+            messages: vec![message],
+        };
+        let message = Letter::decode(&letter.encode()).unwrap().messages.remove(0);
         let copies = if self.rng.random_bool(self.loss / 2.0) {
             2
         } else {
