member: keep every view that a job may have been placed under

A job's slow path asks the candidates of every view of the window and takes the floor for proof that no key goes back further. Three ways led to a floor that proves nothing: a full window dropped its oldest view; views were kept for a time that counted the skew of clocks once where it comes in twice, and left out the renewal; and limits.retention_ms could shorten that time while the gates go on taking keys for ten minutes.

A full window now takes no joins and updates until views are forgotten; leaves still go through. Views are kept for 600 + 9 + 2 * 5 s after the next one. The setting is gone, since nothing could honour it: gates that have forgotten can't take older keys because an operator asks. Ruled out: dropping views and telling so, which would fail jobs that can still be answered.

The test of a full window expected the drop; it is replaced by one that expects every view to stay.

--- a/crates/config/src/document/check.rs
+++ b/crates/config/src/document/check.rs
@@ -13,8 +13,6 @@
 const MAX_QUEUE: u32 = 65_536;
 const MAX_RATE_PER_SECOND: f64 = 1_000_000.0;
 const MAX_OBJECTIVE: f64 = 0.999_999;
-const MIN_RETENTION_MS: u32 = 60_000;
-const MAX_RETENTION_MS: u32 = 3_600_000;
 const MIN_BODY: Bytes = Bytes(1 << 10);
 const MAX_BODY: Bytes = Bytes(16 << 20);
 
@@ -30,11 +28,6 @@
         }
         let limits = &self.limits;
         check.range("limits.queue", limits.queue, 1..=MAX_QUEUE);
-        check.range(
-            "limits.retention_ms",
-            limits.retention_ms,
-            MIN_RETENTION_MS..=MAX_RETENTION_MS,
-        );
         check.problems
     }
 }
--- a/crates/config/src/document/mod.rs
+++ b/crates/config/src/document/mod.rs
@@ -191,22 +191,10 @@
 pub struct Limits {
     /// Requests that wait at one entry.
     pub queue: u32,
-    /// How long keys of submissions stay usable, in milliseconds.
-    pub retention_ms: u32,
-}
-
-impl Limits {
-    /// How long keys of submissions stay usable.
-    pub fn retention(&self) -> Duration {
-        Duration::from_millis(self.retention_ms.into())
-    }
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits {
-            queue: 1_024,
-            retention_ms: 600_000,
-        }
+        Limits { queue: 1_024 }
     }
 }
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -19,8 +19,7 @@
     &["services.a.objectives.availability", "services.a.objectives.latency_ms"] ; "objectives")]
 #[test_case(json!({"teams": {"t": {"services": ["a"], "concurrent": 2_000_000}}}),
     &["teams.t.concurrent", "teams.t.services"] ; "team")]
-#[test_case(json!({"limits": {"queue": 0, "retention_ms": 1}}),
-    &["limits.queue", "limits.retention_ms"] ; "limits")]
+#[test_case(json!({"limits": {"queue": 0}}), &["limits.queue"] ; "limits")]
 #[test_case(json!(7), &[""] ; "number")]
 fn problems_name_their_fields(document: Value, paths: &[&str]) {
     let problems = Document::read(&document).expect_err("the document has problems");
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -21,9 +21,9 @@
 
 use super::state::{Book, Error, Inner, Leader, Log, Shared, LEASE, LOAN};
 
-/// Longest time for which a view stays of use beyond the retention window:
-/// a lease, and the skew between the clocks of callers and entries.
-const VIEW_SLACK: Duration = Duration::from_secs(15);
+/// How long a view stays of use after the next one: the keys' retention, the
+/// time for which a node may still act on it, and twice the skew of clocks.
+const VIEW_KEPT: Duration = Duration::from_secs(600 + 9 + 2 * 5);
 
 /// One control instance.
 #[derive(Debug)]
@@ -106,20 +106,11 @@
         let mut book = self.book();
         let mut events = book.turn(term, now).table.tick(now, inner.state.window());
         drop((inner, book));
-        events.extend(self.outdated().map(Event::Forget));
+        let outdated = self.shared.outdated(VIEW_KEPT);
+        events.extend(outdated.map(Event::Forget));
         events
     }
 
-    fn outdated(&self) -> Option<View> {
-        let limits = self
-            .shared
-            .read()
-            .document
-            .as_ref()
-            .map(|d| d.limits.clone());
-        self.shared.outdated(limits?.retention() + VIEW_SLACK)
-    }
-
     /// A change that gets lost is proposed again by a later tick.
     async fn change(&self, event: Event) {
         log::info!("view: {event:?}");
--- a/crates/member/src/view/mod.rs
+++ b/crates/member/src/view/mod.rs
@@ -21,7 +21,9 @@
 pub use age::Age;
 pub use delta::{Delta, Error, Result, Whole};
 
-/// Changes kept at most; the oldest views are dropped beyond it.
+/// Changes kept before agents may neither join nor update. Views are not
+/// dropped instead, for tasks placed under them would then be looked for
+/// nowhere; members may still leave.
 pub const MAX_CHANGES: usize = 4_096;
 
 /// The members of one view, by name.
@@ -137,6 +139,7 @@
 
     fn join(&mut self, member: Member) -> bool {
         match self.members.get(&member.node) {
+            _ if self.is_full() => false,
             Some(known) if known.incarnation > member.incarnation => false,
             Some(known) if *known == member => false,
             _ => self.push(member.node.clone(), Some(member)),
@@ -145,6 +148,7 @@
 
     fn update(&mut self, member: Member) -> bool {
         match self.members.get(&member.node) {
+            _ if self.is_full() => false,
             Some(known) if known.incarnation == member.incarnation && *known != member => {
                 self.push(member.node.clone(), Some(member))
             }
@@ -172,9 +176,10 @@
     fn append(&mut self, change: Change) {
         change.apply(&mut self.members);
         self.changes.push_back(change);
-        if self.changes.len() > MAX_CHANGES {
-            self.forget(View(self.floor.0 + 1));
-        }
+    }
+
+    fn is_full(&self) -> bool {
+        self.changes.len() >= MAX_CHANGES
     }
 
     /// Drops the views before the given one, but never the one in force.
--- a/crates/member/tests/view.rs
+++ b/crates/member/tests/view.rs
@@ -143,13 +143,26 @@
 }
 
 #[test]
-fn a_full_window_drops_its_oldest_views() {
+fn a_full_window_drops_nothing_and_lets_members_only_leave() {
     let mut window = Window::default();
-    for slots in 0..=MAX_CHANGES as u32 {
-        window.apply(Event::Join(member(1, 1, slots)));
+    for slots in 0..MAX_CHANGES as u32 {
+        assert!(window.apply(Event::Join(member(1, 1, slots))));
     }
-    assert_eq!(window.floor(), View(1));
-    assert!(window.at(View(0)).is_none() && window.at(View(1)).is_some());
+    let events = [member(1, 1, 0), member(2, 1, 0)].map(Event::Join);
+    let update = Event::Update(member(1, 1, 0));
+    assert!(!events
+        .into_iter()
+        .chain([update])
+        .any(|event| window.apply(event)));
+    let leave = Event::Leave {
+        node: member(1, 1, 0).node,
+        incarnation: Incarnation(1),
+        reason: Reason::Leaving,
+    };
+    assert!(window.apply(leave));
+    assert!(window.at(View(0)).is_some() && window.members().is_empty());
+    window.apply(Event::Forget(View(2)));
+    assert!(window.apply(Event::Join(member(2, 1, 0))));
 }
 
 #[test]
