member: do not lend what is still in progress

A request may outlast the loan that it began under. The bank lent that share to others as soon as the loan had lapsed, so that requests in progress could sum to more than the quota, while the entry told so in `held` and was not heard.

What an entry holds or has in progress now counts like a promise for a loan period, also while a new leader lends nothing. Shares move one period later for it.

Seen red: the new test without `held`; the others again with no grace for a new leader, with the last promise only, and without the cap by the quota.

--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -11,7 +11,7 @@
 use gentian::config::patch::Patch;
 use gentian::member::lease::Announcement;
 use gentian::member::member::{self, Member};
-use gentian::member::share::Borrower;
+use gentian::member::share::{Ask, Borrower};
 use gentian::member::state::{Command, Reply};
 use gentian::member::view::Event;
 use gentian::wire::control::control_server::Control;
@@ -186,10 +186,14 @@
         let now = self.shared.now();
         let mut book = self.book();
         let bank = &mut book.turn(term, now).bank;
+        let ask = Ask {
+            held: share.held,
+            wanted: share.wanted,
+        };
         Ok(Share {
             team: share.team.clone(),
             held: share.held,
-            wanted: bank.lend(now, borrower, &team, share.wanted, quota),
+            wanted: bank.lend(now, borrower, &team, ask, quota),
         })
     }
 }
--- a/crates/member/src/share/mod.rs
+++ b/crates/member/src/share/mod.rs
@@ -6,8 +6,12 @@
 //! one that has not lapsed for the entry's share. The shares of dead entries
 //! come back the same way.
 //!
-//! Shares of one team never sum to more than the largest quota in force within
-//! the last loan period. Loans are not replicated: a new leader lends nothing
+//! Requests may outlast the loan that they began under. An entry tells what it
+//! holds or still has in progress, and that is not lent to others either.
+//!
+//! Loans of one team never sum to more than the largest quota in force within
+//! the last loan period. Requests in progress may do so only by those of an
+//! entry that has told nothing for a loan period. Loans are not replicated: a new leader lends nothing
 //! until those of the one before it have lapsed, which holds only where every
 //! loan is confirmed by a majority as renewals are.
 
@@ -19,6 +23,15 @@
 /// An entry that borrows: a restarted one is another borrower.
 pub type Borrower = (Node, Incarnation);
 
+/// What an entry asks for a team.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Ask {
+    /// What it was lent or still has in progress.
+    pub held: u32,
+    /// What its demand would need.
+    pub wanted: u32,
+}
+
 /// The leader's book of loans; times since a monotonic origin.
 #[derive(Clone, Debug)]
 pub struct Bank {
@@ -57,21 +70,21 @@
         now: Duration,
         borrower: &Borrower,
         team: &Team,
-        wanted: u32,
+        ask: Ask,
         quota: u32,
     ) -> u32 {
-        if now < self.lends_from {
-            return 0;
-        }
         let loans = self.loans.entry(team.clone()).or_default();
         loans.retain(|_, loan| loan.holds(now));
-        loans.entry(borrower.clone()).or_default().wanted = wanted;
+        loans.entry(borrower.clone()).or_default().wanted = ask.wanted;
         let target = target(loans, borrower, quota);
         let others = loans.iter().filter(|(other, _)| *other != borrower);
-        let lent: u32 = others.map(|(_, loan)| loan.amount()).sum();
-        let amount = target.min(quota.saturating_sub(lent));
+        let lent = others.fold(0, |sum: u32, (_, loan)| sum.saturating_add(loan.amount()));
+        let amount = match now < self.lends_from {
+            true => 0,
+            false => target.min(quota.saturating_sub(lent)),
+        };
         if let Some(loan) = loans.get_mut(borrower) {
-            loan.promise(now + self.period, amount);
+            loan.promise(now + self.period, amount.max(ask.held));
         }
         amount
     }
@@ -109,33 +122,3 @@
     };
     u32::try_from(share).unwrap_or(u32::MAX)
 }
-
-/// An entry's share of one team's quota.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Share {
-    sent: Duration,
-    end: Duration,
-    amount: u32,
-}
-
-impl Share {
-    /// Takes what the leader lent for the request sent at the given time.
-    pub fn take(&mut self, sent: Duration, period: Duration, amount: u32) {
-        if sent >= self.sent {
-            *self = Share {
-                sent,
-                end: sent + period,
-                amount,
-            };
-        }
-    }
-
-    /// What the entry may use.
-    pub fn amount(&self, now: Duration) -> u32 {
-        if now < self.end {
-            self.amount
-        } else {
-            0
-        }
-    }
-}
--- a/crates/member/tests/share.rs
+++ b/crates/member/tests/share.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use common::{check, ensure, ms, name};
-use gentian_member::share::{Bank, Borrower, Share};
+use gentian_member::share::{Ask, Bank, Borrower};
 use gentian_wire::id::{Incarnation, Team};
 use proptest::prelude::*;
 use test_case::test_case;
@@ -13,6 +13,31 @@
 const PERIOD: Duration = Duration::from_secs(2);
 const ENTRIES: u8 = 4;
 
+/// An entry's loan, counted from the sending of the request.
+#[derive(Clone, Copy, Default)]
+struct Share {
+    sent: u64,
+    end: u64,
+    amount: u32,
+}
+
+impl Share {
+    fn take(&mut self, sent: u64, amount: u32) {
+        if sent >= self.sent {
+            let end = sent + PERIOD.as_millis() as u64;
+            *self = Share { sent, end, amount };
+        }
+    }
+
+    fn amount(&self, now: u64) -> u32 {
+        if now < self.end {
+            self.amount
+        } else {
+            0
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Pass(u64),
@@ -53,7 +78,8 @@
                 Step::Ask(entry, wanted, delay) => {
                     let run = runs.iter().rposition(|r| r.0 == entry).expect("an entry");
                     let by = borrower(entry, runs[run].1);
-                    let lent = bank.lend(ms(now), &by, &team, wanted, quota);
+                    let held = runs[run].2.amount(now);
+                    let lent = bank.lend(ms(now), &by, &team, Ask { held, wanted }, quota);
                     replies.extend(delay.map(|delay| (now + delay, run, now, lent)));
                 }
                 // The earlier run may go on until it notices that it was replaced.
@@ -65,9 +91,9 @@
             }
             replies.sort();
             for (_, run, sent, lent) in replies.extract_if(.., |reply| reply.0 <= now) {
-                runs[run].2.take(ms(sent), PERIOD, lent);
+                runs[run].2.take(sent, lent);
             }
-            let sum: u32 = runs.iter().map(|run| run.2.amount(ms(now))).sum();
+            let sum: u32 = runs.iter().map(|run| run.2.amount(now)).sum();
             ensure(sum <= quota, || format!("{sum} of {quota} in use at {now}"))?;
         }
         Ok(())
@@ -84,7 +110,11 @@
     let mut bank = Bank::new(ms(0), PERIOD);
     let mut ask = |now, entry: usize| {
         let by = borrower(entry as u8, 0);
-        bank.lend(ms(now), &by, &team, wanted[entry], quota)
+        let ask = Ask {
+            held: 0,
+            wanted: wanted[entry],
+        };
+        bank.lend(ms(now), &by, &team, ask, quota)
     };
     let mut shares = Vec::new();
     for round in 2..8 {
@@ -92,3 +122,26 @@
     }
     assert_eq!(shares, expected);
 }
+
+#[test]
+fn what_is_still_in_progress_is_not_lent_to_others() {
+    let team: Team = name("barn");
+    let mut bank = Bank::new(ms(0), PERIOD);
+    let mut ask = |now, entry, held, wanted| {
+        bank.lend(
+            ms(now),
+            &borrower(entry, 0),
+            &team,
+            Ask { held, wanted },
+            10,
+        )
+    };
+    assert_eq!(ask(1_000, 0, 8, 8), 0, "a new leader lends nothing yet");
+    assert_eq!(ask(2_500, 1, 0, 10), 2);
+    for second in 3..9 {
+        ask(1_000 * second, 0, 8, 0);
+        assert!(ask(1_000 * second + 1, 1, 2, 10) <= 2);
+    }
+    ask(9_000, 0, 0, 0);
+    assert_eq!(ask(11_001, 1, 2, 10), 10);
+}
