core: tell the history in pages, and say when it may lack versions

A page ends after 256 KiB and says whether more is on record; the command line asks on. An instance that does not lead can't know of the last versions, so the answer says whether it is complete, and the command line says it may not be.

Seen red: the command without asking on.

--- a/crates/core/src/args/config.rs
+++ b/crates/core/src/args/config.rs
@@ -119,14 +119,34 @@
 
 impl History {
     fn run(self) -> Result<()> {
-        let path = format!("/v1/config/history?after={}", self.after);
-        let history = self.control.get(&path)?;
+        let mut versions = Vec::new();
+        let mut after = self.after;
+        loop {
+            let mut page = self.page(after)?;
+            let found = page["versions"].as_array_mut();
+            versions.append(found.unwrap_or(&mut Vec::new()));
+            let last = versions.last().and_then(|last| last["version"].as_u64());
+            let next = last.map_or(after, Version);
+            if page["more"] != true || next <= after {
+                if page["complete"] == false {
+                    eprintln!("there may be later versions: the instance asked does not lead");
+                }
+                return self.print(&versions);
+            }
+            after = next;
+        }
+    }
+
+    fn page(&self, after: Version) -> Result<Value> {
+        self.control
+            .get(&format!("/v1/config/history?after={after}"))
+    }
+
+    fn print(&self, versions: &[Value]) -> Result<()> {
         if self.json {
-            return output::print_line(&format!("{history:#}"));
+            return output::print_line(&format!("{:#}", json!({ "versions": versions })));
         }
-        let versions = history["versions"].as_array();
-        let lines = versions.into_iter().flatten().map(line);
-        output::print(&lines.collect::<String>())
+        output::print(&versions.iter().map(line).collect::<String>())
     }
 }
 
--- a/crates/core/src/control/operators.rs
+++ b/crates/core/src/control/operators.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gentian::config::ledger::Answer;
+use gentian::config::ledger::{Answer, Ledger, Record};
 use gentian::config::patch::{Patch, MAX_PATCH_BYTES};
 use gentian::wire::id::Version;
 use gentian::wire::outcome::Outcome;
@@ -17,6 +17,10 @@
 use crate::serve::{self, Handler, Problem, Request, Response};
 
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Bytes of history after which a page ends.
+const PAGE_BYTES: usize = 256 * 1024;
+/// Bytes of a record beside its patch.
+const RECORD_BYTES: usize = 256;
 
 /// The operators' side of a control instance.
 #[derive(Debug)]
@@ -47,14 +51,21 @@
         }
     }
 
-    /// The accepted versions; `complete` tells whether there may be later ones.
+    /// Accepted versions, a page at a time: `more` tells that later ones are on
+    /// record here, `complete` that no instance has others.
     fn history(&self, query: &str) -> Result<Response, Problem> {
         let after = parse_after(query)?;
         let leads = self.service.read(|_| ()).is_some();
         let inner = self.service.shared().read();
         let ledger = inner.state.ledger();
-        let versions: Vec<_> = ledger.history(after).collect();
-        let history = json!({ "versions": versions, "complete": leads });
+        let versions = page(ledger, after);
+        let last = versions.last().map_or(after, |record| record.version);
+        let more = last < ledger.version();
+        let history = json!({
+            "versions": versions,
+            "more": more,
+            "complete": leads && !more,
+        });
         Ok(respond(200, &history))
     }
 
@@ -131,6 +142,17 @@
     }
 }
 
+/// The versions after the given one that fit a page, and at least one.
+fn page(ledger: &Ledger, after: Version) -> Vec<Record> {
+    let mut bytes = 0;
+    let fits = |record: &Record| {
+        let fits = bytes < PAGE_BYTES;
+        bytes += RECORD_BYTES + record.merge.to_string().len();
+        fits
+    };
+    ledger.history(after).take_while(fits).collect()
+}
+
 fn parse_after(query: &str) -> Result<Version, Problem> {
     let value = query
         .split('&')
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -130,3 +131,36 @@
     system.control.signal(libc::SIGCONT);
     poll(|| node(&system.entry_addresses[0]).0.then_some(()));
 }
+
+#[test]
+fn history_is_told_whole_over_several_pages() {
+    let (_control, http, _) = System::operated_control();
+    let url = config(&http);
+    let nodes: Vec<String> = (0..1_500)
+        .map(|n| format!("{}-{n}", "n".repeat(50)))
+        .collect();
+    for base in 0..9 {
+        let merge = json!({"upstreams": {"deny": {"nodes": nodes[base..]}}});
+        let (status, answer) = patch(&url, base as u128, base as u64, &merge);
+        assert_eq!(status, 200, "{answer}");
+    }
+    let first = get(&format!("{url}/history"));
+    assert_eq!(
+        (&first["more"], &first["complete"]),
+        (&json!(true), &json!(false))
+    );
+    let command = Command::new(env!("CARGO_BIN_EXE_gentiancove"))
+        .args([
+            "config",
+            "history",
+            "--json",
+            "--control",
+            &format!("http://{http}"),
+        ])
+        .output()
+        .expect("the command runs");
+    let told: Value = serde_json::from_slice(&command.stdout).expect("JSON");
+    let versions = told["versions"].as_array().expect("a list");
+    let numbers = versions.iter().map(|record| record["version"].as_u64());
+    assert!(numbers.eq((1..=9).map(Some)), "{} versions", versions.len());
+}
