core: end a stop at the drain timeout

Cause: entry.drain_timeout and agent.drain_timeout were read and not used, so that a task without end kept its process for ever.

Change: a role that has not drained in time is cut off with a line in the log. The default is 5m, the longest deadline, so it cuts nothing off.

Seen red first: with the limit a thousand times longer drain_timeout_cuts_off_what_goes_on fails (process goes on).

--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -60,6 +60,11 @@
         Ok(self.peer.local_addr()?)
     }
 
+    /// Longest time from the stop to the end of what is in progress.
+    pub(crate) fn drain_timeout(&self) -> Duration {
+        self.section.drain_timeout
+    }
+
     /// Serves until `stop` turns true, the entries have had time to hear that
     /// this agent leaves, and the tasks in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -8,6 +8,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use gentian::wire::{control, id};
 use tokio::sync::watch;
@@ -48,6 +49,11 @@
         Ok(self.http.address()?)
     }
 
+    /// Longest time from the stop to the end of what is in progress.
+    pub(crate) fn drain_timeout(&self) -> Duration {
+        self.section.drain_timeout
+    }
+
     /// Serves until `stop` turns true and the requests in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), &self.control);
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use gentian::wire::control as wire;
 
@@ -14,6 +14,9 @@
 use crate::settings::Settings;
 use crate::{agent, control, entry, logging};
 
+/// Longest time for control to end what is in progress.
+const CONTROL_STOP: Duration = Duration::from_secs(10);
+
 /// A role that can't be started.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
 pub(crate) enum Error {
@@ -129,11 +132,17 @@
     /// Runs until `stop` turns true. The entry stops first, then the agent that
     /// its requests need, then control that both need for their leases.
     pub(crate) async fn run(self, mut stop: watch::Receiver<bool>) {
-        let entry = self.entry.map(|role| Running::start(|stop| role.run(stop)));
-        let agent = self.agent.map(|role| Running::start(|stop| role.run(stop)));
+        let entry = self.entry.map(|role| {
+            let limit = role.drain_timeout();
+            Running::start("entry", limit, |stop| role.run(stop))
+        });
+        let agent = self.agent.map(|role| {
+            let limit = role.drain_timeout();
+            Running::start("agent", limit, |stop| role.run(stop))
+        });
         let control = self
             .control
-            .map(|role| Running::start(|stop| role.run(stop)));
+            .map(|role| Running::start("control", CONTROL_STOP, |stop| role.run(stop)));
         // A closed channel means that the process stops as well.
         let _ = stop.wait_for(|stop| *stop).await;
         for role in [entry, agent, control].into_iter().flatten() {
@@ -144,24 +153,43 @@
 
 /// A role that serves.
 struct Running {
+    name: &'static str,
+    /// Longest time from the stop to the end of what is in progress.
+    limit: Duration,
     stop: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
 impl Running {
-    fn start<F>(run: impl FnOnce(watch::Receiver<bool>) -> F) -> Running
+    fn start<F>(
+        name: &'static str,
+        limit: Duration,
+        run: impl FnOnce(watch::Receiver<bool>) -> F,
+    ) -> Running
     where
         F: Future<Output = ()> + Send + 'static,
     {
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(run(stopped));
-        Running { stop, task }
+        Running {
+            name,
+            limit,
+            stop,
+            task,
+        }
     }
 
-    async fn stop(self) {
+    async fn stop(mut self) {
         self.stop.send_replace(true);
         // A panic in the role has been printed already.
-        let _ = self.task.await;
+        if tokio::time::timeout(self.limit, &mut self.task)
+            .await
+            .is_err()
+        {
+            let limit = humantime::format_duration(self.limit);
+            log::warn!("{}: not drained within {limit}, cut off", self.name);
+            self.task.abort();
+        }
     }
 }
 
--- a/crates/core/src/settings/check.rs
+++ b/crates/core/src/settings/check.rs
@@ -82,7 +82,7 @@
         let header_timeout = self.time("entry.header_timeout", typed.header_timeout, 5_000);
         let body_timeout = self.time("entry.body_timeout", typed.body_timeout, 5_000);
         let default_deadline = self.time("entry.default_deadline", typed.default_deadline, 10_000);
-        let drain_timeout = self.time("entry.drain_timeout", typed.drain_timeout, 30_000);
+        let drain_timeout = self.time("entry.drain_timeout", typed.drain_timeout, 300_000);
         Some(Entry {
             http: http?,
             max_body: max_body?,
@@ -105,7 +105,7 @@
             64,
             CONNECTIONS,
         );
-        let drain_timeout = self.time("agent.drain_timeout", typed.drain_timeout, 30_000);
+        let drain_timeout = self.time("agent.drain_timeout", typed.drain_timeout, 300_000);
         Some(Agent {
             http: http?,
             peer: peer?,
--- a/crates/core/tests/local.rs
+++ b/crates/core/tests/local.rs
@@ -83,3 +83,38 @@
     assert_eq!("", text(&output.stdout));
     assert!(text(&output.stderr).contains("5 mistakes"));
 }
+
+#[test]
+fn drain_timeout_cuts_off_what_goes_on() {
+    let folder = tempfile::tempdir().expect("folder");
+    let path = folder.path().join("settings.json");
+    let settings = serde_json::json!({
+        "name": "all", "data_center": "beauce", "rack": "r1", "region": "quebec",
+        "entry": {"http": "127.0.0.1:0", "drain_timeout": "300ms"},
+        "agent": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0", "drain_timeout": "300ms"},
+        "controller": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0", "data": "unused.data"},
+        "log": {"file": folder.path().join("log")},
+    });
+    std::fs::write(&path, settings.to_string()).expect("settings");
+    let mut process = Process::start(&["run", "--settings", path.to_str().expect("path")]);
+    let agent = format!("http://{}", process.listening("agent-http"));
+    let entry = format!("http://{}/v1/requests", process.listening("entry-http"));
+    let upstream = Process::start(&["example-upstream", "--agent", &agent]);
+    let executions = format!("http://{}/executions", upstream.listening("upstream"));
+    let headers = [("x-service", "demo"), ("x-team", "barn")];
+    support::system::poll(|| {
+        let (status, _) = call("POST", &entry, &headers, "{}");
+        status.is_success().then_some(())
+    });
+    let long = [headers[0], headers[1], ("x-deadline", "1m")];
+    let address = entry.clone();
+    std::thread::spawn(move || call("POST", &address, &long, r#"{"run_ms":60000}"#));
+    support::system::poll(|| {
+        let (_, counts) = call("GET", &executions, &[], "");
+        counts.contains("\"running\":1").then_some(())
+    });
+    process.terminate();
+    assert!(process.wait().success());
+    let log = std::fs::read_to_string(folder.path().join("log")).expect("log");
+    assert!(log.contains("entry: not drained within 300ms"), "{log}");
+}
