core: verify the configuration's record, and name two nodes of one process

Cause: the monitor needs to check the chain of digests by itself. And a process that is entry and agent renewed both under one name: the one that started a millisecond later made the other stale.

The nodes of such a process are NAME-entry and NAME-agent.

--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -69,7 +69,7 @@
     /// this agent leaves, and the tasks in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let incarnation = self.node.incarnation;
-        let node = format!("agent {}", self.node.name);
+        let node = format!("node {}", self.node.name);
         let table = Arc::new(announce::Table::new(&self.section));
         let (drained, drain) = watch::channel(false);
         let renewal = renew::Loop::new(self.node, table.clone(), &self.control);
--- a/crates/core/src/args/config.rs
+++ b/crates/core/src/args/config.rs
@@ -1,12 +1,16 @@
 //! `config`: the numbered configuration, read and changed.
 
 use std::fs;
+use std::str::FromStr;
 use std::time::{Duration, UNIX_EPOCH};
 
 use clap::Subcommand;
+use gentian_config::ledger::{self, Digest, Ledger, Proposal, Record, Verdict};
+use gentian_config::patch as config;
 use gentian_wire::id::Version;
 use http::Method;
 use oxhttp::model::StatusCode;
+use serde::Deserialize;
 use serde_json::{json, Value};
 use uuid::Uuid;
 
@@ -24,6 +28,8 @@
     Patch(Patch),
     /// Lists the accepted versions with author, time, patch and digest
     History(History),
+    /// Replays all versions and compares the digests: for the monitor
+    Verify(Verify),
 }
 
 #[derive(clap::Args, Debug)]
@@ -64,6 +70,42 @@
     json: bool,
 }
 
+#[derive(clap::Args, Debug)]
+#[command(after_help = "\
+Example:
+  gentiancove config verify --control http://127.0.0.1:7001 \\
+      --known 41:9f2c54a1b0d3e8f7a6c5b4d3e2f1a0998877665544332211ffeeddccbbaa0099
+
+Each version's digest covers its patch, author and time, the document it leads to, and all
+versions before it. With --known, a version and digest noted earlier, a history that was
+rewritten since is found. The exit code is 5 where a digest differs.")]
+pub(super) struct Verify {
+    #[command(flatten)]
+    control: Control,
+    /// A version and its digest, noted earlier
+    #[arg(long, value_name = "VERSION:DIGEST")]
+    known: Option<Known>,
+}
+
+/// A version and its digest.
+#[derive(Clone, Copy, Debug)]
+struct Known {
+    version: Version,
+    digest: Digest,
+}
+
+impl FromStr for Known {
+    type Err = String;
+
+    fn from_str(text: &str) -> std::result::Result<Known, String> {
+        let (version, digest) = text.split_once(':').ok_or("must be VERSION:DIGEST")?;
+        Ok(Known {
+            version: version.parse().map_err(|error| format!("{error}"))?,
+            digest: digest.parse().map_err(|error| format!("{error}"))?,
+        })
+    }
+}
+
 impl Command {
     pub(super) fn run(self) -> Result<()> {
         match self {
@@ -73,6 +115,7 @@
             }
             Command::Patch(patch) => patch.run(),
             Command::History(history) => history.run(),
+            Command::Verify(verify) => verify.run(),
         }
     }
 }
@@ -130,6 +173,65 @@
     }
 }
 
+/// The versions on record.
+#[derive(Deserialize)]
+struct Records {
+    versions: Vec<Record>,
+}
+
+impl Verify {
+    fn run(self) -> Result<()> {
+        let records: Records = self.control.read("/v1/config/history?after=0")?;
+        let mut ledger = Ledger::default();
+        for record in &records.versions {
+            replay(&mut ledger, record)?;
+            self.compare(record)?;
+        }
+        if let Some(known) = self.known.filter(|known| known.version > ledger.version()) {
+            let version = known.version;
+            return Err(Error::Check(format!("version {version} is not on record")));
+        }
+        let (version, digest) = (ledger.version(), ledger.digest());
+        output::print_line(&format!("{version}:{digest}"))
+    }
+
+    fn compare(&self, record: &Record) -> Result<()> {
+        match self.known {
+            Some(known) if known.version == record.version && known.digest != record.digest => {
+                Err(Error::Check(format!(
+                    "version {} has the digest {}, and had {}",
+                    record.version, record.digest, known.digest
+                )))
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+fn replay(ledger: &mut Ledger, record: &Record) -> Result<()> {
+    let patch = config::Patch {
+        id: record.id,
+        base: ledger.version(),
+        author: record.author.clone(),
+        merge: record.merge.clone(),
+    };
+    let answer = ledger.apply(Proposal {
+        patch,
+        verdict: Verdict::Valid,
+        wall_ms: record.wall_ms,
+    });
+    let expected = ledger::Answer::Accepted {
+        version: record.version,
+        digest: record.digest,
+    };
+    if answer == expected {
+        return Ok(());
+    }
+    let version = record.version;
+    let detail = format!("version {version} does not follow from the versions before it");
+    Err(Error::Check(detail))
+}
+
 fn line(record: &Value) -> String {
     let text = |field: &str| record[field].as_str().unwrap_or("?").to_owned();
     let wall = Duration::from_millis(record["wall_ms"].as_u64().unwrap_or(0));
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -56,10 +56,10 @@
 
     /// Serves until `stop` turns true and the requests in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
+        let node = format!("node {}", self.node.name);
         let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), &self.control);
         let (dispatcher, thread) = dispatch::start();
         tokio::spawn(follow(renewal.held(), dispatcher.clone()));
-        let node = format!("entry {}", self.name);
         tokio::spawn(renew::log_changes(node, renewal.held()));
         let meter = Arc::new(meter::Meter::new(self.name, renewal.held()));
         let clients = call::Clients::default();
--- a/crates/core/src/renew/lines.rs
+++ b/crates/core/src/renew/lines.rs
@@ -15,7 +15,7 @@
     view: u64,
 }
 
-/// Logs until the renewal loop ends. `node` names the node and its role.
+/// Logs until the renewal loop ends. `node` names the node.
 pub(crate) async fn log_changes(node: String, mut held: watch::Receiver<Arc<Held>>) {
     let mut known = Known::default();
     loop {
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -218,11 +218,22 @@
 }
 
 /// The node that this process is in the given role, without its address.
+///
+/// A process that is both entry and agent is two nodes: under one name, the one
+/// that started a millisecond later would make the other stale.
 pub(crate) fn node(settings: &Settings, role: wire::Role) -> wire::Node {
+    let mut name = settings.name.to_string();
+    if settings.entry.is_some() && settings.agent.is_some() {
+        let suffix = match role {
+            wire::Role::Agent => "-agent",
+            wire::Role::Entry | wire::Role::Unspecified => "-entry",
+        };
+        name.push_str(suffix);
+    }
     let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let millis = started.unwrap_or_default().as_millis();
     wire::Node {
-        name: settings.name.to_string(),
+        name,
         incarnation: u64::try_from(millis).unwrap_or(u64::MAX),
         role: role.into(),
         address: String::new(),
--- a/crates/core/src/settings/check.rs
+++ b/crates/core/src/settings/check.rs
@@ -16,6 +16,8 @@
 const NAME: &str = "a name of 1 to 64 of the characters a-z, A-Z, 0-9, '-', '_' and '.'";
 const PATH: &str = "a path such as \"/var/lib/gentiancove\"";
 const LEVELS: &str = "one of off, error, warn, info, debug, trace";
+/// Leaves room for the role, which sets apart the nodes of one process.
+const LONGEST_SHARED_NAME: usize = 56;
 const MAX_CONTROL_INSTANCES: usize = 7;
 
 const BODY_BYTES: RangeInclusive<u64> = 1 << 10..=64 << 20;
@@ -150,6 +152,12 @@
             let allowed = "the peer addresses of 1 to 7 control instances";
             self.note("control", None, allowed);
         }
+        let two_nodes = settings.entry.is_some() && settings.agent.is_some();
+        if two_nodes && settings.name.as_str().len() > LONGEST_SHARED_NAME {
+            let allowed = format!("at most {LONGEST_SHARED_NAME} bytes for an entry and an agent");
+            let value = Value::from(settings.name.as_str());
+            self.note("name", Some(value), &allowed);
+        }
         if let Some(agent) = &settings.agent {
             if agent.max_connections < agent.max_slots {
                 let allowed = format!("at least agent.max_slots, {}", agent.max_slots);
--- a/crates/core/tests/local.rs
+++ b/crates/core/tests/local.rs
@@ -58,6 +58,21 @@
     }
 }
 
+#[test]
+fn roles_of_one_process_are_nodes_of_their_own() {
+    let data = tempfile::tempdir().expect("folder");
+    let process = Process::start(&local(data.path().to_str().expect("path"), &[]));
+    let control = process.listening("control-http");
+    let members = support::system::poll(|| {
+        let (_, body) = call("GET", &format!("http://{control}/v1/status"), &[], "");
+        let status: serde_json::Value = serde_json::from_str(&body).expect("JSON");
+        let members = status["members"].as_array().cloned()?;
+        (!members.is_empty()).then_some(members)
+    });
+    // The entry renews under a name of its own, so it can't make the agent stale.
+    assert_eq!("local-agent", members[0]["node"]);
+}
+
 #[test]
 fn taken_address_is_named() {
     let taken = TcpListener::bind("127.0.0.1:0").expect("port");
--- a/crates/core/tests/operator.rs
+++ b/crates/core/tests/operator.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use serde_json::{json, Value};
-use support::{output, text, Fake};
+use support::system::System;
+use support::{output, text, Fake, Process};
 use test_case::test_case;
 
 fn control(fake: &Fake) -> String {
@@ -155,3 +156,70 @@
     let sent = format!(r#"POST /v1/members {{"change":{change},"command":"{command}"}}"#);
     assert_eq!(sent, fake.next("POST"));
 }
+
+/// A control instance with two versions; returns its base URL too.
+fn two_versions() -> (Process, String) {
+    let (process, http, _) = System::operated_control();
+    let control = format!("http://{http}");
+    for (base, queue) in [("0", "100"), ("1", "200")] {
+        let merge = format!(r#"{{"limits":{{"queue":{queue}}}}}"#);
+        let args = [
+            "config",
+            "patch",
+            "--control",
+            &control,
+            "--base",
+            base,
+            "--author",
+            "ada",
+        ];
+        let output = output(&[&args[..], &[merge.as_str()]].concat());
+        assert!(output.status.success(), "{}", text(&output.stderr));
+    }
+    (process, control)
+}
+
+/// Exit code and standard output of `config verify`.
+fn verify(control: &str, known: &[&str]) -> (Option<i32>, String) {
+    let args = [&["config", "verify", "--control", control], known].concat();
+    let output = output(&args);
+    (output.status.code(), text(&output.stdout))
+}
+
+#[test]
+fn verify_accepts_the_record_of_a_control_instance() {
+    let (_process, control) = two_versions();
+    let (code, stdout) = verify(&control, &[]);
+    assert_eq!(Some(0), code);
+    let known = stdout.trim();
+    assert!(known.starts_with("2:"), "{known}");
+    assert_eq!(Some(0), verify(&control, &["--known", known]).0);
+    let other = known.replace("2:", "1:");
+    assert_eq!(Some(5), verify(&control, &["--known", &other]).0);
+    let later = known.replace("2:", "3:");
+    assert_eq!(Some(5), verify(&control, &["--known", &later]).0);
+    assert_eq!(Some(2), verify(&control, &["--known", "2"]).0);
+}
+
+#[test_case("author", json!("eve"); "author")]
+#[test_case("merge", json!({"limits": {"queue": 300}}); "patch")]
+#[test_case("wall_ms", json!(1); "time")]
+#[test_case("version", json!(3); "number")]
+fn verify_finds_a_changed_record(field: &str, value: Value) {
+    let (_process, control) = two_versions();
+    let output = output(&["config", "history", "--json", "--control", &control]);
+    let mut history: Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    let honest = answering(200, &history);
+    assert_eq!(Some(0), verify(&self::control(&honest), &[]).0);
+    history["versions"][0][field] = value;
+    let changed = answering(200, &history);
+    assert_eq!(Some(5), verify(&self::control(&changed), &[]).0);
+}
+
+#[test]
+fn patch_on_an_old_version_exits_with_3_and_names_the_winner() {
+    let (_process, control) = two_versions();
+    let (code, _, stderr) = patch(&control, ID);
+    assert_eq!(Some(3), code, "{stderr}");
+    assert!(stderr.contains("in_force"), "{stderr}");
+}
--- a/crates/core/tests/settings.rs
+++ b/crates/core/tests/settings.rs
@@ -56,6 +56,7 @@
 
 refused! {
     name_with_a_space: "name" = "entry 1", "name is \"entry 1\"; allowed is a name of 1 to 64";
+    name_too_long_for_two_nodes: "name" = "n".repeat(57), "at most 56 bytes for an entry and an";
     name_missing: "name" = Value::Null, "name is missing; allowed is a name";
     name_a_number: "name" = 7, "name is 7; allowed";
     control_not_an_address: "control" = ["localhost:7000"], "control is [\"localhost:7000\"]";
