--- a/crates/core/src/agent/http.rs
+++ b/crates/core/src/agent/http.rs
@@ -54,8 +54,6 @@
         match (request.method(), path.as_str()) {
             (&Method::POST, "/v1/announce") => self.announce(request).await.map(done),
             (&Method::POST, "/v1/leave") => self.leave(request).await.map(done),
-            (&Method::GET, "/live") => Ok(serve::text("live\n")),
-            (&Method::GET, "/ready") => self.ready(),
             (&Method::GET, "/metrics") => Ok(self.page()),
             (_, "/v1/announce" | "/v1/leave") => {
                 Err(Problem::new(405, "method not allowed", "use POST"))
@@ -64,22 +62,11 @@
         }
     }
 
-    fn ready(&self) -> Result<Response> {
-        match self.in_force() {
-            true => Ok(serve::text("ready\n")),
-            false => Err(Problem::busy("the agent holds no lease from control")),
-        }
-    }
-
     fn page(&self) -> Response {
         let held = self.held.borrow().clone();
         self.metrics.page(&held, held.in_force(Instant::now()))
     }
 
-    fn in_force(&self) -> bool {
-        self.held.borrow().in_force(Instant::now())
-    }
-
     async fn announce(&self, request: Request) -> Result<()> {
         let announcement: Announcement = parse(request).await?;
         if announcement.slots == 0 {
--- a/crates/core/src/entry/meter.rs
+++ b/crates/core/src/entry/meter.rs
@@ -3,16 +3,16 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use gentian::config::document::Objectives;
 use gentian::wire::id;
 use gentian::wire::outcome::Outcome;
+use gentian_config::document::Objectives;
 use tokio::sync::watch;
 
 use crate::metrics::{self, Guard};
 use crate::renew::Held;
 use crate::report::burn::{Book, Verdict};
 use crate::report::Snapshot;
-use crate::serve::{json, text, Problem, Response};
+use crate::serve::{json, Response};
 
 /// Counts answers, for the metrics and for the service-level burn.
 #[derive(Debug)]
@@ -73,21 +73,12 @@
     /// Answers `GET` on the entry's own pages; none for other paths.
     pub(crate) fn page(&self, path: &str) -> Option<Response> {
         match path {
-            "/live" => Some(text("live\n")),
-            "/ready" => Some(self.ready()),
             "/metrics" => Some(self.metrics_page()),
             "/v1/slo" => Some(json(&self.snapshot())),
             _ => None,
         }
     }
 
-    fn ready(&self) -> Response {
-        if self.in_force() {
-            return text("ready\n");
-        }
-        Problem::busy("the entry holds no lease from control").respond()
-    }
-
     fn metrics_page(&self) -> Response {
         let held = self.held.borrow().clone();
         self.metrics.page(&held, held.in_force(Instant::now()))
@@ -101,13 +92,9 @@
         })
     }
 
-    fn in_force(&self) -> bool {
-        self.held.borrow().in_force(Instant::now())
-    }
-
     fn objectives(&self, service: &id::Service) -> Objectives {
-        let document = self.held.borrow().document.clone();
-        let service = document.services.get(service);
+        let held = self.held.borrow();
+        let service = held.document.services.get(service);
         service.map_or_else(Objectives::default, |service| service.objectives.clone())
     }
 }
--- a/crates/core/src/renew/status.rs
+++ b/crates/core/src/renew/status.rs
@@ -1,4 +1,5 @@
-//! `GET /v1/status` of a node: what it holds, and whether that is in force.
+//! What a node tells of its lease: `/v1/status`, and `/live` and `/ready` for
+//! the balancer.
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -8,9 +9,9 @@
 use tokio::sync::watch;
 
 use super::Held;
-use crate::serve::{self, Handler, Request, Response};
+use crate::serve::{self, Handler, Problem, Request, Response};
 
-/// Answers for the status, and passes all else on.
+/// Answers for the lease, and passes all else on.
 #[derive(Debug)]
 pub(crate) struct Status<H> {
     role: &'static str,
@@ -37,12 +38,21 @@
         });
         serve::json(&status)
     }
+
+    fn ready(&self) -> Response {
+        match self.held.borrow().in_force(Instant::now()) {
+            true => serve::text("ready\n"),
+            false => Problem::busy("the node holds no lease from control").respond(),
+        }
+    }
 }
 
 impl<H: Handler> Handler for Status<H> {
     async fn handle(&self, request: Request) -> Response {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/v1/status") => self.status(),
+            (&Method::GET, "/live") => serve::text("live\n"),
+            (&Method::GET, "/ready") => self.ready(),
             _ => self.inner.handle(request).await,
         }
     }
