--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -60,11 +60,16 @@
         Ok(self.peer.local_addr()?)
     }
 
+    /// Longest time from the stop to the end of what is in progress.
+    pub(crate) fn drain_timeout(&self) -> Duration {
+        self.section.drain_timeout
+    }
+
     /// Serves until `stop` turns true, the entries have had time to hear that
     /// this agent leaves, and the tasks in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let incarnation = self.node.incarnation;
-        let node = format!("agent {}", self.node.name);
+        let node = format!("node {}", self.node.name);
         let table = Arc::new(announce::Table::new(&self.section));
         let (drained, drain) = watch::channel(false);
         let renewal = renew::Loop::new(self.node, table.clone(), &self.control);
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -11,7 +11,7 @@
 use gentian::config::patch::Patch;
 use gentian::member::lease::Announcement;
 use gentian::member::member::{self, Member};
-use gentian::member::share::Borrower;
+use gentian::member::share::{Ask, Borrower};
 use gentian::member::state::{Command, Reply};
 use gentian::member::view::Event;
 use gentian::wire::control::control_server::Control;
@@ -21,9 +21,9 @@
 
 use super::state::{Book, Error, Inner, Leader, Log, Shared, LEASE, LOAN};
 
-/// Longest time for which a view stays of use beyond the retention window:
-/// a lease, and the skew between the clocks of callers and entries.
-const VIEW_SLACK: Duration = Duration::from_secs(15);
+/// How long a view stays of use after the next one: the keys' retention, the
+/// time for which a node may still act on it, and twice the skew of clocks.
+const VIEW_KEPT: Duration = Duration::from_secs(600 + 9 + 2 * 5);
 
 /// One control instance.
 #[derive(Debug)]
@@ -106,20 +106,11 @@
         let mut book = self.book();
         let mut events = book.turn(term, now).table.tick(now, inner.state.window());
         drop((inner, book));
-        events.extend(self.outdated().map(Event::Forget));
+        let outdated = self.shared.outdated(VIEW_KEPT);
+        events.extend(outdated.map(Event::Forget));
         events
     }
 
-    fn outdated(&self) -> Option<View> {
-        let limits = self
-            .shared
-            .read()
-            .document
-            .as_ref()
-            .map(|d| d.limits.clone());
-        self.shared.outdated(limits?.retention() + VIEW_SLACK)
-    }
-
     /// A change that gets lost is proposed again by a later tick.
     async fn change(&self, event: Event) {
         log::info!("view: {event:?}");
@@ -195,10 +186,14 @@
         let now = self.shared.now();
         let mut book = self.book();
         let bank = &mut book.turn(term, now).bank;
+        let ask = Ask {
+            held: share.held,
+            wanted: share.wanted,
+        };
         Ok(Share {
             team: share.team.clone(),
             held: share.held,
-            wanted: bank.lend(now, borrower, &team, share.wanted, quota),
+            wanted: bank.lend(now, borrower, &team, ask, quota),
         })
     }
 }
--- a/crates/core/src/settings/check.rs
+++ b/crates/core/src/settings/check.rs
@@ -16,6 +16,8 @@
 const NAME: &str = "a name of 1 to 64 of the characters a-z, A-Z, 0-9, '-', '_' and '.'";
 const PATH: &str = "a path such as \"/var/lib/gentiancove\"";
 const LEVELS: &str = "one of off, error, warn, info, debug, trace";
+/// Leaves room for the role, which sets apart the nodes of one process.
+const LONGEST_SHARED_NAME: usize = 56;
 const MAX_CONTROL_INSTANCES: usize = 7;
 
 const BODY_BYTES: RangeInclusive<u64> = 1 << 10..=64 << 20;
@@ -82,7 +84,7 @@
         let header_timeout = self.time("entry.header_timeout", typed.header_timeout, 5_000);
         let body_timeout = self.time("entry.body_timeout", typed.body_timeout, 5_000);
         let default_deadline = self.time("entry.default_deadline", typed.default_deadline, 10_000);
-        let drain_timeout = self.time("entry.drain_timeout", typed.drain_timeout, 30_000);
+        let drain_timeout = self.time("entry.drain_timeout", typed.drain_timeout, 300_000);
         Some(Entry {
             http: http?,
             max_body: max_body?,
@@ -105,7 +107,7 @@
             64,
             CONNECTIONS,
         );
-        let drain_timeout = self.time("agent.drain_timeout", typed.drain_timeout, 30_000);
+        let drain_timeout = self.time("agent.drain_timeout", typed.drain_timeout, 300_000);
         Some(Agent {
             http: http?,
             peer: peer?,
@@ -150,6 +152,12 @@
             let allowed = "the peer addresses of 1 to 7 control instances";
             self.note("control", None, allowed);
         }
+        let two_nodes = settings.entry.is_some() && settings.agent.is_some();
+        if two_nodes && settings.name.as_str().len() > LONGEST_SHARED_NAME {
+            let allowed = format!("at most {LONGEST_SHARED_NAME} bytes for an entry and an agent");
+            let value = Value::from(settings.name.as_str());
+            self.note("name", Some(value), &allowed);
+        }
         if let Some(agent) = &settings.agent {
             if agent.max_connections < agent.max_slots {
                 let allowed = format!("at least agent.max_slots, {}", agent.max_slots);
