Dispatch on the queue, the view and the ejection

The dispatcher chose by a scan over all agents and waited first come first served. It now keeps for each service the view of its upstreams, the fair queue, learned run times, ejection and the retry budget, and takes over weights, the queue's room and which upstreams are allowed from the configuration in force. The interface stays; a demand names its job, so that a job takes turns with single requests.

A caller that stops waiting now cancels its demand by number, and a place whose verdict nobody took is freed: before, a future dropped between verdict and wake-up kept the place for good.

--- a/crates/core/src/entry/dispatch/mod.rs
+++ b/crates/core/src/entry/dispatch/mod.rs
@@ -3,8 +3,12 @@
 //! One thread owns all state of the decision and takes events from a channel;
 //! traffic threads wait for its verdicts.
 
+mod counts;
+mod members;
+mod service;
 mod state;
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -17,14 +21,15 @@
 
 use crate::renew::Held;
 
-const TICK: Duration = Duration::from_millis(20);
+pub(crate) use self::counts::Counts;
 
 /// A request for a place on an upstream.
 #[derive(Clone, Debug)]
 pub(crate) struct Demand {
     pub(crate) service: id::Service,
-    #[expect(dead_code, reason = "fair queueing and learned run times read it")]
     pub(crate) team: id::Team,
+    /// The job that it is a task of; none for a single request.
+    pub(crate) job: Option<id::Job>,
     /// When its answer is of no more use.
     pub(crate) deadline: Instant,
     /// Names the agents that may take it; all of the service where empty.
@@ -47,6 +52,7 @@
 /// A place on an upstream, kept until it is reported on.
 #[derive(Clone, Debug)]
 pub(crate) struct Place {
+    number: u64,
     pub(crate) agent: id::Node,
     pub(crate) incarnation: id::Incarnation,
     pub(crate) address: String,
@@ -68,25 +74,25 @@
     NoLease,
     NoUpstream,
     DeadlinePassed,
+    NoTimeLeft,
     QueueFull,
+    RetryBudgetSpent,
 }
 
 /// What came of a place.
 #[derive(Clone, Debug)]
 pub(crate) struct Report {
     pub(crate) place: Place,
-    #[expect(dead_code, reason = "fair queueing and learned run times read it")]
     pub(crate) service: id::Service,
-    #[expect(dead_code, reason = "fair queueing and learned run times read it")]
     pub(crate) outcome: Outcome,
     pub(crate) load: Option<Load>,
     /// Time in the upstream, where it ran.
-    #[expect(dead_code, reason = "fair queueing and learned run times read it")]
     pub(crate) run: Option<Duration>,
 }
 
 enum Event {
-    Demand(Demand, oneshot::Sender<Verdict>),
+    Demand(u64, Demand, oneshot::Sender<Verdict>),
+    Cancel(u64),
     Report(Report),
     Hold(Arc<Held>),
 }
@@ -95,14 +101,23 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Handle {
     events: channel::Sender<Event>,
+    numbers: Arc<AtomicU64>,
+    counts: Arc<Counts>,
 }
 
 impl Handle {
     /// Waits for a place. To stop waiting, drop the future.
     pub(crate) async fn place(&self, demand: Demand) -> Verdict {
         let (sender, verdict) = oneshot::channel();
-        self.send(Event::Demand(demand, sender));
-        verdict.await.expect("each demand gets a verdict")
+        let mut waiter = Waiter {
+            handle: self,
+            number: self.numbers.fetch_add(1, Ordering::Relaxed),
+            told: false,
+        };
+        self.send(Event::Demand(waiter.number, demand, sender));
+        let verdict = verdict.await.expect("each demand gets a verdict");
+        waiter.told = true;
+        verdict
     }
 
     /// Frees a place.
@@ -115,41 +130,72 @@
         self.send(Event::Hold(held));
     }
 
+    /// What has been decided so far, by kind.
+    #[expect(dead_code, reason = "the metrics page reads it")]
+    pub(crate) fn counts(&self) -> &Counts {
+        &self.counts
+    }
+
     fn send(&self, event: Event) {
         let sent = self.events.send(event);
         sent.expect("the thread outlives its handles");
     }
 }
 
-/// Starts the thread.
-pub(crate) fn start() -> (Handle, JoinHandle<()>) {
+/// Cancels a demand whose verdict nobody has taken.
+struct Waiter<'h> {
+    handle: &'h Handle,
+    number: u64,
+    told: bool,
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        if !self.told {
+            // The thread may be gone when the process stops.
+            let _ = self.handle.events.send(Event::Cancel(self.number));
+        }
+    }
+}
+
+/// Starts the thread of the entry with this name and data centre.
+pub(crate) fn start(node: &id::Node, data_center: &id::DataCenter) -> (Handle, JoinHandle<()>) {
     let (events, inbox) = channel::unbounded();
+    let counts = Arc::new(Counts::default());
+    let state = state::State::new(node, data_center, counts.clone());
     let thread = thread::Builder::new()
         .name("dispatch".to_owned())
-        .spawn(move || run(&inbox))
+        .spawn(move || run(&inbox, state))
         .expect("a thread can be started");
-    (Handle { events }, thread)
+    let handle = Handle {
+        events,
+        numbers: Arc::default(),
+        counts,
+    };
+    (handle, thread)
 }
 
-fn run(inbox: &channel::Receiver<Event>) {
-    let mut state = state::State::default();
+fn run(inbox: &channel::Receiver<Event>, mut state: state::State) {
     loop {
-        match inbox.recv_timeout(TICK) {
+        match inbox.recv_timeout(state.pause(Instant::now())) {
             Ok(event) => handle(&mut state, event),
             Err(RecvTimeoutError::Timeout) => {}
-            Err(RecvTimeoutError::Disconnected) => return,
+            Err(RecvTimeoutError::Disconnected) => break,
         }
         for event in inbox.try_iter() {
             handle(&mut state, event);
         }
         state.place(Instant::now());
     }
+    state.counts().log();
 }
 
 fn handle(state: &mut state::State, event: Event) {
+    let now = Instant::now();
     match event {
-        Event::Demand(demand, sender) => state.demand(demand, sender),
-        Event::Report(report) => state.report(&report),
-        Event::Hold(held) => state.hold(held),
+        Event::Demand(number, demand, sender) => state.demand(number, demand, sender, now),
+        Event::Cancel(number) => state.cancel(number, now),
+        Event::Report(report) => state.report(&report, now),
+        Event::Hold(held) => state.hold(held, now),
     }
 }
--- a/crates/core/src/entry/dispatch/state.rs
+++ b/crates/core/src/entry/dispatch/state.rs
@@ -1,176 +1,165 @@
-//! What the dispatch thread knows, and its decisions.
+//! What the dispatch thread knows: the lease, and each service.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gentian::wire::control::Member;
 use gentian::wire::id;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use tokio::sync::oneshot;
 
-use super::{Demand, Place, Reason, Refusal, Report, Verdict};
+use super::members;
+use super::service::{Service, Waiting};
+use super::{Counts, Demand, Reason, Refusal, Report, Verdict};
 use crate::renew::Held;
 
-const MAX_WAITING: usize = 4096;
+/// Longest time without a look at what waits and what is ejected.
+const IDLE_PAUSE: Duration = Duration::from_millis(100);
+
+/// The same while something waits: loads that were told grow old.
+const OCCUPIED_PAUSE: Duration = Duration::from_millis(5);
+
+const SHORTEST_PAUSE: Duration = Duration::from_millis(1);
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct State {
+    node: id::Node,
+    data_center: id::DataCenter,
+    origin: Instant,
     held: Arc<Held>,
-    agents: BTreeMap<id::Node, Agent>,
-    waiting: VecDeque<(Demand, oneshot::Sender<Verdict>)>,
-}
-
-#[derive(Debug)]
-struct Agent {
-    member: Member,
-    /// Places that this entry has given and not heard of again.
-    given: u32,
-    /// Slots that others took when the agent last answered.
-    others: u32,
+    services: BTreeMap<id::Service, Service>,
+    counts: Arc<Counts>,
 }
 
 impl State {
-    pub(super) fn demand(&mut self, demand: Demand, sender: oneshot::Sender<Verdict>) {
-        if self.waiting.len() >= MAX_WAITING {
-            refuse(sender, Reason::QueueFull);
-            return;
+    pub(super) fn new(node: &id::Node, data_center: &id::DataCenter, counts: Arc<Counts>) -> State {
+        State {
+            node: node.clone(),
+            data_center: data_center.clone(),
+            origin: Instant::now(),
+            held: Arc::default(),
+            services: BTreeMap::new(),
+            counts,
         }
-        self.waiting.push_back((demand, sender));
     }
 
-    pub(super) fn report(&mut self, report: &Report) {
-        let Some(agent) = self.agents.get_mut(&report.place.agent) else {
-            return;
-        };
-        if agent.incarnation() != report.place.incarnation {
-            return;
+    pub(super) fn demand(
+        &mut self,
+        number: u64,
+        demand: Demand,
+        sender: oneshot::Sender<Verdict>,
+        now: Instant,
+    ) {
+        if !self.held.in_force(now) {
+            return refuse(sender, Reason::NoLease);
         }
-        agent.given = agent.given.saturating_sub(1);
-        if let Some(load) = &report.load {
-            agent.others = load.busy.saturating_sub(agent.given);
+        let view = id::View(self.held.view);
+        let deadline = self.since(demand.deadline);
+        let now = self.since(now);
+        let Some(service) = self.services.get_mut(&demand.service) else {
+            return refuse(sender, Reason::NoUpstream);
+        };
+        let first = !service.is_occupied();
+        let waiting = Waiting {
+            number,
+            demand,
+            deadline,
+            sender,
+        };
+        service.demand(waiting, now);
+        if first {
+            service.place(view, now);
         }
     }
 
-    pub(super) fn hold(&mut self, held: Arc<Held>) {
-        let changed = held.view != self.held.view;
-        self.held = held;
-        if !changed {
-            return;
-        }
-        let mut agents = BTreeMap::new();
-        for member in &self.held.members {
-            let Some(name) = name(member) else { continue };
-            let fresh = Agent {
-                member: member.clone(),
-                given: 0,
-                others: 0,
-            };
-            let agent = match self.agents.remove(&name) {
-                Some(known) if known.incarnation() == fresh.incarnation() => Agent {
-                    member: fresh.member,
-                    ..known
-                },
-                _ => fresh,
-            };
-            agents.insert(name, agent);
+    pub(super) fn cancel(&mut self, number: u64, now: Instant) {
+        let now = self.since(now);
+        for service in self.services.values_mut() {
+            service.cancel(number, now);
         }
-        self.agents = agents;
     }
 
-    /// Gives places to those that wait, and gives up those it must.
-    pub(super) fn place(&mut self, now: Instant) {
-        for _ in 0..self.waiting.len() {
-            let Some((demand, sender)) = self.waiting.pop_front() else {
-                return;
-            };
-            if sender.is_closed() {
-                continue;
-            }
-            match self.decide(&demand, now) {
-                Some(verdict) => self.tell(sender, verdict),
-                None => self.waiting.push_back((demand, sender)),
-            }
+    pub(super) fn report(&mut self, report: &Report, now: Instant) {
+        let now = self.since(now);
+        if let Some(service) = self.services.get_mut(&report.service) {
+            service.report(report, now);
         }
     }
 
-    fn tell(&mut self, sender: oneshot::Sender<Verdict>, verdict: Verdict) {
-        if let Err(Verdict::Start(place)) = sender.send(verdict) {
-            if let Some(agent) = self.agents.get_mut(&place.agent) {
-                agent.given = agent.given.saturating_sub(1);
-            }
+    /// Takes over the view and the configuration that are in force.
+    pub(super) fn hold(&mut self, held: Arc<Held>, now: Instant) {
+        let same = held.view == self.held.view && held.version == self.held.version;
+        self.held = held;
+        if same {
+            return;
         }
+        self.adopt(self.since(now));
     }
 
-    fn decide(&mut self, demand: &Demand, now: Instant) -> Option<Verdict> {
-        if now >= demand.deadline {
-            return Some(Verdict::Refuse(refusal(Reason::DeadlinePassed)));
-        }
-        if !self.held.in_force(now) {
-            return Some(Verdict::Refuse(refusal(Reason::NoLease)));
-        }
+    /// Gives places to those that wait, and gives up those it must.
+    pub(super) fn place(&mut self, now: Instant) {
+        let in_force = self.held.in_force(now);
         let view = id::View(self.held.view);
-        let serving = |pair: &(&id::Node, &mut Agent)| pair.1.serves(demand, pair.0);
-        let mut agents: Vec<_> = self.agents.iter_mut().filter(serving).collect();
-        if agents.is_empty() {
-            return Some(Verdict::Refuse(refusal(Reason::NoUpstream)));
-        }
-        agents.retain(|pair| !demand.refused_by.contains(pair.0));
-        let free = |pair: &(&id::Node, &mut Agent)| pair.1.free(&demand.service);
-        let (name, agent) = agents.into_iter().max_by_key(free)?;
-        if agent.free(&demand.service) == 0 {
-            return None;
+        let now = self.since(now);
+        for service in self.services.values_mut() {
+            match in_force {
+                true => service.place(view, now),
+                false => service.refuse_all(Reason::NoLease),
+            }
         }
-        agent.given += 1;
-        Some(Verdict::Start(agent.place(name, view)))
     }
-}
 
-impl Agent {
-    fn serves(&self, demand: &Demand, name: &id::Node) -> bool {
-        let listed = demand.candidates.is_empty() || demand.candidates.contains(name);
-        listed && self.slots(&demand.service) > 0
+    pub(super) fn counts(&self) -> &Counts {
+        &self.counts
     }
 
-    fn slots(&self, service: &id::Service) -> u32 {
-        let mut upstreams = self.member.upstreams.iter();
-        let found = upstreams.find(|upstream| upstream.service == service.as_str());
-        found.map_or(0, |upstream| upstream.slots)
+    /// How long nothing has to be done without a further event.
+    pub(super) fn pause(&self, now: Instant) -> Duration {
+        let occupied = self.services.values().any(Service::is_occupied);
+        let longest = if occupied { OCCUPIED_PAUSE } else { IDLE_PAUSE };
+        let now = self.since(now);
+        let next = self.services.values().filter_map(Service::next).min();
+        let until = next.map_or(longest, |next| next.saturating_sub(now));
+        until.clamp(SHORTEST_PAUSE, longest)
     }
 
-    fn free(&self, service: &id::Service) -> u32 {
-        let taken = self.given + self.others;
-        self.slots(service).saturating_sub(taken)
+    fn adopt(&mut self, now: Duration) {
+        let document = self.held.document.clone();
+        let offered = members::services(&self.held.members, &document);
+        for name in offered.keys() {
+            if !self.services.contains_key(name) {
+                let service = self.service();
+                self.services.insert(name.clone(), service);
+            }
+        }
+        let none = BTreeMap::new();
+        for (name, service) in &mut self.services {
+            let settings = document.services.get(name).cloned();
+            service.configure(&settings.unwrap_or_default(), &document.limits);
+            service.adopt(offered.get(name).unwrap_or(&none), now);
+            if !service.is_served() {
+                service.refuse_all(Reason::NoUpstream);
+            }
+        }
     }
 
-    fn incarnation(&self) -> id::Incarnation {
-        let node = self.member.node.as_ref();
-        id::Incarnation(node.map_or(0, |node| node.incarnation))
+    fn service(&self) -> Service {
+        let rng = Pcg64Mcg::seed_from_u64(rand::random());
+        Service::new(&self.node, &self.data_center, self.counts.clone(), rng)
     }
 
-    fn place(&self, name: &id::Node, view: id::View) -> Place {
-        let node = self.member.node.as_ref();
-        Place {
-            agent: name.clone(),
-            incarnation: self.incarnation(),
-            address: node.map(|node| node.address.clone()).unwrap_or_default(),
-            view,
-        }
+    fn since(&self, instant: Instant) -> Duration {
+        instant.saturating_duration_since(self.origin)
     }
 }
 
-fn name(member: &Member) -> Option<id::Node> {
-    member.node.as_ref()?.name.parse().ok()
-}
-
-fn refusal(reason: Reason) -> Refusal {
-    Refusal {
+fn refuse(sender: oneshot::Sender<Verdict>, reason: Reason) {
+    let refusal = Refusal {
         reason,
         retry_after: Some(RETRY_AFTER),
-    }
-}
-
-fn refuse(sender: oneshot::Sender<Verdict>, reason: Reason) {
+    };
     // A caller that no longer waits needs no verdict.
-    let _ = sender.send(Verdict::Refuse(refusal(reason)));
+    let _ = sender.send(Verdict::Refuse(refusal));
 }
--- a/crates/core/src/entry/http.rs
+++ b/crates/core/src/entry/http.rs
@@ -134,6 +134,7 @@
         Demand {
             service: self.service.clone(),
             team: self.team.clone(),
+            job: None,
             deadline: self.deadline,
             candidates: Vec::new(),
             refused_by: Vec::new(),
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -23,6 +23,7 @@
     http: Server,
     name: id::Node,
     node: control::Node,
+    data_center: id::DataCenter,
     section: Entry,
     control: Vec<SocketAddr>,
 }
@@ -39,6 +40,7 @@
             http,
             name: settings.name.clone(),
             node,
+            data_center: settings.data_center.clone(),
             section: section.clone(),
             control: settings.control.clone(),
         })
@@ -51,7 +53,7 @@
     /// Serves until `stop` turns true and the requests in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), &self.control);
-        let (dispatcher, thread) = dispatch::start();
+        let (dispatcher, thread) = dispatch::start(&self.name, &self.data_center);
         tokio::spawn(follow(renewal.held(), dispatcher.clone()));
         let node = format!("entry {}", self.name);
         tokio::spawn(renew::log_changes(node, renewal.held()));
--- a/crates/limit/src/queue/mod.rs
+++ b/crates/limit/src/queue/mod.rs
@@ -143,6 +143,11 @@
         state.weight = weight.max(1);
     }
 
+    /// Sets the room; what waits beyond it may stay.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.capacity = capacity;
+    }
+
     /// How fast the queue drains.
     pub fn drain(&mut self) -> &mut Drain {
         &mut self.drain
@@ -200,6 +205,15 @@
         Some(entry)
     }
 
+    /// Takes the next request out without a charge, for a queue that has to be
+    /// emptied.
+    pub fn take(&mut self) -> Option<Entry<T>> {
+        let team = self.turns.iter().next()?;
+        let list = self.teams.get(team)?.lists().next()?;
+        let ticket = self.entries.iter(list).next()?;
+        self.remove(ticket)
+    }
+
     /// Takes a request out before its turn.
     pub fn cancel(&mut self, ticket: Ticket) -> Option<Entry<T>> {
         let entry = self.remove(ticket)?;
