Route: news of a load age towards what is usual at the upstream

Cause: what others run was taken to move towards the mean over all upstreams. Where entries share the upstreams unevenly that is wrong for good: an entry with few tasks at an upstream that others fill believed a slot free again and again, and was refused again and again. And of two equal estimates the older one hides more tasks.

Change: the estimate moves towards the mean of the news from that upstream, and upstreams are ordered by a cautious estimate, less by a standard deviation of what may have begun since.

The model test was seen red without the deviation and without the usual share.

--- a/crates/route/src/view/mod.rs
+++ b/crates/route/src/view/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! An entry counts its own requests in flight exactly; what other entries run
 //! it learns only from the load on answers. That part ages: as it grows older,
-//! the estimate moves from what was told towards the mean over all upstreams,
-//! because the others' tasks end and the others keep sending.
+//! the estimate moves from what was told towards what is usual at the upstream,
+//! because the others' tasks end and the others keep sending. Of upstreams with
+//! equal estimates the one with the newer news is preferred, since old news
+//! hides more tasks than it reveals free slots.
 //!
 //! The upstreams are kept in order of preference, so that a choice costs a look
 //! at the first one. Ageing would change that order all the time; instead a few
@@ -21,7 +23,7 @@
 
 pub use self::upstream::{Load, Member, Standing, Upstream};
 
-pub(crate) use self::rank::Rank;
+pub(crate) use self::rank::{Free, Rank};
 
 /// How long it takes until what others run has mostly changed, while no run
 /// times are known.
@@ -169,7 +171,7 @@
     /// Slots believed free at the upstream; negative where requests wait there.
     pub fn free(&self, index: Index, now: Duration) -> Option<f64> {
         let upstream = self.get(index)?;
-        Some(upstream.free(self.told.get(), self.settle, now))
+        Some(upstream.free(self.told.get(), self.settle, now).likely)
     }
 
     /// Most slots that any upstream that may take work has: a task that needs
@@ -235,7 +237,7 @@
         let upstream = self.get(index).filter(|upstream| upstream.is_open())?;
         let mut free = upstream.free(self.told.get(), self.settle, now);
         if upstream.is_unknown(self.settle, now) {
-            free = free.max(self.floor);
+            free.likely = free.likely.max(self.floor);
         }
         Some(Rank::new(index, upstream, free, self.floor))
     }
--- a/crates/route/src/view/rank.rs
+++ b/crates/route/src/view/rank.rs
@@ -4,9 +4,9 @@
 
 use super::{Index, Upstream};
 
-/// Free slots from which an upstream is preferred without regard to others that
-/// may be sending there too.
-const ROOMY_SLOTS: f64 = 2.0;
+/// Free slots, by a cautious estimate, from which an upstream is preferred
+/// without regard to others that may be sending there too.
+const ROOMY_SLOTS: f64 = 1.0;
 
 /// Steps into which a slot is divided when free slots are compared; within a
 /// step the entry's own order decides.
@@ -35,12 +35,21 @@
     Full,
 }
 
+/// Slots believed free at an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Free {
+    /// The likeliest number.
+    pub(crate) likely: f64,
+    /// The number if others run more than that by a standard deviation.
+    pub(crate) cautious: f64,
+}
+
 impl Rank {
-    pub(crate) fn new(index: Index, upstream: &Upstream, free: f64, floor: f64) -> Rank {
-        let free = free + ROUNDING_SLOTS;
+    pub(crate) fn new(index: Index, upstream: &Upstream, free: Free, floor: f64) -> Rank {
+        let cautious = free.cautious + ROUNDING_SLOTS;
         Rank {
             tier: Tier::of(upstream.is_near(), free, floor),
-            steps: Reverse((free * STEPS_PER_SLOT).floor() as i32),
+            steps: Reverse((cautious * STEPS_PER_SLOT).floor() as i32),
             hash: upstream.hash(),
             index,
         }
@@ -52,11 +61,12 @@
 }
 
 impl Tier {
-    fn of(near: bool, free: f64, floor: f64) -> Tier {
+    fn of(near: bool, free: Free, floor: f64) -> Tier {
+        let roomy = free.cautious + ROUNDING_SLOTS >= ROOMY_SLOTS;
         match near {
-            _ if free < floor => Tier::Full,
-            true if free >= ROOMY_SLOTS => Tier::NearRoomy,
-            false if free >= ROOMY_SLOTS => Tier::FarRoomy,
+            _ if free.likely + ROUNDING_SLOTS < floor => Tier::Full,
+            true if roomy => Tier::NearRoomy,
+            false if roomy => Tier::FarRoomy,
             true => Tier::NearLast,
             false => Tier::FarLast,
         }
--- a/crates/route/src/view/upstream.rs
+++ b/crates/route/src/view/upstream.rs
@@ -6,7 +6,7 @@
 use gentian_wire::id::{DataCenter, Incarnation, Node};
 use strum::Display;
 
-use super::Rank;
+use super::{Free, Rank};
 
 /// Settle times without news after which an entry that runs nothing at an
 /// upstream may send one request to learn its load.
@@ -86,10 +86,18 @@
     pub(crate) opened: usize,
 }
 
+/// Weight of the newest news in what others usually run.
+const USUAL_WEIGHT: f64 = 0.2;
+
+/// Settle times after which what others usually ran has mostly changed too.
+const USUAL_SETTLES: f64 = 8.0;
+
 /// What others ran, as last told.
 #[derive(Clone, Copy, Debug)]
 struct Told {
     others: u32,
+    /// Share of the slots that others used on average.
+    usual: f64,
     at: Duration,
 }
 
@@ -202,7 +210,15 @@
         self.member.leaving |= load.leaving;
         let all = load.busy.saturating_add(load.waiting);
         let others = all.saturating_sub(self.in_flight);
-        self.told = Some(Told { others, at: now });
+        let share = f64::from(others) / f64::from(self.member.slots.max(1));
+        let usual = self.told.map_or(share, |told| {
+            told.usual + (share - told.usual) * USUAL_WEIGHT
+        });
+        self.told = Some(Told {
+            others,
+            usual,
+            at: now,
+        });
     }
 
     /// Share of the slots that others used when it was last told.
@@ -211,18 +227,22 @@
         Some(f64::from(told.others) / f64::from(self.member.slots.max(1)))
     }
 
-    /// Slots believed free, where others use the share `mean` of slots on
-    /// average and their tasks change within `settle`.
-    pub(crate) fn free(&self, mean: f64, settle: Duration, now: Duration) -> f64 {
+    /// Slots believed free, where others' tasks change within `settle`: what
+    /// was told moves towards what is usual here, and that in the long run
+    /// towards the share `mean` that is usual elsewhere.
+    pub(crate) fn free(&self, mean: f64, settle: Duration, now: Duration) -> Free {
         let slots = f64::from(self.member.slots);
-        let share = match (self.told_share(), self.age(now)) {
-            (Some(told), Some(age)) => {
-                let weight = (-age.as_secs_f64() / settle.as_secs_f64()).exp();
-                mean + (told - mean) * weight
-            }
-            _ => mean,
-        };
-        slots - f64::from(self.in_flight) - share * slots
+        let known = self.known(settle, now);
+        let usual = self.told.map_or(mean, |told| {
+            mean + (told.usual - mean) * known.powf(1.0 / USUAL_SETTLES)
+        });
+        let told = self.told_share().unwrap_or(usual);
+        let others = (usual + (told - usual) * known) * slots;
+        let likely = slots - f64::from(self.in_flight) - others;
+        // Tasks that began since the news come independently of one another.
+        let deviation = (usual * slots * (1.0 - known * known)).sqrt();
+        let cautious = likely - deviation;
+        Free { likely, cautious }
     }
 
     /// Whether nothing of ours runs there that could tell the load, and what
@@ -232,6 +252,12 @@
         self.in_flight == 0 && self.age(now).is_none_or(old)
     }
 
+    /// How much of what was told still holds, from 0 to 1.
+    fn known(&self, settle: Duration, now: Duration) -> f64 {
+        let settles = |age: Duration| age.as_secs_f64() / settle.as_secs_f64();
+        self.age(now).map_or(0.0, |age| (-settles(age)).exp())
+    }
+
     fn age(&self, now: Duration) -> Option<Duration> {
         let told = self.told.as_ref()?;
         Some(now.saturating_sub(told.at))
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -68,6 +68,7 @@
     in_flight: u32,
     present: bool,
     told: Option<(u32, Duration)>,
+    usual: f64,
 }
 
 impl Plain {
@@ -89,35 +90,40 @@
             .map(|(others, _)| f64::from(others) / f64::from(self.member.slots))
     }
 
-    fn free(&self, mean: f64, now: Duration) -> f64 {
+    /// The likely and the cautious number of free slots.
+    fn free(&self, mean: f64, now: Duration) -> (f64, f64) {
         let slots = f64::from(self.member.slots);
-        let others = match (self.share(), self.told) {
-            (Some(share), Some((_, at))) => {
-                let age = (now - at).as_secs_f64() / SETTLE.as_secs_f64();
-                mean + (share - mean) * (-age).exp()
-            }
-            _ => mean,
+        let known = self.told.map_or(0.0, |(_, at)| {
+            let age = (now - at).as_secs_f64() / SETTLE.as_secs_f64();
+            (-age).exp()
+        });
+        let usual = match self.told {
+            Some(_) => mean + (self.usual - mean) * known.powf(0.125),
+            None => mean,
         };
-        let free = slots - f64::from(self.in_flight) - others * slots;
+        let others = usual + (self.share().unwrap_or(usual) - usual) * known;
+        let likely = slots - f64::from(self.in_flight) - others * slots;
+        let cautious = likely - (usual * slots * (1.0 - known * known)).sqrt();
         let old = self.told.is_none_or(|(_, at)| now - at >= 2 * SETTLE);
         if self.in_flight == 0 && old {
-            free.max(1.0)
+            (likely.max(1.0), cautious)
         } else {
-            free
+            (likely, cautious)
         }
     }
 
     /// Smaller is better; nothing where no slot is believed free.
     fn score(&self, mean: f64, now: Duration) -> Option<(u8, i32)> {
-        let free = self.free(mean, now) + 1e-6;
+        let (likely, cautious) = self.free(mean, now);
+        let (likely, cautious) = (likely + 1e-6, cautious + 1e-6);
         let near = self.member.data_center == data_center(0);
-        let tier = match (near, free >= 2.0) {
+        let tier = match (near, cautious >= 1.0) {
             (true, true) => 0,
             (false, true) => 1,
             (true, false) => 2,
             (false, false) => 3,
         };
-        (self.open() && free >= 1.0).then_some((tier, -(free * 2.0).floor() as i32))
+        (self.open() && likely >= 1.0).then_some((tier, -(cautious * 2.0).floor() as i32))
     }
 }
 
@@ -150,6 +156,7 @@
             in_flight: 0,
             present: true,
             told: None,
+            usual: 0.0,
         });
         let restarted = member.incarnation > known.member.incarnation;
         let leaving = member.leaving || (known.member.leaving && !restarted);
@@ -254,6 +261,9 @@
         });
         if let Some(load) = load.filter(|_| known.present) {
             let others = (load.busy + load.waiting).saturating_sub(known.in_flight);
+            let share = f64::from(others) / f64::from(known.member.slots);
+            let weight = if known.told.is_some() { 0.2 } else { 1.0 };
+            known.usual += (share - known.usual) * weight;
             known.told = Some((others, self.now));
             known.member.leaving |= load.leaving;
         }
