Dispatch: a refused request waits for the retry budget

A task that an agent refused has not run; where the budget was spent its request was given up at once, with seconds left until its deadline. It now waits 50 ms for the budget to recover, as long as there is time to run. An outcome that is unknown is still given up at once.

--- a/crates/core/src/entry/dispatch/service.rs
+++ b/crates/core/src/entry/dispatch/service.rs
@@ -25,6 +25,9 @@
 /// Time to come back while no upstream serves, since nothing tells when one will.
 const NO_UPSTREAM_WAIT: Duration = Duration::from_millis(500);
 
+/// How long a request that was refused waits for the retry budget to recover.
+const BUDGET_WAIT: Duration = Duration::from_millis(50);
+
 /// Answers after which the view is told the mean run time again.
 const SETTLE_PERIOD: u64 = 32;
 
@@ -40,11 +43,18 @@
     tickets: HashMap<u64, Ticket>,
     placed: HashMap<u64, Index>,
     /// Retries that wait out their backoff, by its end and their number.
-    later: BTreeMap<(Duration, u64), Waiting>,
+    later: BTreeMap<(Duration, u64), Later>,
     counts: Arc<Counts>,
     rng: Pcg64Mcg,
 }
 
+/// A retry that waits, and whether the budget has paid for it.
+#[derive(Debug)]
+struct Later {
+    waiting: Waiting,
+    paid: bool,
+}
+
 /// A demand that has no verdict yet.
 #[derive(Debug)]
 pub(super) struct Waiting {
@@ -163,8 +173,8 @@
         while let Some(waiting) = self.queue.take() {
             self.refuse(waiting.item, reason, NO_UPSTREAM_WAIT);
         }
-        for (_, waiting) in std::mem::take(&mut self.later) {
-            self.refuse(waiting, reason, NO_UPSTREAM_WAIT);
+        for later in std::mem::take(&mut self.later).into_values() {
+            self.refuse(later.waiting, reason, NO_UPSTREAM_WAIT);
         }
     }
 
@@ -228,22 +238,30 @@
             run: self.runtime.quantile(0.5).unwrap_or_default(),
         };
         match tried.again(&mut self.budget, &mut self.rng) {
-            None => self.refuse(waiting, Reason::RetryBudgetSpent, NO_UPSTREAM_WAIT),
             Some(Duration::ZERO) => self.push(waiting, now),
-            Some(backoff) => {
-                let key = (now + backoff, waiting.number);
-                self.later.insert(key, waiting);
+            Some(backoff) => self.postpone(waiting, backoff, true, now),
+            None if outcome == Outcome::NotRun && tried.left > tried.run + BUDGET_WAIT => {
+                self.postpone(waiting, BUDGET_WAIT, false, now);
             }
+            None => self.refuse(waiting, Reason::RetryBudgetSpent, NO_UPSTREAM_WAIT),
         }
     }
 
+    fn postpone(&mut self, waiting: Waiting, wait: Duration, paid: bool, now: Duration) {
+        let key = (now + wait, waiting.number);
+        self.later.insert(key, Later { waiting, paid });
+    }
+
     fn resume(&mut self, now: Duration) {
         while let Some(first) = self.later.first_entry() {
             if first.key().0 > now {
                 return;
             }
-            let waiting = first.remove();
-            self.push(waiting, now);
+            let Later { waiting, paid } = first.remove();
+            match waiting.demand.retry_of {
+                Some(outcome) if !paid => self.again(waiting, outcome, now),
+                _ => self.push(waiting, now),
+            }
         }
     }
 
