--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -24,6 +24,7 @@
     http: Server,
     name: id::Node,
     node: control::Node,
+    data_center: id::DataCenter,
     section: Entry,
     control: Vec<SocketAddr>,
 }
@@ -40,6 +41,7 @@
             http,
             name: settings.name.clone(),
             node,
+            data_center: settings.data_center.clone(),
             section: section.clone(),
             control: settings.control.clone(),
         })
@@ -58,7 +60,7 @@
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let node = format!("node {}", self.node.name);
         let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), &self.control);
-        let (dispatcher, thread) = dispatch::start();
+        let (dispatcher, thread) = dispatch::start(&self.name, &self.data_center);
         tokio::spawn(follow(renewal.held(), dispatcher.clone()));
         tokio::spawn(renew::log_changes(node, renewal.held()));
         let meter = Arc::new(meter::Meter::new(self.name, renewal.held()));
