Claim: gate, home, placement and the job's coordinator

Cause: nothing kept a task from starting twice when a job is resubmitted, its coordinator dies, an agent or home restarts, or the view changes.

Change: the gate (one sorted map, expiry from its front), the home (first, claimed, forgotten), rendezvous placement over the views of the window, and the coordinator, all without I/O.

Ruled out: - Refusing a start whose view is older than the gate's. It adds no safety (whoever takes over asks the candidates of that view, and the ballot keeps the older start out) and would fail each running job at each change of members. Asks and claims of an older view are refused; that is needed. - Moving a running job to a newer view: another coordinator on the old view may not have asked the new candidates. - Answering `First` only when no view changed lately: a home that was the job's home under every view of the window may say it too. - A hash map with buckets for expiry: a sorted map needs no second index.

Assumed: a transport delivers a start at most once per call. A second copy of a start that was refused for want of a lease or slot could run later.

--- /dev/null
+++ b/crates/claim/examples/gate_memory.rs
@@ -0,0 +1,78 @@
+//! Prints what a gate holds after ten minutes at 24 starts a second, and what
+//! its expiry costs.
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use gentian_claim::gate::{Gate, Weigh};
+use gentian_claim::memory::{Memory, RETENTION, SKEW};
+use gentian_wire::id::{Ballot, Job, View};
+use gentian_wire::outcome::Outcome;
+use gentian_wire::size::Bytes;
+
+const STARTS_PER_SECOND: u32 = 24;
+
+static HELD: AtomicUsize = AtomicUsize::new(0);
+
+struct Counting;
+
+// SAFETY: every call is passed on to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        HELD.fetch_add(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps to the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        HELD.fetch_sub(layout.size(), Ordering::Relaxed);
+        // SAFETY: the caller keeps to the contract of `dealloc`.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+#[derive(Clone)]
+struct Nothing;
+
+impl Weigh for Nothing {
+    fn weigh(&self) -> Bytes {
+        Bytes(1)
+    }
+}
+
+fn main() {
+    let start = Duration::from_secs(1_700_000_000);
+    let mut gate = Gate::new(Memory::new(start), Bytes(0));
+    let before = HELD.load(Ordering::Relaxed);
+    let mut wall = start + SKEW;
+    let begin = Instant::now();
+    let total = STARTS_PER_SECOND * u32::try_from(RETENTION.as_secs()).unwrap_or(u32::MAX);
+    for number in 0..total {
+        let mut random = [0; 10];
+        random[6..].copy_from_slice(&number.to_be_bytes());
+        let task = Job::new(wall, random).task(0);
+        gate.advance(wall);
+        gate.start(task, Ballot::default(), View(1))
+            .expect("a fresh key starts");
+        gate.finish(task, Outcome::Done, Nothing);
+        wall += Duration::from_secs(1) / STARTS_PER_SECOND;
+    }
+    let spent = begin.elapsed();
+    let held = HELD.load(Ordering::Relaxed) - before;
+    let records = gate.len();
+    println!("{records} records in {held} bytes, {} each", held / records);
+    println!(
+        "{} ns a start with its end",
+        spent.as_nanos() / u128::from(total)
+    );
+    let begin = Instant::now();
+    gate.advance(wall + RETENTION);
+    println!(
+        "{} ns an expired record",
+        begin.elapsed().as_nanos() / records as u128
+    );
+}
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -1,1 +1,19 @@
 //! At most once: job claims, the agent's gate, tombstones.
+//!
+//! A job's key names its home agent, which tells the first coordinator from
+//! the later ones ([`home`]). A task's key names a few candidate agents
+//! ([`place`]), and the gate of each starts a key once, or never after it has
+//! promised a tombstone ([`gate`]). The entry drives both with one state
+//! machine per job ([`coordinator`]).
+//!
+//! Nothing here does I/O, reads a clock or draws random numbers: wall time
+//! comes in as a [`Duration`](std::time::Duration) since the Unix epoch, and
+//! replies leave as values. The price of memory without a disk is that a
+//! restarted agent refuses every key older than itself ([`memory`]).
+
+pub mod coordinator;
+pub mod gate;
+pub mod home;
+pub mod memory;
+pub mod place;
+pub mod refusal;
--- /dev/null
+++ b/crates/claim/tests/gate.rs
@@ -0,0 +1,248 @@
+//! The gate against a naive one that keeps every record for ever.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use gentian_claim::gate::{Ask, Gate, Waiter, Weigh};
+use gentian_claim::memory::Memory;
+use gentian_claim::refusal::Refusal;
+use gentian_wire::id::{Ballot, Job, Task, View};
+use gentian_wire::outcome::Outcome;
+use gentian_wire::size::Bytes;
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use test_case::test_case;
+
+const START: Duration = Duration::from_secs(1000);
+const RETENTION: Duration = Duration::from_secs(60);
+const SKEW: Duration = Duration::from_secs(5);
+const VIEW: View = View(1);
+
+#[derive(Clone, Debug, PartialEq)]
+struct Value(u32);
+
+impl Weigh for Value {
+    fn weigh(&self) -> Bytes {
+        Bytes(10)
+    }
+}
+
+fn gate(kept: u64) -> Gate<Value> {
+    let mut gate = Gate::new(Memory::with(START, RETENTION, SKEW), Bytes(kept));
+    gate.advance(START + 2 * SKEW);
+    gate
+}
+
+fn job(secs: u64) -> Job {
+    Job::new(Duration::from_secs(secs), [1; 10])
+}
+
+fn ballot(epoch: u64) -> Ballot {
+    Ballot {
+        epoch,
+        coordinator: 7,
+    }
+}
+
+#[derive(Default)]
+struct Naive {
+    wall: Duration,
+    promised: HashMap<Task, Ballot>,
+    ended: HashMap<Task, Option<u32>>,
+}
+
+impl Naive {
+    fn check(&self, job: Job) -> Result<(), Refusal> {
+        let created = job.created();
+        if created + RETENTION <= self.wall || created > self.wall + 2 * SKEW {
+            Err(Refusal::Expired)
+        } else if created < START + SKEW {
+            Err(Refusal::Forgotten)
+        } else {
+            Ok(())
+        }
+    }
+
+    fn start(&mut self, task: Task, ballot: Ballot) -> Result<(), Refusal> {
+        self.check(task.job)?;
+        if self.ended.contains_key(&task) {
+            return Err(Refusal::Duplicate);
+        }
+        if self.promised.get(&task).is_some_and(|p| ballot < *p) {
+            return Err(Refusal::Tombstoned);
+        }
+        self.ended.insert(task, None);
+        Ok(())
+    }
+
+    fn ask(&mut self, task: Task, ballot: Ballot) -> Ask<Value> {
+        if self.check(task.job).is_err() {
+            return Ask::Forgotten;
+        }
+        match self.ended.get(&task) {
+            Some(None) => return Ask::Running,
+            Some(Some(value)) => {
+                let (outcome, answer) = (Outcome::Done, Some(Value(*value)));
+                return Ask::Finished { outcome, answer };
+            }
+            None => {}
+        }
+        let promised = self.promised.entry(task).or_insert(ballot);
+        if ballot < *promised {
+            return Ask::Superseded;
+        }
+        *promised = ballot;
+        Ask::Tombstoned
+    }
+
+    fn finish(&mut self, task: Task, value: u32) {
+        if let Some(ended @ None) = self.ended.get_mut(&task) {
+            *ended = Some(value);
+        }
+    }
+}
+
+#[test]
+fn gate_does_as_the_naive_one() {
+    let config = Config {
+        cases: 500,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let steps = vec((0u8..5, 0u64..9, 0u32..3, 0u64..4), 1..200);
+    TestRunner::new_with_rng(config, rng)
+        .run(&steps, |steps| {
+            let (mut gate, mut naive) = (gate(u64::MAX), Naive::default());
+            naive.wall = START + 2 * SKEW;
+            for (value, (op, age, index, epoch)) in (0..).zip(steps) {
+                let created = (naive.wall + SKEW).saturating_sub(Duration::from_secs(age * 9));
+                let task = job(created.as_secs() / 5 * 5).task(index);
+                match op {
+                    0 => {
+                        naive.wall += Duration::from_secs(epoch * 2);
+                        gate.advance(naive.wall);
+                        gate.advance(naive.wall - SKEW);
+                    }
+                    1 => prop_assert_eq!(
+                        gate.start(task, ballot(epoch), VIEW),
+                        naive.start(task, ballot(epoch))
+                    ),
+                    2 if gate.ask(task.job, &[index], ballot(0), VIEW) == [Ask::Running] => {
+                        gate.finish(task, Outcome::Done, Value(value));
+                        naive.finish(task, value);
+                    }
+                    _ => {
+                        // The ask of the arm above has left its tombstone.
+                        naive.ask(task, ballot(if op == 2 { 0 } else { epoch }));
+                        let asked = gate.ask(task.job, &[index], ballot(epoch), VIEW);
+                        prop_assert_eq!(asked, [naive.ask(task, ballot(epoch))]);
+                    }
+                }
+            }
+            let oldest = naive.wall - RETENTION;
+            prop_assert!(gate.len() <= 3 * (oldest.as_secs()..naive.wall.as_secs() + 11).count());
+            Ok(())
+        })
+        .unwrap();
+}
+
+#[test]
+fn expired_records_are_dropped() {
+    let mut gate = gate(100);
+    for index in 0..10 {
+        gate.start(job(1010).task(index), ballot(0), VIEW).unwrap();
+        gate.finish(job(1010).task(index), Outcome::Done, Value(index));
+    }
+    gate.advance(Duration::from_secs(1069));
+    assert_eq!((gate.len(), gate.kept()), (10, Bytes(100)));
+    gate.advance(Duration::from_secs(1070));
+    assert_eq!((gate.len(), gate.kept()), (0, Bytes(0)));
+}
+
+#[test]
+fn evicted_answer_leaves_a_record_that_bars_a_second_start() {
+    let mut gate = gate(10);
+    for index in 0..2 {
+        gate.start(job(1010).task(index), ballot(0), VIEW).unwrap();
+        gate.finish(job(1010).task(index), Outcome::Done, Value(index));
+    }
+    let outcome = Outcome::Done;
+    let told = gate.ask(job(1010), &[0, 1], ballot(1), VIEW);
+    let kept = Ask::Finished {
+        outcome,
+        answer: Some(Value(1)),
+    };
+    assert_eq!(
+        told,
+        [
+            Ask::Finished {
+                outcome,
+                answer: None
+            },
+            kept
+        ]
+    );
+    let again = gate.start(job(1010).task(0), ballot(2), VIEW);
+    assert_eq!(again, Err(Refusal::Duplicate));
+}
+
+#[test_case(0, Err(Refusal::Tombstoned) ; "the cancelled coordinator")]
+#[test_case(1, Ok(()) ; "the one that takes over")]
+fn start_behind_its_cancel(epoch: u64, expected: Result<(), Refusal>) {
+    let mut gate = gate(100);
+    assert_eq!(gate.cancel(job(1010), &[0], ballot(0)), []);
+    let task = job(1010).task(0);
+    assert_eq!(gate.start(task, ballot(epoch), VIEW), expected);
+}
+
+#[test]
+fn cancel_stops_the_starts_of_its_own_coordinator_only() {
+    let mut gate = gate(100);
+    let jobs: Vec<Job> = (0..10_000)
+        .map(|n: u32| {
+            let mut random = [0; 10];
+            random[6..].copy_from_slice(&n.to_be_bytes());
+            Job::new(Duration::from_secs(1010), random)
+        })
+        .collect();
+    for job in &jobs {
+        gate.start(job.task(0), ballot(1), VIEW).unwrap();
+        assert_eq!(gate.cancel(*job, &[0], ballot(0)), []);
+    }
+    for job in &jobs {
+        assert_eq!(gate.cancel(*job, &[0], ballot(1)), [job.task(0)]);
+    }
+}
+
+#[test]
+fn start_taken_back_may_be_repeated_by_its_coordinator_and_no_earlier_one() {
+    let mut gate = gate(100);
+    let task = job(1010).task(0);
+    gate.start(task, ballot(1), VIEW).unwrap();
+    assert!(gate.wait(task, Waiter(4)));
+    assert_eq!(gate.retract(task), [Waiter(4)]);
+    assert_eq!(gate.start(task, ballot(0), VIEW), Err(Refusal::Tombstoned));
+    assert_eq!(gate.start(task, ballot(1), VIEW), Ok(()));
+    assert!(gate.wait(task, Waiter(5)));
+    assert_eq!(gate.finish(task, Outcome::Done, Value(1)), [Waiter(5)]);
+}
+
+#[test_case(1004, Refusal::Forgotten ; "created before the agent's memory")]
+#[test_case(1021, Refusal::Expired ; "created too far ahead")]
+fn start_of_a_key_outside_of_the_span(created: u64, refusal: Refusal) {
+    let mut gate = gate(100);
+    let task = job(created).task(0);
+    assert_eq!(gate.start(task, ballot(0), VIEW), Err(refusal));
+    assert_eq!(gate.ask(task.job, &[0], ballot(1), VIEW), [Ask::Forgotten]);
+    assert!(gate.is_empty());
+}
+
+#[test]
+fn ask_of_an_older_view_is_promised_nothing() {
+    let mut gate = gate(100);
+    gate.ask(job(1010), &[0], ballot(1), View(2));
+    let told = gate.ask(job(1010), &[0, 1], ballot(2), View(1));
+    assert_eq!(told, [Ask::Superseded, Ask::Superseded]);
+}
--- /dev/null
+++ b/crates/claim/tests/whole/world.rs
@@ -0,0 +1,507 @@
+//! Entries, agents and a network that loses, repeats and delays messages, all
+//! in virtual time. After each event [`World::check`] holds what was told
+//! against the plain list of what has run.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use gentian_claim::coordinator::{Action, Answer, Coordinator, Event, Place, Plan, Reply};
+use gentian_claim::gate::{Ask, Gate, Waiter, Weigh};
+use gentian_claim::home::{Claimant, Holder, Home};
+use gentian_claim::memory::{Memory, SKEW};
+use gentian_claim::place::{Member, View, Views};
+use gentian_claim::refusal::Refusal;
+use gentian_wire::id::{self, Ballot, Job, Node, Task};
+use gentian_wire::outcome::Outcome;
+use gentian_wire::size::Bytes;
+
+pub(crate) const AGENTS: usize = 5;
+pub(crate) const CANDIDATES: usize = 2;
+pub(crate) const LEASE: Duration = Duration::from_secs(4);
+const RETENTION: Duration = Duration::from_secs(60);
+
+/// The answer of a task names the task.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Value(pub(crate) Task);
+
+impl Weigh for Value {
+    fn weigh(&self) -> Bytes {
+        Bytes(20)
+    }
+}
+
+pub(crate) struct Peer {
+    pub(crate) views: Views,
+    pub(crate) lease: Duration,
+    skew: Duration,
+}
+
+pub(crate) struct Agent {
+    pub(crate) peer: Peer,
+    pub(crate) gate: Gate<Value>,
+    home: Home,
+    waits: Vec<Message>,
+}
+
+pub(crate) struct Attempt {
+    pub(crate) job: Job,
+    pub(crate) entry: usize,
+    pub(crate) dead: bool,
+    pub(crate) coordinator: Coordinator<Value>,
+    pub(crate) id: u64,
+    view: id::View,
+    pub(crate) answers: Vec<Answer<Value>>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Request {
+    Claim,
+    Ask(Vec<u32>, bool),
+    Start(u32),
+    Cancel(Vec<u32>),
+}
+
+#[derive(Clone, Debug)]
+pub(crate) enum Message {
+    To {
+        agent: usize,
+        attempt: usize,
+        ballot: Ballot,
+        request: Request,
+        copied: bool,
+    },
+    Follow {
+        attempt: usize,
+        holder: Holder,
+    },
+    Back {
+        attempt: usize,
+        event: Event<Value>,
+    },
+}
+
+impl Message {
+    fn is_copied_start(&self) -> bool {
+        matches!(
+            self,
+            Message::To {
+                request: Request::Start(_),
+                copied: true,
+                ..
+            }
+        )
+    }
+}
+
+pub(crate) struct Run {
+    pub(crate) agent: usize,
+    pub(crate) task: Task,
+    attempt: usize,
+}
+
+pub(crate) struct World {
+    pub(crate) now: Duration,
+    pub(crate) agents: Vec<Agent>,
+    pub(crate) entries: Vec<Peer>,
+    pub(crate) attempts: Vec<Attempt>,
+    pub(crate) net: Vec<Message>,
+    pub(crate) running: Vec<Run>,
+    pub(crate) ran: BTreeMap<Task, Vec<u64>>,
+    pub(crate) accepted: View,
+    members: [bool; AGENTS],
+    /// Whether no entry reaches another.
+    pub(crate) parted: bool,
+}
+
+pub(crate) fn node(index: usize) -> Node {
+    format!("agent-{index}").parse().unwrap()
+}
+
+pub(crate) fn index(node: &Node) -> usize {
+    node.as_str()["agent-".len()..].parse().unwrap()
+}
+
+fn peer(skew: u64) -> Peer {
+    let (lease, skew) = (Duration::ZERO, Duration::from_secs(skew));
+    Peer {
+        views: Views::new(LEASE),
+        lease,
+        skew,
+    }
+}
+
+fn agent(index: usize, now: Duration) -> Agent {
+    let peer = peer(index as u64 % 5);
+    let memory = Memory::with(now + peer.skew, RETENTION, SKEW);
+    let home = Home::new(node(index), memory.clone());
+    Agent {
+        gate: Gate::new(memory, Bytes(100)),
+        home,
+        waits: Vec::new(),
+        peer,
+    }
+}
+
+impl World {
+    /// All nodes hold a lease on view 1, and no key is older than the agents.
+    pub(crate) fn new() -> World {
+        let start = Duration::from_secs(1000);
+        let mut world = World {
+            now: start,
+            agents: (0..AGENTS).map(|i| agent(i, start)).collect(),
+            entries: vec![peer(0), peer(2), peer(4)],
+            attempts: Vec::new(),
+            net: Vec::new(),
+            running: Vec::new(),
+            ran: BTreeMap::new(),
+            accepted: View::new(id::View(0), start, Vec::new()),
+            members: [true; AGENTS],
+            parted: false,
+        };
+        world.accept(AGENTS);
+        world.now += Duration::from_secs(30);
+        world.renew_all();
+        world
+    }
+
+    /// Accepts a view in which one agent has come or gone.
+    pub(crate) fn accept(&mut self, toggled: usize) {
+        if let Some(member) = self.members.get_mut(toggled) {
+            *member = !*member;
+        }
+        let service = vec!["s".parse().unwrap()];
+        let members = (0..AGENTS).filter(|i| self.members[*i]);
+        let members = members
+            .map(|i| Member::new(node(i), service.clone()))
+            .collect();
+        let number = id::View(self.accepted.number().0 + 1);
+        self.accepted = View::new(number, self.now, members);
+    }
+
+    pub(crate) fn renew(&mut self, index: usize) {
+        let peer = match index.checked_sub(AGENTS) {
+            None => &mut self.agents[index].peer,
+            Some(entry) => &mut self.entries[entry],
+        };
+        peer.views.push(self.accepted.clone());
+        peer.lease = self.now + LEASE;
+        if let Some(agent) = self.agents.get_mut(index) {
+            agent.gate.see(self.accepted.number());
+        }
+    }
+
+    pub(crate) fn renew_all(&mut self) {
+        (0..AGENTS + self.entries.len()).for_each(|index| self.renew(index));
+    }
+
+    pub(crate) fn key(&self, number: u8, age: Duration) -> Job {
+        Job::new(self.now - age, [number; 10])
+    }
+
+    /// Submits a job; an entry without a lease, or past the key's window,
+    /// takes none.
+    pub(crate) fn submit(&mut self, entry: usize, job: Job, tasks: u32) -> Option<usize> {
+        let peer = &self.entries[entry];
+        let wall = self.now + peer.skew;
+        let fits = job.created() <= wall + SKEW && wall < job.created() + RETENTION;
+        if self.now >= peer.lease || !fits {
+            return None;
+        }
+        let service = "s".parse().unwrap();
+        let view = peer.views.last()?;
+        let place = |i| Place {
+            candidates: view.candidates(job.task(i), &service, CANDIDATES),
+            former: peer.views.candidates(job.task(i), &service, CANDIDATES),
+        };
+        let number = self.attempts.len();
+        let id = (number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let home = view.home(job)?.clone();
+        let tasks = (0..tasks).map(place).collect();
+        let view = view.number();
+        let (coordinator, claim) = Coordinator::new(Plan {
+            job,
+            coordinator: id,
+            home,
+            tasks,
+        });
+        let answers = Vec::new();
+        self.attempts.push(Attempt {
+            job,
+            entry,
+            dead: false,
+            coordinator,
+            id,
+            view,
+            answers,
+        });
+        self.act(number, vec![claim]);
+        Some(number)
+    }
+
+    pub(crate) fn event(&mut self, attempt: usize, event: Event<Value>) {
+        if !self.attempts[attempt].dead {
+            let actions = self.attempts[attempt].coordinator.handle(event, self.now);
+            self.act(attempt, actions);
+        }
+    }
+
+    /// Lets each coordinator that lives start up to `credit` tasks.
+    pub(crate) fn start(&mut self, credit: usize) {
+        for attempt in 0..self.attempts.len() {
+            let Attempt {
+                dead, coordinator, ..
+            } = &mut self.attempts[attempt];
+            if !*dead {
+                let mut first = |open: &[&Node]| (!open.is_empty()).then_some(0);
+                let actions = coordinator.start(self.now, credit, &mut first);
+                self.act(attempt, actions);
+            }
+        }
+    }
+
+    fn act(&mut self, attempt: usize, actions: Vec<Action<Value>>) {
+        for action in actions {
+            let (agent, request) = match action {
+                Action::Claim { home } => (home, Request::Claim),
+                Action::Ask { agent, tasks, wait } => (agent, Request::Ask(tasks, wait)),
+                Action::Start { task, agent } => (agent, Request::Start(task)),
+                Action::Cancel { agent, tasks } => (agent, Request::Cancel(tasks)),
+                Action::Follow { holder } => {
+                    self.net.push(Message::Follow { attempt, holder });
+                    continue;
+                }
+                Action::Answer(answer) => {
+                    self.attempts[attempt].answers.push(answer);
+                    continue;
+                }
+            };
+            let ballot = self.attempts[attempt].coordinator.ballot();
+            let agent = index(&agent);
+            self.net.push(Message::To {
+                agent,
+                attempt,
+                ballot,
+                request,
+                copied: false,
+            });
+        }
+    }
+
+    pub(crate) fn copy(&mut self, message: usize) {
+        if let Message::To { copied, .. } = &mut self.net[message] {
+            *copied = true;
+        }
+        self.net.push(self.net[message].clone());
+    }
+
+    /// Loses a message; the sender of a start or a follow learns of it.
+    pub(crate) fn lose(&mut self, message: usize) {
+        match self.net.swap_remove(message) {
+            Message::Follow { attempt, .. } => self.event(attempt, Event::Followed(None)),
+            Message::To {
+                agent,
+                attempt,
+                request: Request::Start(task),
+                ..
+            } => {
+                let (agent, reply) = (node(agent), Reply::Lost);
+                self.event(attempt, Event::Started { task, agent, reply });
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn deliver(&mut self, message: Message) {
+        match message {
+            Message::Back { attempt, event } => self.event(attempt, event),
+            Message::Follow { attempt, holder } => self.follow(attempt, holder),
+            Message::To { .. } => self.receive(message),
+        }
+    }
+
+    fn follow(&mut self, attempt: usize, holder: Holder) {
+        let leads = |a: &&Attempt| a.id == holder.ballot.coordinator && !a.dead && !self.parted;
+        let Some(leader) = self.attempts.iter().find(leads) else {
+            return self.event(attempt, Event::Followed(None));
+        };
+        match leader.answers.first().cloned() {
+            Some(answer) => self.event(attempt, Event::Followed(Some(answer))),
+            None => self.net.push(Message::Follow { attempt, holder }),
+        }
+    }
+
+    fn receive(&mut self, message: Message) {
+        let Message::To {
+            agent: at,
+            attempt,
+            ballot,
+            request,
+            copied,
+        } = &message
+        else {
+            return;
+        };
+        let (at, ballot) = (*at, *ballot);
+        let Attempt {
+            job,
+            view,
+            entry,
+            id,
+            ..
+        } = self.attempts[*attempt];
+        let claimant = Claimant {
+            id,
+            address: SocketAddr::from(([127, 0, 0, 1], entry as u16)),
+        };
+        let agent = &mut self.agents[at];
+        let wall = self.now + agent.peer.skew;
+        let leased = self.now < agent.peer.lease;
+        agent.gate.advance(wall);
+        agent.home.advance(wall);
+        let event = match request {
+            Request::Claim if leased => {
+                Event::Claimed(agent.home.claim(job, claimant, view, &agent.peer.views))
+            }
+            Request::Claim => Event::Claimed(Err(Refusal::NoLease)),
+            Request::Ask(tasks, wait) => {
+                let answers = agent.gate.ask(job, tasks, ballot, view);
+                if *wait && answers[0] == Ask::Running {
+                    agent
+                        .gate
+                        .wait(job.task(tasks[0]), Waiter(agent.waits.len() as u64));
+                    agent.waits.push(message);
+                    return;
+                }
+                let answers = tasks.iter().copied().zip(answers).collect();
+                Event::Asked {
+                    agent: node(at),
+                    answers,
+                }
+            }
+            Request::Start(task) => {
+                let refusal = match agent.gate.start(job.task(*task), ballot, view) {
+                    Err(refusal) => refusal,
+                    Ok(()) if !leased => {
+                        agent.gate.retract(job.task(*task));
+                        self.net.retain(|m| !(*copied && m.is_copied_start()));
+                        Refusal::NoLease
+                    }
+                    Ok(()) => {
+                        self.ran.entry(job.task(*task)).or_default().push(id);
+                        let (task, attempt) = (job.task(*task), *attempt);
+                        self.running.push(Run {
+                            agent: at,
+                            task,
+                            attempt,
+                        });
+                        return;
+                    }
+                };
+                let reply = Reply::Refused(refusal);
+                Event::Started {
+                    task: *task,
+                    agent: node(at),
+                    reply,
+                }
+            }
+            Request::Cancel(tasks) => {
+                agent.gate.cancel(job, tasks, ballot);
+                return;
+            }
+        };
+        self.net.push(Message::Back {
+            attempt: *attempt,
+            event,
+        });
+    }
+
+    pub(crate) fn finish(&mut self, run: usize, outcome: Outcome) {
+        let Run {
+            agent,
+            task,
+            attempt,
+        } = self.running.swap_remove(run);
+        let waiters = self.agents[agent].gate.finish(task, outcome, Value(task));
+        let woken = waiters
+            .iter()
+            .map(|w| self.agents[agent].waits[w.0 as usize].clone());
+        self.net.extend(woken);
+        let reply = Reply::Ended {
+            outcome,
+            answer: Value(task),
+        };
+        let event = Event::Started {
+            task: task.index,
+            agent: node(agent),
+            reply,
+        };
+        self.net.push(Message::Back { attempt, event });
+    }
+
+    /// Connections end with a process, so no copy of a start reaches the next.
+    pub(crate) fn restart_agent(&mut self, index: usize) {
+        self.agents[index] = agent(index, self.now);
+        self.running.retain(|run| run.agent != index);
+        self.net.retain(|message| !message.is_copied_start());
+    }
+
+    pub(crate) fn restart_entry(&mut self, entry: usize) {
+        let skew = self.entries[entry].skew;
+        self.entries[entry] = Peer { skew, ..peer(0) };
+        let own = self.attempts.iter_mut().filter(|a| a.entry == entry);
+        own.for_each(|attempt| attempt.dead = true);
+    }
+
+    /// Delivers and finishes all, in order, until nothing is left to do.
+    pub(crate) fn settle(&mut self) {
+        for _ in 0..20_000 {
+            self.start(usize::MAX);
+            self.check();
+            let follows = |message: &Message| matches!(message, Message::Follow { .. });
+            if !self.net.iter().all(follows) || (self.running.is_empty() && !self.net.is_empty()) {
+                let message = self.net.remove(0);
+                self.deliver(message);
+            } else if !self.running.is_empty() {
+                self.finish(0, Outcome::Done);
+            } else {
+                return;
+            }
+        }
+        panic!("the world does not settle");
+    }
+
+    pub(crate) fn check(&self) {
+        for (task, by) in &self.ran {
+            assert!(by.len() <= 1, "{task} ran twice, for {by:x?}");
+        }
+        for attempt in &self.attempts {
+            assert!(attempt.answers.len() <= 1, "{} answered twice", attempt.job);
+            for answer in &attempt.answers {
+                self.check_answer(attempt, answer);
+            }
+        }
+    }
+
+    fn check_answer(&self, attempt: &Attempt, answer: &Answer<Value>) {
+        assert_eq!(answer.job, attempt.job);
+        let done = answer
+            .tasks
+            .iter()
+            .all(|(outcome, _)| *outcome == Outcome::Done);
+        assert_eq!(answer.complete, done, "{answer:?}");
+        for (index, (outcome, value)) in (0..).zip(&answer.tasks) {
+            let task = attempt.job.task(index);
+            let ran = self.ran.get(&task);
+            match outcome {
+                Outcome::Done => assert_eq!(value, &Some(Value(task))),
+                Outcome::Failed => assert!(ran.is_some(), "{task} failed but never ran"),
+                Outcome::NotRun => {
+                    let own = ran.is_some_and(|by| by.contains(&attempt.id));
+                    assert!(!own, "{task} was told not run");
+                }
+                Outcome::Unknown => {}
+            }
+        }
+    }
+}
