Claim: offers for a caller that finds places by and by; single requests

Cause: the entry's dispatcher gives places asynchronously, and a restarted agent refused single requests until its memory horizon had passed.

Change: Coordinator::offer, assign and decline, with start built on them; Gate::start_single, which a fresh key passes whatever the horizon.

--- a/crates/claim/src/coordinator/event.rs
+++ b/crates/claim/src/coordinator/event.rs
@@ -125,6 +125,15 @@
     Answer(Answer<A>),
 }
 
+/// A task that waits for a place at one of some agents.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Offer {
+    /// Index of the task.
+    pub task: u32,
+    /// The agents; at least one.
+    pub candidates: Vec<Node>,
+}
+
 /// The one answer of a job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer<A> {
--- a/crates/claim/src/coordinator/mod.rs
+++ b/crates/claim/src/coordinator/mod.rs
@@ -27,7 +27,7 @@
 use asking::Asking;
 use task::{Ready, State};
 
-pub use event::{Action, Answer, Event, Load, Place, Plan, Reply};
+pub use event::{Action, Answer, Event, Load, Offer, Place, Plan, Reply};
 
 /// A job in progress; `A` is the answer of a task.
 #[derive(Debug)]
@@ -128,42 +128,69 @@
     /// Emits starts for up to `credit` of the waiting tasks.
     pub fn start(&mut self, now: Duration, credit: usize, load: &mut impl Load) -> Vec<Action<A>> {
         let mut out = Vec::new();
-        let mut held = VecDeque::new();
-        while out.len() < credit {
-            let Some(index) = self.queue.pop_front() else {
+        for _ in 0..self.queue.len() {
+            if out.len() == credit {
+                break;
+            }
+            let Some(offer) = self.offer(now) else {
                 break;
             };
-            match self.pick(index, now, load) {
-                Some(agent) => out.push(self.send(index, agent)),
-                None => held.push_back(index),
+            let open: Vec<&Node> = offer.candidates.iter().collect();
+            match load.pick(&open) {
+                Some(chosen) => out.extend(self.assign(offer.task, &offer.candidates[chosen])),
+                None => self.queue.push_back(offer.task),
             }
         }
-        held.append(&mut self.queue);
-        self.queue = held;
         out
     }
 
-    fn pick(&self, index: u32, now: Duration, load: &mut impl Load) -> Option<Node> {
-        let State::Ready(ready) = &self.tasks[index as usize] else {
-            return None;
-        };
-        let candidates = &self.plan.tasks[index as usize].candidates;
-        let open = ready.open(candidates, now);
-        let chosen = load.pick(&open)?;
-        open.get(chosen).map(|agent| (*agent).clone())
+    /// Takes a waiting task out, for a caller that finds a place for it by and
+    /// by. Each offer ends with [`assign`](Self::assign) or
+    /// [`decline`](Self::decline).
+    pub fn offer(&mut self, now: Duration) -> Option<Offer> {
+        for _ in 0..self.queue.len() {
+            let task = self.queue.pop_front()?;
+            let candidates = self.open(task, now);
+            if !candidates.is_empty() {
+                return Some(Offer { task, candidates });
+            }
+            self.queue.push_back(task);
+        }
+        None
     }
 
-    fn send(&mut self, index: u32, agent: Node) -> Action<A> {
-        let state = &mut self.tasks[index as usize];
-        let ready = match state {
-            State::Ready(ready) => *ready,
-            _ => Ready::default(),
+    /// Sends an offered task to `agent`, unless the job was answered since.
+    pub fn assign(&mut self, task: u32, agent: &Node) -> Option<Action<A>> {
+        let state = self.tasks.get_mut(task as usize)?;
+        let State::Ready(ready) = *state else {
+            return None;
         };
+        let agent = agent.clone();
         *state = State::Sent {
             agent: agent.clone(),
             ready,
         };
-        Action::Start { task: index, agent }
+        Some(Action::Start { task, agent })
+    }
+
+    /// Puts an offered task back, for which no place was found.
+    pub fn decline(&mut self, task: u32, now: Duration) -> Vec<Action<A>> {
+        let mut out = Vec::new();
+        let index = task as usize;
+        if let Some(State::Ready(ready)) = self.tasks.get(index) {
+            let ready = ready.next_round(now);
+            self.wait(index, ready);
+            self.conclude(&mut out);
+        }
+        out
+    }
+
+    fn open(&self, task: u32, now: Duration) -> Vec<Node> {
+        let index = task as usize;
+        match &self.tasks[index] {
+            State::Ready(ready) => ready.open(&self.plan.tasks[index].candidates, now),
+            _ => Vec::new(),
+        }
     }
 
     fn claimed(&mut self, claim: home::Result<Claim>, out: &mut Vec<Action<A>>) {
@@ -371,7 +398,13 @@
 
     fn retry(&mut self, index: usize, ready: Ready, agent: &Node, now: Duration) {
         let candidates = &self.plan.tasks[index].candidates;
-        match ready.after_refusal(candidates, agent, now) {
+        let ready = ready.after_refusal(candidates, agent, now);
+        self.wait(index, ready);
+    }
+
+    /// Puts a task in the queue again, or gives it up after its last round.
+    fn wait(&mut self, index: usize, ready: Option<Ready>) {
+        match ready {
             Some(ready) => {
                 self.tasks[index] = State::Ready(ready);
                 self.queue.push_back(index as u32);
--- a/crates/claim/src/coordinator/task.rs
+++ b/crates/claim/src/coordinator/task.rs
@@ -58,16 +58,13 @@
     }
 
     /// The candidates that may be sent to.
-    pub(super) fn open<'a>(&self, candidates: &'a [Node], now: Duration) -> Vec<&'a Node> {
+    pub(super) fn open(&self, candidates: &[Node], now: Duration) -> Vec<Node> {
         if now < self.from {
             return Vec::new();
         }
         let open = |(i, _): &(u32, _)| self.refused & bit(*i) == 0;
-        (0..)
-            .zip(candidates)
-            .filter(open)
-            .map(|(_, agent)| agent)
-            .collect()
+        let open = (0..).zip(candidates).filter(open);
+        open.map(|(_, agent)| agent.clone()).collect()
     }
 
     /// The state after a refusal, or nothing after the last round.
@@ -83,10 +80,18 @@
             }
         }
         if self.open(candidates, Duration::MAX).is_empty() {
-            self.rounds += 1;
-            self.refused = 0;
-            self.from = now + PAUSE * u32::from(self.rounds);
+            self.next_round(now)
+        } else {
+            Some(self)
         }
+    }
+
+    /// The state after all candidates have refused, or nothing after the last
+    /// round.
+    pub(super) fn next_round(mut self, now: Duration) -> Option<Ready> {
+        self.rounds += 1;
+        self.refused = 0;
+        self.from = now + PAUSE * u32::from(self.rounds);
         (self.rounds < ROUNDS).then_some(self)
     }
 }
--- a/crates/claim/src/gate/mod.rs
+++ b/crates/claim/src/gate/mod.rs
@@ -118,6 +118,25 @@
         Ok(())
     }
 
+    /// Starts the task of a single request, whose key was drawn for this one
+    /// message. Nobody can have started it before, so a restarted agent takes
+    /// it at once.
+    ///
+    /// # Errors
+    ///
+    /// `Duplicate`, `Tombstoned` or `Expired`.
+    pub fn start_single(&mut self, task: Task, view: View) -> Result<()> {
+        match self.start(task, Ballot::default(), view) {
+            Err(Refusal::Forgotten) if !self.records.contains_key(&task) => {
+                self.records
+                    .insert(task, Record::Running(Ballot::default()));
+                Ok(())
+            }
+            Err(Refusal::Forgotten) => Err(Refusal::Duplicate),
+            result => result,
+        }
+    }
+
     /// Notes that a started task has ended; gives back who waits for it.
     pub fn finish(&mut self, task: Task, outcome: Outcome, answer: A) -> Vec<Waiter> {
         let Some(record @ Record::Running(_)) = self.records.get_mut(&task) else {
--- a/crates/claim/tests/gate.rs
+++ b/crates/claim/tests/gate.rs
@@ -246,3 +246,11 @@
     let told = gate.ask(job(1010), &[0, 1], ballot(2), View(1));
     assert_eq!(told, [Ask::Superseded, Ask::Superseded]);
 }
+
+#[test]
+fn single_request_starts_once_at_a_restarted_agent() {
+    let mut gate = gate(100);
+    let task = job(1004).task(0);
+    assert_eq!(gate.start_single(task, VIEW), Ok(()));
+    assert_eq!(gate.start_single(task, VIEW), Err(Refusal::Duplicate));
+}
