core: jobs, claimed at their home and driven by the coordinator

Cause: an entry took single requests only; the agent's Claim, Ask and Cancel were not implemented and its Start passed no gate.

Change: the agent's gate and home behind Start, Claim, Ask and Cancel; POST, GET and DELETE under /v1/jobs, each job driven by a task of the runtime. A resubmission at another entry waits for the first coordinator's answer (GET with its id), and takes over where that can't be had. A job of which this submission started nothing is told not run as a whole, not task by task, for an earlier submission may have run it.

The node now takes every view of control's window; those whose age is not told count as young as the one in force.

Red before: 830 tasks against a home younger than the view; a resubmission whose home was the killed agent; a cancel before 8 tasks ran. The tests now wait for each home, take 503 where the home is out of reach, and wait for 8 running tasks.

--- a/crates/claim/src/place/mod.rs
+++ b/crates/claim/src/place/mod.rs
@@ -93,6 +93,8 @@
 #[derive(Clone, Debug)]
 pub struct Views {
     grace: Duration,
+    /// Whether no key of the window goes back behind the first view.
+    whole: bool,
     list: VecDeque<View>,
 }
 
@@ -102,10 +104,18 @@
     pub fn new(grace: Duration) -> Views {
         Views {
             grace,
+            whole: false,
             list: VecDeque::new(),
         }
     }
 
+    /// Begins anew with a view behind which no key of the window goes back.
+    pub fn begin(&mut self, view: View) {
+        self.list.clear();
+        self.list.push_back(view);
+        self.whole = true;
+    }
+
     /// Adds a view; one that isn't newer than the last is ignored.
     ///
     /// After a gap in the numbers the earlier views are dropped, for those
@@ -115,8 +125,9 @@
         if view.number <= last {
             return;
         }
-        if view.number.0 != last.0 + 1 {
+        if self.list.is_empty() || view.number.0 != last.0 + 1 {
             self.list.clear();
+            self.whole = view.number.0 == 1;
         }
         self.list.push_back(view);
     }
@@ -134,6 +145,12 @@
         self.list.back()
     }
 
+    /// Whether the agent is in any of these views.
+    pub fn contains(&self, node: &Node) -> bool {
+        let mut members = self.list.iter().flat_map(|view| &view.members);
+        members.any(|member| member.node == *node)
+    }
+
     /// Number of the view in force; 0 before the first.
     pub fn number(&self) -> id::View {
         self.last().map_or(id::View(0), |view| view.number)
@@ -143,7 +160,7 @@
     /// nothing where this node doesn't know them all.
     pub fn since(&self, job: Job) -> Option<impl Iterator<Item = &View>> {
         let first = self.list.front()?;
-        let known = first.number.0 == 1 || first.from + self.grace + SKEW < job.created();
+        let known = self.whole || first.from + self.grace + SKEW < job.created();
         let skip = (0..self.list.len()).take_while(|i| self.end(*i) < job.created());
         let skip = skip.count().min(self.list.len() - 1);
         (known || skip > 0).then(|| self.list.iter().skip(skip))
--- a/crates/claim/tests/whole/faults.rs
+++ b/crates/claim/tests/whole/faults.rs
@@ -270,6 +270,13 @@
     }
     let job = Job::new(Duration::from_secs(created), [0; 10]);
     assert_eq!(views.since(job).map(Iterator::count), expected);
+    let mut told = views.clone();
+    told.begin(View::new(
+        id::View(9),
+        Duration::from_secs(1100),
+        Vec::new(),
+    ));
+    assert_eq!(told.since(job).map(Iterator::count), Some(1));
     views.advance(Duration::from_secs(1109 + 605));
     assert_eq!(views.since(job).map(Iterator::count), expected);
 }
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -2,6 +2,8 @@
 //! their answers back.
 
 mod announce;
+mod answer;
+mod claims;
 mod http;
 mod pool;
 mod service;
@@ -11,7 +13,7 @@
 use std::time::Duration;
 
 use gentian::wire::agent::agent_server::AgentServer;
-use gentian::wire::control;
+use gentian::wire::{control, id};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -29,6 +31,7 @@
 pub(crate) struct Role {
     http: Server,
     peer: TcpListener,
+    name: id::Node,
     node: control::Node,
     control: Vec<SocketAddr>,
     section: Agent,
@@ -46,6 +49,7 @@
         Ok(Role {
             http,
             peer,
+            name: settings.name.clone(),
             node,
             control: settings.control.clone(),
             section: section.clone(),
@@ -70,8 +74,13 @@
         let renewal = renew::Loop::new(self.node, table.clone(), &self.control);
         tokio::spawn(renew::log_changes(node, renewal.held()));
         let metrics = Arc::new(metrics::Agent::new());
-        let service =
-            service::Service::new(incarnation, table.clone(), renewal.held(), metrics.clone());
+        let service = service::Service::new(
+            incarnation,
+            table.clone(),
+            renewal.held(),
+            claims::Claims::new(self.name),
+            metrics.clone(),
+        );
         let mut closed = drain.clone();
         let peer = tonic::transport::Server::builder()
             .add_service(AgentServer::new(service))
--- a/crates/core/src/agent/service.rs
+++ b/crates/core/src/agent/service.rs
@@ -9,13 +9,14 @@
     AskReply, AskRequest, CancelReply, CancelRequest, ClaimReply, ClaimRequest, Load, Outcome,
     Reason, StartReply, StartRequest,
 };
-use gentian::wire::id::Task;
+use gentian::wire::id::{Ballot, Job, Task, View};
 use http_body_util::Full;
 use tokio::sync::watch;
 use tonic::{Request, Response, Status};
 
 use super::announce::{Refusal, Slot, Table, Upstream};
-use super::pool;
+use super::claims::Claims;
+use super::{answer, pool};
 use crate::metrics;
 use crate::renew::Held;
 
@@ -29,6 +30,7 @@
     incarnation: u64,
     table: Arc<Table>,
     held: watch::Receiver<Arc<Held>>,
+    claims: Arc<Claims>,
     metrics: Arc<metrics::Agent>,
 }
 
@@ -37,37 +39,56 @@
         incarnation: u64,
         table: Arc<Table>,
         held: watch::Receiver<Arc<Held>>,
+        claims: Claims,
         metrics: Arc<metrics::Agent>,
     ) -> Service {
         Service {
             incarnation,
             table,
             held,
+            claims: Arc::new(claims),
             metrics,
         }
     }
 
+    /// Passes the gate before all else, so that a repeated start is never told
+    /// not run for want of a lease or a slot.
     async fn run(&self, request: StartRequest, task: Task) -> StartReply {
-        let now = Instant::now();
-        if !self.held.borrow().in_force(now) {
-            return refuse(Reason::NoLease);
+        let ballot = request.ballot.map(Ballot::from);
+        if let Err(refusal) = self.claims.start(task, ballot, View(request.view)) {
+            return answer::refused(refusal);
         }
-        let Some(upstream) = self.table.get(&request.service) else {
-            return refuse(Reason::NoUpstream);
-        };
-        let slot = match upstream.admit(now) {
+        let slot = match self.admit(&request.service, Instant::now()) {
             Ok(slot) => slot,
-            Err(refusal) => return refuse(refusal.into()),
+            Err(reason) => {
+                self.claims.retract(task);
+                return refuse(reason);
+            }
         };
         let time = Duration::from_millis(u64::from(request.time_left_ms));
         // The call goes on past the deadline and past a caller that hangs up,
         // since the slot is taken until the upstream has finished.
-        let running = tokio::spawn(execute(slot, request, task, self.metrics.clone()));
+        let running = execute(
+            slot,
+            request,
+            task,
+            self.claims.clone(),
+            self.metrics.clone(),
+        );
+        let running = tokio::spawn(running);
         match tokio::time::timeout(time, running).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(_)) | Err(_) => outcome(Outcome::Unknown),
         }
     }
+
+    fn admit(&self, service: &str, now: Instant) -> std::result::Result<Slot, Reason> {
+        if !self.held.borrow().in_force(now) {
+            return Err(Reason::NoLease);
+        }
+        let upstream = self.table.get(service).ok_or(Reason::NoUpstream)?;
+        upstream.admit(now).map_err(Reason::from)
+    }
 }
 
 impl From<Refusal> for Reason {
@@ -83,6 +104,7 @@
     slot: Slot,
     request: StartRequest,
     task: Task,
+    claims: Arc<Claims>,
     metrics: Arc<metrics::Agent>,
 ) -> StartReply {
     let started = Instant::now();
@@ -98,6 +120,10 @@
     reply.run_us = u32::try_from(started.elapsed().as_micros()).unwrap_or(u32::MAX);
     let upstream = slot.upstream().clone();
     drop(slot);
+    match reply.outcome() {
+        Outcome::NotRun => claims.retract(task),
+        _ => claims.finish(task, reply.clone()),
+    }
     reply.load = Some(load(&upstream));
     reply
 }
@@ -189,15 +215,48 @@
         Ok(Response::new(reply))
     }
 
-    async fn claim(&self, _: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
-        Err(Status::unimplemented("jobs are not claimed yet"))
+    async fn claim(&self, request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
+        let request = request.into_inner();
+        let (job, claimant) = answer::claimant(&request).map_err(malformed)?;
+        let held = self.held.borrow().clone();
+        let claim = match held.in_force(Instant::now()) {
+            true => self.claims.claim(job, claimant, View(request.view), &held),
+            false => Err(gentian::claim::refusal::Refusal::NoLease),
+        };
+        Ok(Response::new(answer::claim(claim)))
     }
 
-    async fn ask(&self, _: Request<AskRequest>) -> Result<Response<AskReply>, Status> {
-        Err(Status::unimplemented("jobs are not claimed yet"))
+    async fn ask(&self, request: Request<AskRequest>) -> Result<Response<AskReply>, Status> {
+        let request = request.into_inner();
+        let job = Job::try_from(&request.job[..]).map_err(malformed)?;
+        let ballot = Ballot::from(request.ballot.unwrap_or_default());
+        if request.wait {
+            self.claims.wait(job, &request.tasks).await;
+        }
+        let asks = self
+            .claims
+            .ask(job, &request.tasks, ballot, View(request.view));
+        let answers = request.tasks.iter().zip(asks);
+        Ok(Response::new(AskReply {
+            answers: answers
+                .map(|(task, ask)| answer::asked(*task, ask))
+                .collect(),
+            load: None,
+        }))
     }
 
-    async fn cancel(&self, _: Request<CancelRequest>) -> Result<Response<CancelReply>, Status> {
-        Err(Status::unimplemented("tasks are not cancelled yet"))
+    async fn cancel(
+        &self,
+        request: Request<CancelRequest>,
+    ) -> Result<Response<CancelReply>, Status> {
+        let request = request.into_inner();
+        let job = Job::try_from(&request.job[..]).map_err(malformed)?;
+        let ballot = Ballot::from(request.ballot.unwrap_or_default());
+        self.claims.cancel(job, &request.tasks, ballot);
+        Ok(Response::new(CancelReply {}))
     }
 }
+
+fn malformed(error: gentian::wire::Malformed) -> Status {
+    Status::invalid_argument(error.to_string())
+}
--- a/crates/core/src/entry/http.rs
+++ b/crates/core/src/entry/http.rs
@@ -13,6 +13,7 @@
 
 use super::call::Clients;
 use super::dispatch::{Demand, Handle, Place, Refusal, Report, Verdict};
+use super::job::Jobs;
 use super::meter::Meter;
 use crate::serve::{self, Handler, Problem, Request, Response};
 use crate::settings::Entry;
@@ -30,6 +31,7 @@
     dispatcher: Handle,
     clients: Clients,
     meter: Arc<Meter>,
+    jobs: Jobs,
     max_body: size::Bytes,
     body_timeout: Duration,
     default_deadline: Duration,
@@ -52,12 +54,14 @@
         dispatcher: Handle,
         clients: Clients,
         meter: Arc<Meter>,
+        jobs: Jobs,
         section: &Entry,
     ) -> Front {
         Front {
             dispatcher,
             clients,
             meter,
+            jobs,
             max_body: section.max_body,
             body_timeout: section.body_timeout,
             default_deadline: section.default_deadline,
@@ -66,6 +70,9 @@
 
     async fn route(&self, request: Request) -> Result<Response> {
         let path = request.uri().path().to_owned();
+        if Jobs::serves(&path) {
+            return self.jobs.route(request).await;
+        }
         match (request.method(), path.as_str()) {
             (&Method::POST, "/v1/requests") => self.single(request).await,
             (_, "/v1/requests") => Err(Problem::new(405, "method not allowed", "use POST")),
--- /dev/null
+++ b/crates/core/src/entry/job/answer.rs
@@ -0,0 +1,158 @@
+//! The answer of a job as its caller gets it.
+
+use bytes::Bytes;
+use gentian::claim::coordinator::Answer;
+use gentian::wire::agent::StartReply;
+use gentian::wire::id::Job;
+use gentian::wire::outcome::Outcome;
+use http_body_util::Full;
+use serde::Serialize;
+use serde_json::value::RawValue;
+
+use super::RETRY_AFTER;
+use crate::serve::Response;
+
+/// Names the attempt that gave the answer.
+pub(super) const COORDINATOR: &str = "x-coordinator";
+
+const NOT_RUN: &str = "this submission started no task; submit the same key again";
+
+/// A whole answer, ready to be sent as often as it is asked for.
+#[derive(Clone, Debug)]
+pub(super) struct Document {
+    pub(super) complete: bool,
+    status: u16,
+    pub(super) outcome: Outcome,
+    coordinator: u64,
+    body: Bytes,
+}
+
+#[derive(Serialize)]
+struct Message<'a> {
+    key: Job,
+    outcome: Outcome,
+    complete: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    detail: Option<&'static str>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    tasks: Vec<TaskMessage<'a>>,
+}
+
+#[derive(Serialize)]
+struct TaskMessage<'a> {
+    outcome: Outcome,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    status: Option<u32>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content_type: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    body: Option<Body<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    body_hex: Option<String>,
+}
+
+#[derive(Serialize)]
+#[serde(untagged)]
+enum Body<'a> {
+    Json(&'a RawValue),
+    Text(&'a str),
+}
+
+impl Document {
+    /// Writes a job's answer.
+    pub(super) fn new(answer: &Answer<StartReply>, coordinator: u64) -> Document {
+        let outcome = summary(answer);
+        // An earlier submission of the key may have run its tasks, so that
+        // nothing is told of them one by one.
+        let ran = outcome != Outcome::NotRun;
+        let told: &[_] = if ran { &answer.tasks } else { &[] };
+        let message = Message {
+            key: answer.job,
+            outcome,
+            complete: answer.complete,
+            detail: (!ran).then_some(NOT_RUN),
+            tasks: told.iter().map(task).collect(),
+        };
+        let body = serde_json::to_vec(&message).unwrap_or_default();
+        Document {
+            complete: answer.complete,
+            status: status(outcome),
+            outcome,
+            coordinator,
+            body: body.into(),
+        }
+    }
+
+    /// The answer that another entry gave to the same job.
+    pub(super) fn relayed(status: u16, body: Bytes, coordinator: u64) -> Option<Document> {
+        let outcome = [Outcome::Done, Outcome::Failed, Outcome::NotRun];
+        let outcome = outcome.into_iter().find(|o| self::status(*o) == status)?;
+        Some(Document {
+            complete: outcome == Outcome::Done,
+            status,
+            outcome,
+            coordinator,
+            body,
+        })
+    }
+
+    /// The response that carries the answer.
+    pub(super) fn respond(&self) -> Response {
+        let mut builder = http::Response::builder()
+            .status(self.status)
+            .header("content-type", "application/json")
+            .header("x-outcome", self.outcome.to_string())
+            .header(COORDINATOR, format!("{:x}", self.coordinator));
+        if self.outcome == Outcome::NotRun {
+            let millis = u64::try_from(RETRY_AFTER.as_millis()).unwrap_or(u64::MAX);
+            builder = builder
+                .header("retry-after", millis.div_ceil(1000).max(1))
+                .header("x-retry-after-ms", millis);
+        }
+        builder
+            .body(Full::new(self.body.clone()))
+            .expect("an answer's headers are valid")
+    }
+}
+
+/// The whole job's outcome: done, not run where nothing of it ran, else failed.
+fn summary(answer: &Answer<StartReply>) -> Outcome {
+    let none_ran = answer.tasks.iter().all(|task| task.0 == Outcome::NotRun);
+    match (answer.complete, none_ran) {
+        (true, _) => Outcome::Done,
+        (false, true) => Outcome::NotRun,
+        (false, false) => Outcome::Failed,
+    }
+}
+
+fn status(outcome: Outcome) -> u16 {
+    match outcome {
+        Outcome::Done => 200,
+        Outcome::Failed => 502,
+        Outcome::NotRun => 503,
+        Outcome::Unknown => 504,
+    }
+}
+
+fn task((outcome, reply): &(Outcome, Option<StartReply>)) -> TaskMessage<'_> {
+    let reply = reply.as_ref().filter(|_| *outcome == Outcome::Done);
+    let body = reply.and_then(body);
+    let hex = reply.filter(|_| body.is_none());
+    TaskMessage {
+        outcome: *outcome,
+        status: reply.map(|reply| reply.status),
+        content_type: reply.map(|reply| reply.content_type.as_str()),
+        body,
+        body_hex: hex.map(|reply| reply.body.iter().map(|b| format!("{b:02x}")).collect()),
+    }
+}
+
+/// A JSON answer as it is, another as text; none where it is neither.
+fn body(reply: &StartReply) -> Option<Body<'_>> {
+    if reply.content_type.starts_with("application/json") {
+        if let Ok(json) = serde_json::from_slice(&reply.body) {
+            return Some(Body::Json(json));
+        }
+    }
+    std::str::from_utf8(&reply.body).ok().map(Body::Text)
+}
--- /dev/null
+++ b/crates/core/src/entry/job/send.rs
@@ -0,0 +1,275 @@
+//! Sends a coordinator's messages; each reply, or its absence, comes back as
+//! one input to the driver.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use gentian::claim::coordinator::{Action, Event, Reply};
+use gentian::claim::gate::Ask;
+use gentian::claim::home::{self, Claim, Holder};
+use gentian::claim::refusal::Refusal;
+use gentian::wire::agent::ask_reply::{self, answer};
+use gentian::wire::agent::claim_reply::Kind;
+use gentian::wire::agent::{
+    AskRequest, CancelRequest, ClaimReply, ClaimRequest, StartReply, StartRequest,
+};
+use gentian::wire::id::{Ballot, Job, Node, Service, View};
+use http_body_util::Full;
+use tokio::sync::mpsc;
+
+use super::answer::{Document, COORDINATOR};
+use super::driver::Input;
+use super::submission::{Submission, Task};
+use super::{Context, PATH};
+use crate::entry::dispatch::{Place, Report};
+
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1000);
+const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// The earlier coordinator's answer; none where it can't be had.
+pub(super) type Followed = Option<Document>;
+
+/// Sends the messages of one attempt.
+#[derive(Clone, Debug)]
+pub(super) struct Sender {
+    context: Context,
+    job: Job,
+    service: Service,
+    deadline: Instant,
+    coordinator: u64,
+    view: View,
+    outbox: mpsc::UnboundedSender<Input>,
+}
+
+impl Sender {
+    pub(super) fn new(
+        context: Context,
+        submission: &Submission,
+        coordinator: u64,
+        view: View,
+        outbox: mpsc::UnboundedSender<Input>,
+    ) -> Sender {
+        Sender {
+            context,
+            job: submission.job,
+            service: submission.service.clone(),
+            deadline: submission.deadline,
+            coordinator,
+            view,
+            outbox,
+        }
+    }
+
+    /// Sends all but starts and answers, which need more than the action tells.
+    pub(super) fn send(&self, action: Action<StartReply>, ballot: Ballot) {
+        let sender = self.clone();
+        tokio::spawn(async move {
+            match action {
+                Action::Claim { home } => {
+                    let event = sender.claim(&home).await;
+                    sender.back(Input::Event(event));
+                }
+                Action::Ask { agent, tasks, wait } => {
+                    let event = sender.ask(agent, tasks, ballot, wait).await;
+                    sender.back(Input::Event(event));
+                }
+                Action::Follow { holder } => {
+                    let followed = sender.follow(holder).await;
+                    sender.back(Input::Followed(followed));
+                }
+                Action::Cancel { agent, tasks } => sender.cancel(&agent, tasks, ballot).await,
+                Action::Start { .. } | Action::Answer(_) => {}
+            }
+        });
+    }
+
+    /// Starts a task at its place. The place is reported on even where the
+    /// driver has ended.
+    pub(super) fn start(&self, index: u32, task: Arc<Task>, place: Place, ballot: Ballot) {
+        let sender = self.clone();
+        tokio::spawn(async move {
+            let time = sender.left();
+            let request = sender.start_request(index, &task, ballot, time);
+            let clients = &sender.context.clients;
+            let reply = clients.start(&place.address, request, time).await;
+            let outcome = reply.outcome().into();
+            let in_time = Instant::now() <= sender.deadline;
+            sender.context.meter.exchange(outcome, in_time);
+            let agent = place.agent.clone();
+            let report = sender.report(place, &reply);
+            sender.context.dispatcher.report(report);
+            let reply = started(reply);
+            let event = Event::Started {
+                task: index,
+                agent,
+                reply,
+            };
+            sender.back(Input::Ended(event));
+        });
+    }
+
+    fn start_request(
+        &self,
+        index: u32,
+        task: &Task,
+        ballot: Ballot,
+        time: Duration,
+    ) -> StartRequest {
+        StartRequest {
+            task: Some(self.job.task(index).into()),
+            ballot: Some(ballot.into()),
+            view: self.view.0,
+            service: self.service.to_string(),
+            time_left_ms: u32::try_from(time.as_millis()).unwrap_or(u32::MAX),
+            path: task.path.clone(),
+            content_type: task.content_type.to_owned(),
+            body: task.body.clone(),
+        }
+    }
+
+    fn report(&self, place: Place, reply: &StartReply) -> Report {
+        let ran = reply.run_us > 0;
+        Report {
+            place,
+            service: self.service.clone(),
+            outcome: reply.outcome().into(),
+            load: reply.load,
+            run: ran.then(|| Duration::from_micros(u64::from(reply.run_us))),
+        }
+    }
+
+    async fn claim(&self, home: &Node) -> Event<StartReply> {
+        let request = ClaimRequest {
+            job: self.job.into(),
+            coordinator: self.coordinator,
+            coordinator_address: self.context.address.to_string(),
+            view: self.view.0,
+        };
+        let Some(mut client) = self.client(home) else {
+            return Event::ClaimFailed;
+        };
+        match tokio::time::timeout(CLAIM_TIMEOUT, client.claim(request)).await {
+            Ok(Ok(reply)) => {
+                claimed(&reply.into_inner()).map_or(Event::ClaimFailed, Event::Claimed)
+            }
+            Ok(Err(_)) | Err(_) => Event::ClaimFailed,
+        }
+    }
+
+    async fn ask(
+        &self,
+        agent: Node,
+        tasks: Vec<u32>,
+        ballot: Ballot,
+        wait: bool,
+    ) -> Event<StartReply> {
+        let request = AskRequest {
+            job: self.job.into(),
+            tasks,
+            ballot: Some(ballot.into()),
+            view: self.view.0,
+            wait,
+        };
+        let time = match wait {
+            true => self.left(),
+            false => ASK_TIMEOUT,
+        };
+        let Some(mut client) = self.client(&agent) else {
+            return Event::Lost { agent };
+        };
+        match tokio::time::timeout(time, client.ask(request)).await {
+            Ok(Ok(reply)) => {
+                let answers = reply.into_inner().answers.into_iter();
+                let answers = answers.map(asked).collect();
+                Event::Asked { agent, answers }
+            }
+            Ok(Err(_)) | Err(_) => Event::Lost { agent },
+        }
+    }
+
+    async fn follow(&self, holder: Holder) -> Followed {
+        let id = holder.ballot.coordinator;
+        let (address, job) = (holder.address, self.job);
+        let url = format!("http://{address}{PATH}/{job}?coordinator={id:x}");
+        let request = http::Request::get(url).body(Full::new(Bytes::new())).ok()?;
+        let answer = self.context.client.send(request, self.left()).await.ok()?;
+        let named = answer.headers.get(COORDINATOR)?.to_str().ok()?;
+        let own = named == format!("{id:x}");
+        own.then(|| Document::relayed(answer.status.as_u16(), answer.body, id))?
+    }
+
+    async fn cancel(&self, agent: &Node, tasks: Vec<u32>, ballot: Ballot) {
+        let request = CancelRequest {
+            job: self.job.into(),
+            tasks,
+            ballot: Some(ballot.into()),
+        };
+        if let Some(mut client) = self.client(agent) {
+            // The job is answered: a cancel that is lost costs work only.
+            let _ = tokio::time::timeout(ASK_TIMEOUT, client.cancel(request)).await;
+        }
+    }
+
+    fn client(&self, agent: &Node) -> Option<Client> {
+        let address = self.context.known.address(agent)?;
+        self.context.clients.get(&address.to_string())
+    }
+
+    fn back(&self, input: Input) {
+        // A driver that has ended takes no more.
+        let _ = self.outbox.send(input);
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+type Client = gentian::wire::agent::agent_client::AgentClient<tonic::transport::Channel>;
+
+/// What a claim's reply tells; nothing where it breaks the protocol.
+fn claimed(reply: &ClaimReply) -> Option<home::Result<Claim>> {
+    match reply.kind() {
+        Kind::First => Some(Ok(Claim::First)),
+        Kind::Forgotten => Some(Ok(Claim::Forgotten)),
+        Kind::Claimed => {
+            let ballot = Ballot::from(reply.ballot?);
+            let address = reply.coordinator_address.parse().ok()?;
+            Some(Ok(Claim::Claimed(Holder { ballot, address })))
+        }
+        Kind::Refused => Some(Err(Refusal::try_from(reply.reason()).ok()?)),
+        Kind::Unspecified => None,
+    }
+}
+
+fn started(reply: StartReply) -> Reply<StartReply> {
+    use gentian::wire::agent::Outcome;
+    match (Refusal::try_from(reply.reason()), reply.outcome()) {
+        (Ok(refusal), _) => Reply::Refused(refusal),
+        (Err(_), Outcome::Done | Outcome::Failed) => Reply::Ended {
+            outcome: reply.outcome().into(),
+            answer: reply,
+        },
+        (Err(_), Outcome::NotRun) => Reply::Unsent,
+        (Err(_), Outcome::Unknown | Outcome::Unspecified) => Reply::Lost,
+    }
+}
+
+/// What an agent told of one task. What can't be understood proves nothing.
+fn asked(answer: ask_reply::Answer) -> (u32, Ask<StartReply>) {
+    let ask = match (answer.kind(), answer.reply) {
+        (answer::Kind::Tombstoned, _) => Ask::Tombstoned,
+        (answer::Kind::Running, _) => Ask::Running,
+        (answer::Kind::Superseded, _) => Ask::Superseded,
+        (answer::Kind::Finished, Some(reply)) => {
+            let outcome = reply.outcome().into();
+            let kept = Refusal::try_from(reply.reason()).is_err();
+            let answer = kept.then_some(reply);
+            Ask::Finished { outcome, answer }
+        }
+        (answer::Kind::Forgotten | answer::Kind::Unspecified, _)
+        | (answer::Kind::Finished, None) => Ask::Forgotten,
+    };
+    (answer.index, ask)
+}
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 pub(crate) mod dispatch;
 mod http;
+mod job;
 mod meter;
 
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 pub(crate) struct Role {
     http: Server,
     name: id::Node,
+    address: SocketAddr,
     node: control::Node,
     section: Entry,
     control: Vec<SocketAddr>,
@@ -34,10 +36,12 @@
         let http = http.map_err(Error::listen("entry.http", section.http))?;
         let http = http.header_timeout(section.header_timeout);
         let mut node = run::node(settings, control::Role::Entry);
-        node.address = http.address()?.to_string();
+        let address = http.address()?;
+        node.address = address.to_string();
         Ok(Role {
             http,
             name: settings.name.clone(),
+            address,
             node,
             section: section.clone(),
             control: settings.control.clone(),
@@ -57,7 +61,15 @@
         tokio::spawn(renew::log_changes(node, renewal.held()));
         let meter = Arc::new(meter::Meter::new(self.name, renewal.held()));
         let clients = call::Clients::default();
-        let front = http::Front::new(dispatcher, clients, meter, &self.section);
+        let jobs = job::Jobs::new(
+            dispatcher.clone(),
+            clients.clone(),
+            meter.clone(),
+            self.address,
+            renewal.held(),
+            &self.section,
+        );
+        let front = http::Front::new(dispatcher, clients, meter, jobs, &self.section);
         let front = renew::Status::new("entry", renewal.held(), front);
         let requests = self.http.serve(Arc::new(front), stop.clone());
         // The lease is renewed until the last request has ended.
--- a/crates/core/src/renew/held.rs
+++ b/crates/core/src/renew/held.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use gentian::claim::place::{self, Views};
 use gentian::config::document::{Document, Problem};
 use gentian::member::member;
 use gentian::member::renewal::{Grant, Hold, Reverted};
@@ -84,6 +85,23 @@
         now.saturating_duration_since(self.view_since)
     }
 
+    /// Adds the views that `views` lacks, at wall time `wall`.
+    ///
+    /// Only the age of the one in force is known. The others are taken to be
+    /// as young, which keeps them for longer.
+    pub(crate) fn update(&self, views: &mut Views, wall: Duration) {
+        let from = wall.saturating_sub(self.view_age(Instant::now()));
+        let known = views.number();
+        self.window.each(|number, members| {
+            let members = || members.values().map(placed).collect();
+            if number > known && number == self.window.floor() {
+                views.begin(place::View::new(number, from, members()));
+            } else if number > known {
+                views.push(place::View::new(number, from, members()));
+            }
+        });
+    }
+
     /// What the node holds after a grant for the request sent at `sent`.
     pub(super) fn renewed(
         &self,
@@ -143,6 +161,11 @@
     }
 }
 
+fn placed(member: &member::Member) -> place::Member {
+    let services = member.upstreams.iter().map(|u| u.service.clone());
+    place::Member::new(member.node.clone(), services.collect())
+}
+
 fn list(problems: &[Problem]) -> String {
     let texts: Vec<String> = problems.iter().map(Problem::to_string).collect();
     texts.join("; ")
--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -24,6 +24,9 @@
 const RETRY: Duration = Duration::from_millis(200);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// Longest time for which a node may act on a view after the next was accepted.
+pub(crate) const GRACE: Duration = Duration::from_secs(9);
+
 /// Tells what this node announces of itself; entries have no upstreams.
 pub(crate) trait Announce: Send + Sync + 'static {
     /// The upstreams that are heard of now.
--- /dev/null
+++ b/crates/core/tests/job.rs
@@ -0,0 +1,159 @@
+//! Jobs through separate processes: entries, agents and upstreams.
+
+mod support;
+
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use gentian_wire::id::Job;
+use serde_json::{json, Value};
+use support::call;
+use support::system::{poll, System};
+use test_case::test_case;
+
+/// Enough jobs for each agent to be the home of one.
+const JOBS: usize = 20;
+
+/// A key created `age` seconds ago.
+fn key(age: u64) -> Job {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).expect("clock");
+    Job::new(wall - Duration::from_secs(age), rand::random())
+}
+
+fn submission(key: Job, tasks: u64, run_ms: u64) -> String {
+    let tasks: Vec<Value> = (0..tasks)
+        .map(|task| json!({"run_time": "1s", "body": {"run_ms": run_ms, "task": task}}))
+        .collect();
+    json!({"key": key, "service": "demo", "team": "barn", "deadline": "15s", "tasks": tasks})
+        .to_string()
+}
+
+fn post(address: &str, body: &str) -> (u16, Value) {
+    let url = format!("http://{address}/v1/jobs");
+    let (status, answer) = call("POST", &url, &[], body);
+    let answer = serde_json::from_str(&answer).unwrap_or_else(|_| panic!("{answer}"));
+    (status.as_u16(), answer)
+}
+
+fn spawn_post(address: &str, body: &str) -> JoinHandle<(u16, Value)> {
+    let (address, body) = (address.to_owned(), body.to_owned());
+    thread::spawn(move || post(&address, &body))
+}
+
+/// A system whose view is old enough for a first claim to be told first.
+fn system(agents: usize, entries: usize) -> System {
+    let system = System::with_entries(agents, entries);
+    let done = |address: &String| post(address, &submission(key(0), 1, 0)).0 == 200;
+    // Each job has another home, and each home has its own age of the view.
+    let settled = |address| (0..JOBS).all(|_| done(address));
+    poll(|| system.entry_addresses.iter().all(settled).then_some(()));
+    system
+}
+
+fn count(system: &System, name: &str) -> u64 {
+    let upstreams = 0..system.upstreams.len();
+    upstreams.map(|u| system.executions(u, name)).sum()
+}
+
+fn outcomes(answer: &Value, outcome: &str) -> usize {
+    let tasks = answer["tasks"].as_array().expect("tasks");
+    tasks.iter().filter(|t| t["outcome"] == outcome).count()
+}
+
+#[test]
+fn largest_job_is_answered_whole() {
+    let system = system(3, 1);
+    let before = count(&system, "total");
+    let (status, answer) = post(&system.entry_addresses[0], &submission(key(0), 830, 5));
+    assert_eq!((status, &answer["complete"]), (200, &json!(true)));
+    for (index, task) in answer["tasks"]
+        .as_array()
+        .expect("tasks")
+        .iter()
+        .enumerate()
+    {
+        assert_eq!(task["body"], json!({"run_ms": 5, "task": index}));
+    }
+    assert_eq!(count(&system, "total") - before, 830);
+    assert_eq!(count(&system, "twice"), 0);
+}
+
+#[test_case(false ; "which answers both")]
+#[test_case(true ; "which is killed")]
+fn resubmission_while_the_first_coordinator_runs(killed: bool) {
+    let system = system(3, 2);
+    let before = count(&system, "total");
+    let body = submission(key(0), 12, 1000);
+    let first = spawn_post(&system.entry_addresses[0], &body);
+    system.wait_for_running();
+    if killed {
+        system.entries[0].kill();
+    }
+    let (status, answer) = post(&system.entry_addresses[1], &body);
+    assert_eq!((status, outcomes(&answer, "done")), (200, 12), "{answer}");
+    if !killed {
+        assert_eq!(first.join().expect("answer"), (200, answer));
+    }
+    assert_eq!(count(&system, "total") - before, 12);
+    assert_eq!(count(&system, "twice"), 0);
+}
+
+#[test]
+fn killed_agent_fails_the_job_and_its_task_never_runs_again() {
+    let system = system(2, 2);
+    let body = submission(key(0), 2, 2000);
+    let first = spawn_post(&system.entry_addresses[0], &body);
+    let busy = system.wait_for_running();
+    thread::sleep(Duration::from_millis(100));
+    let ran = count(&system, "total");
+    system.agents[busy].kill();
+    let (status, answer) = first.join().expect("answer");
+    assert_eq!(
+        (status, &answer["complete"]),
+        (502, &json!(false)),
+        "{answer}"
+    );
+    assert!(outcomes(&answer, "unknown") > 0, "{answer}");
+    // Not run at first, where the killed agent is the job's home as well.
+    poll(|| match post(&system.entry_addresses[1], &body) {
+        (503, _) => None,
+        (status, answer) => {
+            assert_eq!((status, &answer["complete"]), (502, &json!(false)));
+            Some(())
+        }
+    });
+    assert_eq!(count(&system, "total"), ran);
+}
+
+#[test]
+fn cancelled_job_starts_no_more_of_its_tasks() {
+    let system = system(1, 1);
+    let before = count(&system, "total");
+    let key = key(0);
+    let address = &system.entry_addresses[0];
+    let first = spawn_post(address, &submission(key, 20, 1000));
+    poll(|| (system.executions(0, "running") == 8).then_some(()));
+    let (status, _) = call(
+        "DELETE",
+        &format!("http://{address}/v1/jobs/{key}"),
+        &[],
+        "",
+    );
+    assert_eq!(status.as_u16(), 502);
+    let (_, answer) = first.join().expect("answer");
+    assert_eq!(outcomes(&answer, "not_run"), 12, "{answer}");
+    assert_eq!(outcomes(&answer, "unknown"), 8, "{answer}");
+    thread::sleep(Duration::from_millis(1500));
+    assert_eq!(count(&system, "total") - before, 8);
+}
+
+#[test_case(&submission(key(600), 1, 0), 410 ; "expired key")]
+#[test_case(&submission(key(0), 0, 0), 400 ; "no tasks")]
+#[test_case(&submission(key(0), 831, 0), 400 ; "too many tasks")]
+#[test_case("{}", 400 ; "no key")]
+fn submission_is_refused(body: &str, expected: u16) {
+    let system = System::entry("127.0.0.1:1");
+    let address = system.listening("entry-http").to_string();
+    let (status, answer) = post(&address, body);
+    assert_eq!(status, expected, "{answer}");
+}
