Jobs: find out a frozen coordinator, and claim no proof once taken over

Cause: a resubmission waited until its deadline for the answer of an entry that was stopped (SIGSTOP); and once thawed, that entry told its caller `not run` of tasks that the other one had run.

Change: the earlier coordinator is asked again each second and taken over from after two without a reply. One that failed is not followed but taken over from. A start refused for a later coordinator's tombstone makes all tasks that were not sent unknown.

Seen red first: frozen_coordinator_thaws_after_another_took_over (4 tasks not run in the first answer), coordinator_that_was_taken_over_from_claims_no_proof without the change.

--- a/crates/claim/src/coordinator/mod.rs
+++ b/crates/claim/src/coordinator/mod.rs
@@ -246,10 +246,13 @@
         }
     }
 
-    /// Another coordinator has had the job, so nothing is proved of its tasks.
+    /// Another coordinator has or had the job, so that nothing is proved of the
+    /// tasks that this one has not sent.
     fn hold(&mut self) {
         for state in &mut self.tasks {
-            *state = State::Held;
+            if matches!(state, State::Unclaimed | State::Ready(_)) {
+                *state = State::Held;
+            }
         }
     }
 
@@ -393,6 +396,7 @@
             self.settle(index, Outcome::NotRun, None);
         } else {
             self.settle(index, Outcome::Unknown, None);
+            self.hold();
         }
     }
 
--- a/crates/claim/tests/whole/faults.rs
+++ b/crates/claim/tests/whole/faults.rs
@@ -90,13 +90,16 @@
 
 #[test]
 fn coordinator_that_was_taken_over_from_claims_no_proof() {
-    let (mut world, job) = claimed(2);
+    let (mut world, job) = claimed(4);
     world.parted = true;
-    world.submit(1, job, 2);
+    world.submit(1, job, 4);
     (0..5).for_each(|_| deliver(&mut world));
+    world.start(1);
+    deliver(&mut world);
+    deliver(&mut world);
+    assert_eq!(outcomes(&world, 0), [Unknown; 4]);
     world.settle();
-    assert_eq!(outcomes(&world, 0), [Unknown; 2]);
-    assert_eq!(outcomes(&world, 1), [Done; 2]);
+    assert_eq!(outcomes(&world, 1), [Done; 4]);
 }
 
 #[test]
--- a/crates/core/src/entry/job/mod.rs
+++ b/crates/core/src/entry/job/mod.rs
@@ -39,8 +39,8 @@
 const PATH: &str = "/v1/jobs";
 /// Time for the driver's answer at the deadline to reach its callers.
 const SLACK: Duration = Duration::from_millis(100);
-/// Longest time for which a `GET` of an earlier coordinator waits.
-const MAX_FOLLOW: Duration = Duration::from_secs(300);
+/// Time for which a `GET` of an earlier coordinator waits for its answer.
+const FOLLOW_HOLD: Duration = Duration::from_millis(1000);
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// A result whose error is told to the caller.
@@ -144,12 +144,12 @@
         let running = self.find(key)?;
         let follows = query.and_then(|query| query.strip_prefix("coordinator="));
         if let Some(coordinator) = follows {
-            if coordinator != format!("{:x}", running.coordinator) {
+            // One that has failed is taken over from, not followed.
+            if coordinator != format!("{:x}", running.coordinator) || !running.is_shared() {
                 return Err(missing(key));
             }
-            let answer = tokio::time::timeout(MAX_FOLLOW, running.answer()).await;
-            let answer = answer.unwrap_or(None);
-            return answer.map_or_else(|| Err(late()), |document| Ok(document.respond()));
+            // Only the waiting ends; it shows that this entry lives.
+            let _ = tokio::time::timeout(FOLLOW_HOLD, running.answer()).await;
         }
         match running.peek() {
             Some(document) => Ok(document.respond()),
--- a/crates/core/src/entry/job/registry.rs
+++ b/crates/core/src/entry/job/registry.rs
@@ -65,7 +65,7 @@
 
     /// Whether another caller of the same key gets this attempt's answer. A
     /// job that failed is tried again: the gates know what has run.
-    fn is_shared(&self) -> bool {
+    pub(super) fn is_shared(&self) -> bool {
         match &*self.answer.borrow() {
             Some(document) => document.complete,
             None => true,
--- a/crates/core/src/entry/job/send.rs
+++ b/crates/core/src/entry/job/send.rs
@@ -26,6 +26,8 @@
 
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(1000);
 const ASK_TIMEOUT: Duration = Duration::from_millis(1000);
+/// More than the other entry holds the request.
+const FOLLOW_TIMEOUT: Duration = Duration::from_millis(2000);
 
 /// The earlier coordinator's answer; none where it can't be had.
 pub(super) type Followed = Option<Document>;
@@ -188,15 +190,25 @@
         }
     }
 
+    /// Asks the earlier coordinator again and again, so that one that is
+    /// frozen is found out.
     async fn follow(&self, holder: Holder) -> Followed {
         let id = holder.ballot.coordinator;
         let (address, job) = (holder.address, self.job);
         let url = format!("http://{address}{PATH}/{job}?coordinator={id:x}");
-        let request = http::Request::get(url).body(Full::new(Bytes::new())).ok()?;
-        let answer = self.context.client.send(request, self.left()).await.ok()?;
-        let named = answer.headers.get(COORDINATOR)?.to_str().ok()?;
-        let own = named == format!("{id:x}");
-        own.then(|| Document::relayed(answer.status.as_u16(), answer.body, id))?
+        loop {
+            let request = http::Request::get(&url)
+                .body(Full::new(Bytes::new()))
+                .ok()?;
+            let time = self.left().min(FOLLOW_TIMEOUT);
+            let answer = self.context.client.send(request, time).await.ok()?;
+            if answer.status == http::StatusCode::ACCEPTED {
+                continue;
+            }
+            let named = answer.headers.get(COORDINATOR)?.to_str().ok()?;
+            let own = named == format!("{id:x}");
+            return own.then(|| Document::relayed(answer.status.as_u16(), answer.body, id))?;
+        }
     }
 
     async fn cancel(&self, agent: &Node, tasks: Vec<u32>, ballot: Ballot) {
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -98,6 +98,24 @@
     assert_eq!(count(&system, "twice"), 0);
 }
 
+#[test]
+fn frozen_coordinator_thaws_after_another_took_over() {
+    let system = system(1, 2);
+    let before = count(&system, "total");
+    let body = submission(key(0), 20, 1000);
+    let first = spawn_post(&system.entry_addresses[0], &body);
+    poll(|| (system.executions(0, "running") == 8).then_some(()));
+    system.entries[0].signal(libc::SIGSTOP);
+    let second = spawn_post(&system.entry_addresses[1], &body);
+    poll(|| (count(&system, "total") - before > 8).then_some(()));
+    system.entries[0].signal(libc::SIGCONT);
+    let (status, answer) = second.join().expect("answer");
+    assert_eq!((status, outcomes(&answer, "done")), (200, 20), "{answer}");
+    let (status, answer) = first.join().expect("answer");
+    assert_eq!((status, outcomes(&answer, "not_run")), (502, 0), "{answer}");
+    assert_eq!(count(&system, "total") - before, 20);
+}
+
 #[test]
 fn killed_agent_fails_the_job_and_its_task_never_runs_again() {
     let system = system(2, 2);
@@ -114,6 +132,7 @@
         "{answer}"
     );
     assert!(outcomes(&answer, "unknown") > 0, "{answer}");
+    system.entries[0].kill();
     // Not run at first, where the killed agent is the job's home as well.
     poll(|| match post(&system.entry_addresses[1], &body) {
         (503, _) => None,
