--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 pub(crate) mod dispatch;
 mod http;
+mod job;
 mod meter;
 
 use std::net::SocketAddr;
@@ -23,6 +24,7 @@
 pub(crate) struct Role {
     http: Server,
     name: id::Node,
+    address: SocketAddr,
     node: control::Node,
     data_center: id::DataCenter,
     section: Entry,
@@ -36,10 +38,12 @@
         let http = http.map_err(Error::listen("entry.http", section.http))?;
         let http = http.header_timeout(section.header_timeout);
         let mut node = run::node(settings, control::Role::Entry);
-        node.address = http.address()?.to_string();
+        let address = http.address()?;
+        node.address = address.to_string();
         Ok(Role {
             http,
             name: settings.name.clone(),
+            address,
             node,
             data_center: settings.data_center.clone(),
             section: section.clone(),
@@ -65,7 +69,15 @@
         tokio::spawn(renew::log_changes(node, renewal.held()));
         let meter = Arc::new(meter::Meter::new(self.name, renewal.held()));
         let clients = call::Clients::default();
-        let front = http::Front::new(dispatcher, clients, meter, &self.section);
+        let jobs = job::Jobs::new(
+            dispatcher.clone(),
+            clients.clone(),
+            meter.clone(),
+            self.address,
+            renewal.held(),
+            &self.section,
+        );
+        let front = http::Front::new(dispatcher, clients, meter, jobs, &self.section);
         let front = renew::Status::new("entry", renewal.held(), front);
         let requests = self.http.serve(Arc::new(front), stop.clone());
         // The lease is renewed until the last request has ended.
