--- a/crates/quorum/tests/common/mod.rs
+++ b/crates/quorum/tests/common/mod.rs
@@ -13,10 +13,10 @@
 use gentian_quorum::{
     id::{Command, Member},
     members::{Change, Peer},
-    message::Letter,
+    message::{self, Letter},
     replica::{Error, Position, Role, Settings},
     store::Memory,
-    Action, Body, Message, Replica, Store,
+    Action, Message, Replica, Store,
 };
 use model::Model;
 use rand::{Rng, SeedableRng};
@@ -74,6 +74,9 @@
 pub(crate) struct World {
     pub(crate) fault: Fault,
     pub(crate) loss: f64,
+    /// Drops entries that their sender created in its own term.
+    pub(crate) only_earlier_terms: bool,
+    settings: Settings,
     rng: Pcg64Mcg,
     now: Duration,
     sequence: u64,
@@ -105,6 +108,8 @@
         let mut world = Self {
             fault: Fault::None,
             loss: 0.0,
+            only_earlier_terms: false,
+            settings: Settings::default(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: Duration::from_secs(100),
             sequence: 0,
@@ -123,6 +128,11 @@
         world
     }
 
+    /// Sends entries one by one from the next start of an instance on.
+    pub(crate) fn split_entries(&mut self) {
+        self.settings = Settings::builder().message_bytes(1).build().unwrap();
+    }
+
     /// Starts a cluster and waits for its leader.
     pub(crate) fn started(seed: u64, voters: usize, fault: Fault) -> Self {
         let mut world = Self::new(seed, voters);
@@ -175,6 +185,24 @@
         self.one_way = false;
     }
 
+    /// Cuts off the given members and loses all messages on their way.
+    pub(crate) fn cut_at_once(&mut self, ids: &[Member]) {
+        self.cut(ids);
+        self.queue
+            .retain(|_, (_, event)| !matches!(event, Event::Deliver { .. }));
+    }
+
+    pub(crate) fn leads(&self, id: Member) -> bool {
+        self.nodes[&id].up && self.nodes[&id].replica.role() == Role::Leader
+    }
+
+    /// Has one member change the others at once, without an operator who repeats it.
+    pub(crate) fn remove_at(&mut self, at: Member, id: Member) -> bool {
+        let command = Command::random(&mut self.rng);
+        self.with(at, |r, now| r.change(now, command, &Change::Remove { id }))
+            .is_ok()
+    }
+
     pub(crate) fn freeze(&mut self, id: Member, ms: u64) {
         self.node(id).frozen = self.now + Duration::from_millis(ms);
     }
@@ -208,7 +236,7 @@
             Op::Heal => self.cut.clear(),
             Op::Compact(at) => self.compact(self.pick(at)),
             Op::LoseDisk(at) => self.lose(self.pick(at)),
-            Op::Add => self.add(),
+            Op::Add => drop(self.add()),
             Op::Remove(at) => self.remove(self.pick(at)),
         }
     }
@@ -306,7 +334,7 @@
         let kept = self.rng.random_range(0..=store.pending());
         let recovered = store.crash(kept);
         let seed = Pcg64Mcg::seed_from_u64(self.rng.random());
-        let replica = Replica::new(Settings::default(), recovered, seed, self.now + offset);
+        let replica = Replica::new(self.settings, recovered, seed, self.now + offset);
         let run = self.sequence;
         let waiting = BTreeMap::new();
         let node = Node {
@@ -414,6 +442,9 @@
         if self.rng.random_bool(self.loss) || self.is_cut(from, to) {
             return;
         }
+        if self.only_earlier_terms && has_own_entry(&message) {
+            return;
+        }
         let letter = Letter {
             address: from.to_string(),
             messages: vec![message],
@@ -463,7 +494,7 @@
         }
     }
 
-    fn crash(&mut self, id: Member, ms: u64) {
+    pub(crate) fn crash(&mut self, id: Member, ms: u64) {
         let node = self.node(id);
         if node.up {
             node.up = false;
@@ -522,14 +553,15 @@
         self.command(change);
     }
 
-    fn add(&mut self) {
-        if self.nodes.len() < 7 && self.commands.is_empty() {
-            let id = self.fresh();
-            self.command(Change::Add {
-                id,
-                address: id.to_string(),
-            });
+    /// Starts an instance and has it added, if there is room and nothing else to do.
+    pub(crate) fn add(&mut self) -> Option<Member> {
+        if self.nodes.len() >= 7 || !self.commands.is_empty() {
+            return None;
         }
+        let id = self.fresh();
+        let address = id.to_string();
+        self.command(Change::Add { id, address });
+        Some(id)
     }
 
     fn remove(&mut self, id: Member) {
@@ -567,7 +599,9 @@
     }
 }
 
-/// Whether the entry holds a payload.
-pub(crate) fn is_data(entry: &gentian_quorum::Entry) -> bool {
-    matches!(entry.body, Some(Body::Data(_)))
+fn has_own_entry(message: &Message) -> bool {
+    match &message.body {
+        message::Body::Append(append) => append.entries.iter().any(|e| e.term == message.term),
+        _ => false,
+    }
 }
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -101,3 +101,90 @@
     world.run(5_000);
     assert_eq!((world.leader(), world.term()), (leader, term));
 }
+
+/// An entry of an earlier term reaches a majority, whose members then elect a leader without it.
+#[test]
+fn an_entry_of_an_earlier_term_is_not_committed_by_counting() {
+    let mut world = World::started(7, 5, Fault::None);
+    world.split_entries();
+    let first = world.leader().unwrap();
+    let [second, third, fourth, fifth] = world.followers();
+    world.cut(&[first, second]);
+    world.propose(0);
+    world.run(60);
+    world.crash(first, 10_000);
+    world.cut(&[first, second]);
+    let rest = [third, fourth, fifth];
+    world.run_until(8_000, |world| rest.iter().any(|id| world.leads(*id)));
+    let rival = *rest.iter().find(|id| world.leads(**id)).unwrap();
+    world.cut_at_once(&[rival]);
+    world.run(40);
+    world.crash(rival, 20_000);
+    world.only_earlier_terms = true;
+    world.run(10_000);
+    world.crash(first, 60_000);
+    world.crash(second, 60_000);
+    world.cut(&[]);
+    world.run(30_000);
+    world.only_earlier_terms = false;
+    world.run(60_000);
+    world.settle();
+}
+
+/// Two leaders, one after the other, remove one another from sets whose majorities don't meet.
+#[test]
+fn a_new_leader_changes_no_members_before_it_has_committed() {
+    for seed in 0..20 {
+        let mut world = World::started(seed, 4, Fault::None);
+        let first = world.leader().unwrap();
+        let [a, b, c] = world.followers();
+        world.cut_at_once(&[first]);
+        assert!(world.remove_at(first, a));
+        world.run_until(9_000, |world| [a, b, c].iter().any(|id| world.leads(*id)));
+        let second = *[a, b, c].iter().find(|id| world.leads(**id)).unwrap();
+        let third = if second == b { c } else { b };
+        world.cut_at_once(&[first, third]);
+        world.remove_at(second, first);
+        world.run(3_000);
+        world.propose(0);
+        world.run(9_000);
+        world.propose(0);
+        world.run(1_000);
+        world.settle();
+    }
+}
+
+#[test]
+fn a_learner_that_is_behind_has_no_vote() {
+    let mut world = World::started(8, 3, Fault::None);
+    let [follower, _] = world.followers();
+    let learner = world.add().unwrap();
+    world.cut(&[learner]);
+    world.run(2_000);
+    world.crash(follower, 60_000);
+    world.run(500);
+    let committed = world.committed();
+    world.propose(0);
+    world.run(500);
+    assert!(
+        world.committed() > committed,
+        "the learner's absence counts"
+    );
+}
+
+/// A follower answers the leader, restarts at once and is asked for its vote.
+#[test]
+fn a_restarted_member_keeps_to_the_leader_it_has_forgotten() {
+    for seed in 0..60 {
+        let mut world = World::started(seed, 3, Fault::None);
+        let leader = world.leader().unwrap();
+        let [restarted, outsider] = world.followers();
+        world.cut(&[outsider]);
+        world.run(3_000);
+        world.crash(restarted, 5);
+        world.run(1);
+        world.cut(&[leader]);
+        world.run(3_000);
+        world.settle();
+    }
+}
