--- a/crates/quorum/tests/common/mod.rs
+++ b/crates/quorum/tests/common/mod.rs
@@ -103,13 +103,18 @@
         world
     }
 
-    /// Starts instances whose data folders are empty.
+    /// Starts instances whose data folders are empty; with an even seed each
+    /// entry travels in a message of its own.
     pub(crate) fn empty(seed: u64, instances: usize) -> Self {
+        let message_bytes = if seed.is_multiple_of(2) { 1 } else { 1 << 20 };
         let mut world = Self {
             fault: Fault::None,
             loss: 0.0,
             only_earlier_terms: false,
-            settings: Settings::default(),
+            settings: Settings::builder()
+                .message_bytes(message_bytes)
+                .build()
+                .unwrap(),
             rng: Pcg64Mcg::seed_from_u64(seed),
             now: Duration::from_secs(100),
             sequence: 0,
@@ -128,11 +133,6 @@
         world
     }
 
-    /// Sends entries one by one from the next start of an instance on.
-    pub(crate) fn split_entries(&mut self) {
-        self.settings = Settings::builder().message_bytes(1).build().unwrap();
-    }
-
     /// Starts a cluster and waits for its leader.
     pub(crate) fn started(seed: u64, voters: usize, fault: Fault) -> Self {
         let mut world = Self::new(seed, voters);
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -105,8 +105,7 @@
 /// An entry of an earlier term reaches a majority, whose members then elect a leader without it.
 #[test]
 fn an_entry_of_an_earlier_term_is_not_committed_by_counting() {
-    let mut world = World::started(7, 5, Fault::None);
-    world.split_entries();
+    let mut world = World::started(10, 5, Fault::None);
     let first = world.leader().unwrap();
     let [second, third, fourth, fifth] = world.followers();
     world.cut(&[first, second]);
@@ -188,3 +187,12 @@
         world.settle();
     }
 }
+
+#[test]
+fn a_leader_that_is_cut_off_steps_down() {
+    let mut world = World::started(9, 3, Fault::None);
+    let leader = world.leader().unwrap();
+    world.cut(&[leader]);
+    world.run(1_500);
+    assert!(!world.leads(leader));
+}
--- a/crates/quorum/tests/store.rs
+++ b/crates/quorum/tests/store.rs
@@ -233,3 +233,32 @@
     drop(store);
     assert_eq!(File::at(folder.path(), &mut rng).unwrap().state(), &state);
 }
+
+#[test]
+fn a_lost_sector_below_the_last_sync_is_refused() {
+    let disk = Fake::default();
+    let mut store = open(&disk).unwrap();
+    let mut state = first(&mut store);
+    for _ in 0..2 {
+        store.write(&large(&state, false)).unwrap();
+        store.sync().unwrap();
+        state = store.state().clone();
+    }
+    let name = disk.log();
+    disk.edit(&name, |bytes| bytes[512..1024].fill(0));
+    disk.exit();
+    assert!(matches!(open(&disk), Err(Error::Damaged { .. })));
+}
+
+/// Appends the first entry and returns the state with it.
+fn first(store: &mut File<Fake>) -> Recovered {
+    let write = Write {
+        number: 1,
+        hard: Hard::default(),
+        snapshot: None,
+        entries: vec![entry(1, 1, &mut rng(1))],
+    };
+    store.write(&write).unwrap();
+    store.sync().unwrap();
+    store.state().clone()
+}
