--- a/crates/core/tests/local.rs
+++ b/crates/core/tests/local.rs
@@ -107,11 +107,12 @@
         "name": "all", "data_center": "beauce", "rack": "r1", "region": "quebec",
         "entry": {"http": "127.0.0.1:0", "drain_timeout": "300ms"},
         "agent": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0", "drain_timeout": "300ms"},
-        "controller": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0", "data": "unused.data"},
+        "controller": {"http": "127.0.0.1:0", "peer": "127.0.0.1:0", "data": folder.path().join("data")},
         "log": {"file": folder.path().join("log")},
     });
     std::fs::write(&path, settings.to_string()).expect("settings");
     let mut process = Process::start(&["run", "--settings", path.to_str().expect("path")]);
+    support::system::init(&process);
     let agent = format!("http://{}", process.listening("agent-http"));
     let entry = format!("http://{}/v1/requests", process.listening("entry-http"));
     let upstream = Process::start(&["example-upstream", "--agent", &agent]);
