--- a/crates/core/src/args/config.rs
+++ b/crates/core/src/args/config.rs
@@ -10,7 +10,6 @@
 use gentian_wire::id::Version;
 use http::Method;
 use oxhttp::model::StatusCode;
-use serde::Deserialize;
 use serde_json::{json, Value};
 use uuid::Uuid;
 
@@ -162,30 +161,7 @@
 
 impl History {
     fn run(self) -> Result<()> {
-        let mut versions = Vec::new();
-        let mut after = self.after;
-        loop {
-            let mut page = self.page(after)?;
-            let found = page["versions"].as_array_mut();
-            versions.append(found.unwrap_or(&mut Vec::new()));
-            let last = versions.last().and_then(|last| last["version"].as_u64());
-            let next = last.map_or(after, Version);
-            if page["more"] != true || next <= after {
-                if page["complete"] == false {
-                    eprintln!("there may be later versions: the instance asked does not lead");
-                }
-                return self.print(&versions);
-            }
-            after = next;
-        }
-    }
-
-    fn page(&self, after: Version) -> Result<Value> {
-        self.control
-            .get(&format!("/v1/config/history?after={after}"))
-    }
-
-    fn print(&self, versions: &[Value]) -> Result<()> {
+        let versions = history(&self.control, self.after)?;
         if self.json {
             return output::print_line(&format!("{:#}", json!({ "versions": versions })));
         }
@@ -193,19 +169,34 @@
     }
 }
 
-/// The versions on record.
-#[derive(Deserialize)]
-struct Records {
-    versions: Vec<Record>,
+/// The records after the given version, which come in pages.
+fn history(control: &Control, mut after: Version) -> Result<Vec<Value>> {
+    let mut versions = Vec::new();
+    loop {
+        let mut page = control.get(&format!("/v1/config/history?after={after}"))?;
+        if let Some(found) = page["versions"].as_array_mut() {
+            versions.append(found);
+        }
+        let last = versions.last().and_then(|last| last["version"].as_u64());
+        let next = last.map_or(after, Version);
+        if page["more"] == true && next > after {
+            after = next;
+            continue;
+        }
+        if page["complete"] == false {
+            eprintln!("there may be later versions: the instance asked does not lead");
+        }
+        return Ok(versions);
+    }
 }
 
 impl Verify {
     fn run(self) -> Result<()> {
-        let records: Records = self.control.read("/v1/config/history?after=0")?;
         let mut ledger = Ledger::default();
-        for record in &records.versions {
-            replay(&mut ledger, record)?;
-            self.compare(record)?;
+        for record in history(&self.control, Version(0))? {
+            let record = read(record)?;
+            replay(&mut ledger, &record)?;
+            self.compare(&record)?;
         }
         if let Some(known) = self.known.filter(|known| known.version > ledger.version()) {
             let version = known.version;
@@ -228,6 +219,12 @@
     }
 }
 
+fn read(record: Value) -> Result<Record> {
+    let version = record["version"].clone();
+    serde_json::from_value(record)
+        .map_err(|error| Error::Check(format!("version {version} is unreadable: {error}")))
+}
+
 fn replay(ledger: &mut Ledger, record: &Record) -> Result<()> {
     let patch = config::Patch {
         id: record.id,
--- a/crates/core/src/args/operator.rs
+++ b/crates/core/src/args/operator.rs
@@ -30,11 +30,6 @@
         first(&self.control, &Method::GET, path, None)?.json()
     }
 
-    /// Reads a type of its own from the first instance that answers.
-    pub(super) fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T> {
-        first(&self.control, &Method::GET, path, None)?.parse()
-    }
-
     /// Sends JSON to the first instance that answers. Only for requests that
     /// are safe to send twice: the instance before may have acted on it.
     pub(super) fn send(&self, method: &Method, path: &str, body: &Value) -> Result<Answer> {
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -2,7 +2,6 @@
 
 mod support;
 
-use std::process::Command;
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
@@ -149,18 +148,16 @@
         (&first["more"], &first["complete"]),
         (&json!(true), &json!(false))
     );
-    let command = Command::new(env!("CARGO_BIN_EXE_gentiancove"))
-        .args([
-            "config",
-            "history",
-            "--json",
-            "--control",
-            &format!("http://{http}"),
-        ])
-        .output()
-        .expect("the command runs");
-    let told: Value = serde_json::from_slice(&command.stdout).expect("JSON");
+    let control = format!("http://{http}");
+    let told = support::output(&["config", "history", "--json", "--control", &control]);
+    let told: Value = serde_json::from_slice(&told.stdout).expect("JSON");
     let versions = told["versions"].as_array().expect("a list");
     let numbers = versions.iter().map(|record| record["version"].as_u64());
     assert!(numbers.eq((1..=9).map(Some)), "{} versions", versions.len());
+    let verified = support::output(&["config", "verify", "--control", &control]);
+    let digest = get(&url)["digest"].as_str().expect("a digest").to_owned();
+    assert_eq!(
+        support::text(&verified.stdout).trim(),
+        format!("9:{digest}")
+    );
 }
