--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 pub(crate) mod dispatch;
 mod http;
+mod job;
 mod meter;
 
 use std::net::SocketAddr;
@@ -23,7 +24,9 @@
 pub(crate) struct Role {
     http: Server,
     name: id::Node,
+    address: SocketAddr,
     node: control::Node,
+    data_center: id::DataCenter,
     section: Entry,
     control: Vec<SocketAddr>,
 }
@@ -35,11 +38,14 @@
         let http = http.map_err(Error::listen("entry.http", section.http))?;
         let http = http.header_timeout(section.header_timeout);
         let mut node = run::node(settings, control::Role::Entry);
-        node.address = http.address()?.to_string();
+        let address = http.address()?;
+        node.address = address.to_string();
         Ok(Role {
             http,
             name: settings.name.clone(),
+            address,
             node,
+            data_center: settings.data_center.clone(),
             section: section.clone(),
             control: settings.control.clone(),
         })
@@ -58,12 +64,20 @@
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let node = format!("node {}", self.node.name);
         let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), &self.control);
-        let (dispatcher, thread) = dispatch::start();
+        let (dispatcher, thread) = dispatch::start(&self.name, &self.data_center);
         tokio::spawn(follow(renewal.held(), dispatcher.clone()));
         tokio::spawn(renew::log_changes(node, renewal.held()));
         let meter = Arc::new(meter::Meter::new(self.name, renewal.held()));
         let clients = call::Clients::default();
-        let front = http::Front::new(dispatcher, clients, meter, &self.section);
+        let jobs = job::Jobs::new(
+            dispatcher.clone(),
+            clients.clone(),
+            meter.clone(),
+            self.address,
+            renewal.held(),
+            &self.section,
+        );
+        let front = http::Front::new(dispatcher, clients, meter, jobs, &self.section);
         let front = renew::Status::new("entry", renewal.held(), front);
         let requests = self.http.serve(Arc::new(front), stop.clone());
         // The lease is renewed until the last request has ended.
--- a/crates/core/src/local/mod.rs
+++ b/crates/core/src/local/mod.rs
@@ -99,12 +99,13 @@
     let mut signals = Signals::listen().map_err(run::Error::Start)?;
     let roles = Roles::bind(settings).await?;
     let entry = url(roles.entry_http());
+    let control = roles.control();
     let upstream = upstream(&url(roles.agent_http())).await?;
     let (stop, stopped) = watch::channel(false);
     let roles = tokio::spawn(roles.run(stopped.clone()));
     let upstream = tokio::spawn(upstream.serve(stopped));
     let result = tokio::select! {
-        result = show(&entry, once) => result,
+        result = show(control, &entry, once) => result,
         () = signals.wait() => Ok(()),
     };
     stop.send_replace(true);
@@ -124,9 +125,12 @@
 
 /// Sends the example until it is answered, and prints the answer. Returns then
 /// with `once`, and never without.
-async fn show(entry: &str, once: bool) -> Result<()> {
+async fn show(control: Option<(SocketAddr, SocketAddr)>, entry: &str, once: bool) -> Result<()> {
     let client = Client::new();
     let start = Instant::now();
+    if let Some((operators, peer)) = control {
+        found(&client, &url(Some(operators)), peer).await;
+    }
     while !hears_agent(&client, entry).await && start.elapsed() < READY_TIMEOUT {
         tokio::time::sleep(READY_POLL).await;
     }
@@ -147,6 +151,28 @@
     std::future::pending().await
 }
 
+/// Makes the control instance the only member of a cluster, unless its data
+/// folder holds one from an earlier run. Where that fails, the example is not
+/// answered and the last answer tells why.
+async fn found(client: &Client, control: &str, peer: SocketAddr) {
+    let members = format!("{control}/v1/members");
+    let known = Request::get(&members).body(Full::<Bytes>::default());
+    let known = known.expect("an address makes a valid request");
+    let Ok(answer) = client.send(known, REQUEST_TIMEOUT).await else {
+        return;
+    };
+    let status: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    if status["initialized"] == true {
+        return;
+    }
+    let init = serde_json::json!({ "init": [peer] }).to_string();
+    let init = Request::post(&members).body(Full::new(Bytes::from(init)));
+    let init = init.expect("an address makes a valid request");
+    if let Err(error) = client.send(init, REQUEST_TIMEOUT).await {
+        log::warn!("the control instance can't be initialised: {error}");
+    }
+}
+
 /// Whether the entry knows an agent, so that requests sent before count for
 /// nothing in the report.
 async fn hears_agent(client: &Client, entry: &str) -> bool {
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -30,6 +30,9 @@
     /// The log can't be written.
     #[error(transparent)]
     Log(#[from] logging::Error),
+    /// The data folder of the control role can't be used.
+    #[error(transparent)]
+    Replica(#[from] control::StartError),
     /// The runtime can't be started.
     #[error("can't start the process: {0}")]
     Start(#[from] io::Error),
@@ -119,6 +122,12 @@
         Ok(roles)
     }
 
+    /// Addresses for operators and for peers, where there is a control instance.
+    pub(crate) fn control(&self) -> Option<(SocketAddr, SocketAddr)> {
+        let role = self.control.as_ref()?;
+        Some((role.http().ok()?, role.peer().ok()?))
+    }
+
     /// Address for callers, where there is an entry.
     pub(crate) fn entry_http(&self) -> Option<SocketAddr> {
         self.entry.as_ref()?.http().ok()
