--- a/crates/core/src/entry/job/driver.rs
+++ b/crates/core/src/entry/job/driver.rs
@@ -149,6 +149,7 @@
         let demand = Demand {
             service: self.submission.service.clone(),
             team: self.submission.team.clone(),
+            job: Some(self.submission.job),
             deadline: self.submission.deadline,
             candidates: offer.candidates,
             refused_by: Vec::new(),
