--- a/crates/core/src/control/replica/mod.rs
+++ b/crates/core/src/control/replica/mod.rs
@@ -115,6 +115,7 @@
             addresses: BTreeMap::new(),
             waiting: BTreeMap::new(),
             written: 0,
+            applied: 0,
             reopen_at: Duration::ZERO,
         };
         let builder = std::thread::Builder::new().name("control".to_owned());
--- a/crates/core/src/control/replica/thread.rs
+++ b/crates/core/src/control/replica/thread.rs
@@ -66,6 +66,7 @@
     pub(super) addresses: BTreeMap<Member, String>,
     pub(super) waiting: BTreeMap<u64, (u64, Answer)>,
     pub(super) written: u64,
+    pub(super) applied: u64,
     pub(super) reopen_at: Duration,
 }
 
@@ -145,9 +146,10 @@
             return;
         }
         let base = self.replica.log().snapshot().index;
-        if self.replica.applied() >= base + COMPACT_ENTRIES {
+        // The replica may have handed out more than the machine has applied.
+        if self.applied >= base + COMPACT_ENTRIES {
             let data = Bytes::from(self.machine.snapshot());
-            self.replica.compact(now, self.replica.applied(), data);
+            self.replica.compact(now, self.applied, data);
         }
         self.replica.tick(now);
     }
@@ -208,6 +210,7 @@
             Some(Body::Data(payload)) => self.machine.apply(entry.index, payload),
             _ => Vec::new(),
         };
+        self.applied = entry.index;
         if let Some((term, answer)) = self.waiting.remove(&entry.index) {
             let known = term == entry.term;
             let _ = answer.send(if known {
@@ -223,6 +226,7 @@
             true => &self.blank,
             false => &snapshot.data,
         };
+        self.applied = snapshot.index;
         if let Err(error) = self.machine.restore(data) {
             log::error!("control member {} halts: {error}", self.replica.id());
             self.replica.halt();
@@ -265,6 +269,7 @@
         }
         self.replica = Replica::new(Settings::default(), store.state().clone(), rng, now);
         self.written = 0;
+        self.applied = 0;
         self.store = Some(store);
     }
 
--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -113,3 +113,46 @@
     let told = support::text(&output.stderr);
     assert!(told.contains("in use by another process"), "{told}");
 }
+
+#[test]
+fn a_replaced_instance_catches_up_from_a_snapshot() {
+    let mut cluster = Cluster::start(3);
+    let version = cluster.version();
+    let version = cluster.patch_many(cluster.leader(), version, 1100);
+    let lost = (cluster.leader() + 1) % 3;
+    cluster.instances[lost].lose_disk();
+    cluster.instances[lost].restart();
+    cluster.replace(lost);
+    let leader = cluster.leader();
+    cluster.instances[leader].kill();
+    cluster.silent = vec![leader];
+    assert_eq!(cluster.version(), version);
+    // A follower hears with the next heartbeat what is committed.
+    poll(|| {
+        let lost = &cluster.instances[lost];
+        let (_, history) = lost.call("GET", "/v1/config/history", &Value::Null);
+        let versions = history["versions"].as_array()?.len();
+        (versions as u64 == version).then_some(())
+    });
+}
+
+#[test]
+fn a_full_disk_stops_the_instance_and_room_starts_it_again() {
+    let cluster = Cluster::start(1);
+    let instance = &cluster.instances[0];
+    let version = cluster.patch("before");
+    instance.process.limit_files(Some(1));
+    let merge = json!({ "teams": { "late": {} } });
+    let patch =
+        json!({ "id": uuid::Uuid::now_v7(), "base": version, "author": "ada", "merge": merge });
+    let (status, told) = instance.call("PATCH", "/v1/config", &patch);
+    assert_eq!(status.as_u16(), 503, "{told}");
+    poll(|| (instance.members()["role"] == json!("halted")).then_some(()));
+    assert_eq!(
+        instance.call("GET", "/v1/config", &Value::Null).0.as_u16(),
+        503
+    );
+    instance.process.limit_files(None);
+    assert_eq!(cluster.version(), version);
+    assert_eq!(cluster.patch("after"), version + 1);
+}
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -1,6 +1,7 @@
 //! Control instances in processes of their own.
 
 use std::io::Write;
+use std::os::unix::process::CommandExt;
 use std::process::Output;
 
 use oxhttp::model::StatusCode;
@@ -8,7 +9,7 @@
 use tempfile::{NamedTempFile, TempDir};
 
 use super::system::poll;
-use super::{call, output, Process};
+use super::{call, gentiancove, output, Process};
 
 /// One control instance that keeps its addresses and data over restarts.
 pub(crate) struct Instance {
@@ -71,7 +72,16 @@
 
 fn run(http: &str, peer: &str, data: &TempDir) -> Process {
     let file = settings(http, peer, data);
-    let mut process = Process::start(&["run", "--settings", path(&file)]);
+    let mut command = gentiancove(&["run", "--settings", path(&file)]);
+    // SAFETY: between fork and exec only the async-signal-safe signal(2) is called.
+    unsafe {
+        command.pre_exec(|| {
+            // A file at its limit is to be an error, not the end of the process.
+            libc::signal(libc::SIGXFSZ, libc::SIG_IGN);
+            Ok(())
+        });
+    }
+    let mut process = Process::spawn(command);
     process.keep(file);
     process
 }
@@ -146,6 +156,18 @@
         })
     }
 
+    /// Has `count` changes accepted one after the other by one instance.
+    pub(crate) fn patch_many(&self, leader: usize, base: u64, count: u64) -> u64 {
+        let leader = &self.instances[leader];
+        for version in base..base + count {
+            let merge = json!({ "teams": { "many": { "concurrent": version + 1 } } });
+            let patch = json!({ "id": uuid(), "base": version, "author": "ada", "merge": merge });
+            let (status, answer) = leader.call("PATCH", "/v1/config", &patch);
+            assert_eq!(status.as_u16(), 200, "{answer}");
+        }
+        base + count
+    }
+
     /// The version that the leader has in force.
     pub(crate) fn version(&self) -> u64 {
         poll(|| {
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -45,7 +45,12 @@
 impl Process {
     /// Starts the binary.
     pub(crate) fn start(args: &[&str]) -> Process {
-        let mut child = gentiancove(args)
+        Process::spawn(gentiancove(args))
+    }
+
+    /// Starts a command of the binary.
+    pub(crate) fn spawn(mut command: Command) -> Process {
+        let mut child = command
             .stdout(Stdio::piped())
             .spawn()
             .expect("the binary starts");
@@ -119,6 +124,18 @@
         }
     }
 
+    /// Limits the size of the files that the process writes; `None` lifts it.
+    pub(crate) fn limit_files(&self, bytes: Option<u64>) {
+        let pid = libc::pid_t::try_from(self.child.id()).expect("pid");
+        let limit = libc::rlimit {
+            rlim_cur: bytes.unwrap_or(libc::RLIM_INFINITY),
+            rlim_max: libc::RLIM_INFINITY,
+        };
+        // SAFETY: the new limit is valid for the call, and no old one is asked for.
+        let done = unsafe { libc::prlimit(pid, libc::RLIMIT_FSIZE, &limit, std::ptr::null_mut()) };
+        assert_eq!(done, 0, "the limit can't be set");
+    }
+
     /// Waits for the end.
     pub(crate) fn wait(&mut self) -> ExitStatus {
         let start = Instant::now();
--- a/crates/quorum/src/replica/mod.rs
+++ b/crates/quorum/src/replica/mod.rs
@@ -230,7 +230,10 @@
         self.set_state(State::Halted);
     }
 
-    /// Replaces the log up to the applied `index` by the machine's state after it.
+    /// Replaces the log up to `index` by `data`, the machine's state after exactly that entry.
+    ///
+    /// The driver names the index that its machine has reached, which may be
+    /// behind [`applied`](Self::applied) while actions are not carried out yet.
     pub fn compact(&mut self, now: Duration, index: u64, data: Bytes) {
         self.advance(now);
         let due = index > self.log.snapshot().index && index <= self.applied;
