--- a/crates/core/src/serve/body.rs
+++ b/crates/core/src/serve/body.rs
@@ -2,12 +2,18 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use gentian::wire::outcome::Outcome;
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
 use super::Problem;
 
+/// How much of a body that is too long is read and thrown away. A connection
+/// that is closed on unread bytes is reset, and its client may then see the reset
+/// in place of the answer.
+const DISCARDED_BYTES: usize = 4 << 20;
+
 /// Why a body was not read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Unread {
@@ -21,27 +27,47 @@
 
 impl From<Unread> for Problem {
     fn from(unread: Unread) -> Problem {
-        match unread {
+        // Whoever asks reads the body first, so that nothing was started.
+        let problem = match unread {
             Unread::Long(limit) => {
                 let detail = format!("the body is longer than {limit} bytes");
                 Problem::new(413, "body too large", &detail)
             }
             Unread::Slow => Problem::new(408, "body too slow", "the body did not come in time"),
             Unread::Broken => Problem::new(400, "body cut short", "the body ended early"),
-        }
+        };
+        problem.outcome(Outcome::NotRun)
     }
 }
 
 /// Reads a whole body of at most `limit` bytes within `time`.
 pub(crate) async fn read(body: Incoming, limit: usize, time: Duration) -> Result<Bytes, Unread> {
-    if body.size_hint().lower() > limit as u64 {
+    let most = limit.saturating_add(DISCARDED_BYTES);
+    if body.size_hint().lower() > most as u64 {
         return Err(Unread::Long(limit));
     }
-    let whole = Limited::new(body, limit).collect();
-    match tokio::time::timeout(time, whole).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Unread::Long(limit)),
-        Ok(Err(_)) => Err(Unread::Broken),
-        Err(_) => Err(Unread::Slow),
+    let whole = tokio::time::timeout(time, collect(body, limit, most));
+    whole.await.unwrap_or(Err(Unread::Slow))
+}
+
+async fn collect(mut body: Incoming, limit: usize, most: usize) -> Result<Bytes, Unread> {
+    let mut whole = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Unread::Broken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        length += data.len();
+        if length > most {
+            break;
+        }
+        if length <= limit {
+            whole.extend_from_slice(&data);
+        }
+    }
+    match length <= limit {
+        true => Ok(whole.freeze()),
+        false => Err(Unread::Long(limit)),
     }
 }
