core: configuration under frozen and dying leaders, seen from the nodes

The lease's promise was proved on virtual time and against one control instance. With three, a node must not get a lease from a leader that was replaced while it was frozen, and versions must be in force in time while leaders come and go.

The test of a replaced instance counted the versions of one page of history; it compares the numbers of all pages now.

--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -5,8 +5,9 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
-use support::call;
-use support::system::{poll, System};
+use support::cluster::Cluster;
+use support::system::{poll, run, System};
+use support::{call, Process};
 use uuid::Uuid;
 
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(4);
@@ -161,3 +162,71 @@
         format!("9:{digest}")
     );
 }
+
+/// The agent and the entry of a cluster, by their addresses for status.
+fn nodes(cluster: &Cluster) -> (Vec<Process>, Vec<String>) {
+    let peers: Vec<_> = cluster.instances.iter().map(|i| i.peer.as_str()).collect();
+    let peers = peers.join(",");
+    let agent = r#""agent":{"http":"127.0.0.1:0","peer":"127.0.0.1:0"}"#;
+    let entry = r#""entry":{"http":"127.0.0.1:0"}"#;
+    let processes = vec![run("agent", &peers, agent), run("entry", &peers, entry)];
+    let addresses = ["agent-http", "entry-http"].iter().zip(&processes);
+    let addresses = addresses.map(|(name, process)| process.listening(name).to_string());
+    let addresses = addresses.collect();
+    (processes, addresses)
+}
+
+#[test]
+fn nothing_reverts_and_all_is_in_force_in_time_while_leaders_freeze_and_die() {
+    let mut cluster = Cluster::start(3);
+    let (_processes, addresses) = nodes(&cluster);
+    for round in 0..4 {
+        let leader = cluster.leader();
+        match round % 2 {
+            0 => cluster.instances[leader].process.signal(libc::SIGSTOP),
+            _ => cluster.instances[leader].kill(),
+        }
+        cluster.silent = vec![leader];
+        let version = cluster.patch(&format!("team-{round}"));
+        let accepted = Instant::now();
+        for address in &addresses {
+            poll(|| {
+                let (in_force, held) = node(address);
+                let late = accepted.elapsed() > IN_FORCE_WITHIN;
+                assert!(
+                    !(late && in_force && held < version),
+                    "{address} acts on {held}"
+                );
+                (in_force && held == version).then_some(())
+            });
+        }
+        println!("round {round}: in force after {:?}", accepted.elapsed());
+        match round % 2 {
+            0 => cluster.instances[leader].process.signal(libc::SIGCONT),
+            _ => cluster.instances[leader].restart(),
+        }
+        cluster.silent.clear();
+        assert_eq!(cluster.version(), version);
+    }
+}
+
+#[test]
+fn a_thawed_leader_grants_no_lease_on_something_old() {
+    let mut cluster = Cluster::start(3);
+    cluster.patch("before");
+    let old = cluster.leader();
+    cluster.instances[old].process.signal(libc::SIGSTOP);
+    cluster.silent = vec![old];
+    let version = cluster.patch("after");
+    // Its renewals wait in the frozen instance's socket until that thaws.
+    let section = r#""entry":{"http":"127.0.0.1:0"}"#;
+    let entry = run("entry", &cluster.instances[old].peer, section);
+    let address = entry.listening("entry-http").to_string();
+    std::thread::sleep(Duration::from_millis(1_500));
+    cluster.instances[old].process.signal(libc::SIGCONT);
+    poll(|| {
+        let (in_force, held) = node(&address);
+        assert!(!in_force || held == version, "version {held} is in force");
+        in_force.then_some(())
+    });
+}
--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -129,10 +129,8 @@
     assert_eq!(cluster.version(), version);
     // A follower hears with the next heartbeat what is committed.
     poll(|| {
-        let lost = &cluster.instances[lost];
-        let (_, history) = lost.call("GET", "/v1/config/history", &Value::Null);
-        let versions = history["versions"].as_array()?.len();
-        (versions as u64 == version).then_some(())
+        let told = cluster.instances[lost].history();
+        told.eq(&(1..=version).collect::<Vec<_>>()).then_some(())
     });
 }
 
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -64,6 +64,21 @@
         (status, serde_json::from_str(&body).unwrap_or(Value::Null))
     }
 
+    /// The numbers of the versions on the instance's record, from all pages.
+    pub(crate) fn history(&self) -> Vec<u64> {
+        let mut versions = Vec::new();
+        loop {
+            let after = versions.last().copied().unwrap_or(0);
+            let path = format!("/v1/config/history?after={after}");
+            let (_, page) = self.call("GET", &path, &Value::Null);
+            let records = page["versions"].as_array().cloned().unwrap_or_default();
+            versions.extend(records.iter().filter_map(|r| r["version"].as_u64()));
+            if page["more"] != json!(true) {
+                return versions;
+            }
+        }
+    }
+
     /// What the instance tells of the members.
     pub(crate) fn members(&self) -> Value {
         self.call("GET", "/v1/members", &Value::Null).1
--- a/crates/core/tests/support/system.rs
+++ b/crates/core/tests/support/system.rs
@@ -153,11 +153,12 @@
     (http, peer)
 }
 
-fn run(name: &str, control: &str, section: &str) -> Process {
-    let control = match control {
-        "" => String::new(),
-        address => format!("{address:?}"),
-    };
+/// Runs a process that renews at the control instances at `control`, which
+/// are separated by commas.
+pub(crate) fn run(name: &str, control: &str, section: &str) -> Process {
+    let control = control.split(',').filter(|address| !address.is_empty());
+    let control: Vec<_> = control.map(|address| format!("{address:?}")).collect();
+    let control = control.join(",");
     let text = format!(
         r#"{{"name":"{name}","data_center":"beauce","rack":"r1","region":"quebec","control":[{control}],{section}}}"#
     );
