--- a/crates/quorum/tests/agreement.rs
+++ b/crates/quorum/tests/agreement.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Op, World};
+use common::{ops::Op, World};
 use proptest::{
     collection::vec,
     prelude::*,
