--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -127,10 +127,19 @@
     cluster.instances[leader].kill();
     cluster.silent = vec![leader];
     assert_eq!(cluster.version(), version);
+    let status = |i: usize| {
+        cluster.instances[i]
+            .call("GET", "/v1/status", &Value::Null)
+            .1
+    };
+    let digest = status(cluster.leader())["digest"].clone();
+    assert!(digest.is_string());
     // A follower hears with the next heartbeat what is committed.
     poll(|| {
-        let told = cluster.instances[lost].history();
-        told.eq(&(1..=version).collect::<Vec<_>>()).then_some(())
+        let told = status(lost);
+        let same = told["version"] == json!(version) && told["digest"] == digest;
+        let history = cluster.instances[lost].history();
+        (same && history.eq(&(1..=version).collect::<Vec<_>>())).then_some(())
     });
 }
 
