Dispatch: only refusals that speak against an agent count for ejection

Any refusal by an agent with room, and any place given back unused, counted as if the agent was unable. A task of a job that is tombstoned or started before, a view that is older than the agent's, or a verdict that came too late would have ejected healthy agents. A report now tells the agent's reason; only no lease and no upstream count.

Not tested: the reasons that must not eject.

--- a/crates/core/src/entry/dispatch/mod.rs
+++ b/crates/core/src/entry/dispatch/mod.rs
@@ -14,7 +14,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{self, RecvTimeoutError};
-use gentian::wire::agent::Load;
+use gentian::wire::agent::{self, Load};
 use gentian::wire::id;
 use gentian::wire::outcome::Outcome;
 use tokio::sync::oneshot;
@@ -85,6 +85,8 @@
     pub(crate) place: Place,
     pub(crate) service: id::Service,
     pub(crate) outcome: Outcome,
+    /// Why the agent refused, where it did.
+    pub(crate) reason: agent::Reason,
     pub(crate) load: Option<Load>,
     /// Time in the upstream, where it ran.
     pub(crate) run: Option<Duration>,
--- a/crates/core/src/entry/dispatch/service.rs
+++ b/crates/core/src/entry/dispatch/service.rs
@@ -13,6 +13,7 @@
 use gentian::route::eject::{Detector, Ending, Settings};
 use gentian::route::runtime::Runtime;
 use gentian::route::view::{Index, Load, Standing, View};
+use gentian::wire::agent;
 use gentian::wire::id;
 use gentian::wire::outcome::Outcome;
 use rand::Rng;
@@ -147,7 +148,7 @@
             Outcome::Unknown => self.counts.lost.add(),
             Outcome::Done | Outcome::Failed => {}
         }
-        if let Some(ending) = self.ending(report, load) {
+        if let Some(ending) = self.ending(report) {
             self.judge(&report.place.agent, ending, now);
         }
         if let (Outcome::Done, Some(run)) = (report.outcome, report.run) {
@@ -337,8 +338,7 @@
         }
     }
 
-    fn ending(&self, report: &Report, load: Option<Load>) -> Option<Ending> {
-        let room = |load: Load| !load.leaving && load.busy + load.waiting < load.slots;
+    fn ending(&self, report: &Report) -> Option<Ending> {
         match (report.outcome, report.run) {
             (Outcome::Done, Some(run)) => Some(Ending::Good {
                 run,
@@ -346,19 +346,19 @@
             }),
             (Outcome::Done, None) => None,
             (Outcome::Failed | Outcome::Unknown, _) => Some(Ending::Bad),
-            (Outcome::NotRun, _) => load.is_none_or(room).then_some(Ending::Refused),
+            (Outcome::NotRun, _) => is_unable(report.reason).then_some(Ending::Refused),
         }
     }
 
-    fn judge(&mut self, agent: &id::Node, ending: Ending, now: Duration) {
-        let changed = self.detector.observe(agent, ending, now, &mut self.rng);
+    fn judge(&mut self, node: &id::Node, ending: Ending, now: Duration) {
+        let changed = self.detector.observe(node, ending, now, &mut self.rng);
         let Some(standing) = changed else {
             return;
         };
         if standing == Standing::Ejected {
             self.counts.ejected.add();
         }
-        self.stand(agent, standing, now);
+        self.stand(node, standing, now);
     }
 
     fn readmit(&mut self, now: Duration) {
@@ -385,6 +385,12 @@
     }
 }
 
+/// Whether a refusal speaks against the agent. Others follow from its load, from
+/// the task or from the entry's view, and healthy agents give them too.
+fn is_unable(reason: agent::Reason) -> bool {
+    matches!(reason, agent::Reason::NoLease | agent::Reason::NoUpstream)
+}
+
 /// The upstream for a demand. Those that have refused it are avoided as long
 /// as there are others.
 fn choose<R: Rng>(view: &mut View, demand: &Demand, now: Duration, rng: &mut R) -> Option<Index> {
--- a/crates/core/src/entry/http.rs
+++ b/crates/core/src/entry/http.rs
@@ -206,6 +206,7 @@
         place: place.clone(),
         service: single.service.clone(),
         outcome: reply.outcome().into(),
+        reason: reply.reason(),
         load: reply.load,
         run: ran.then(|| Duration::from_micros(u64::from(reply.run_us))),
     }
--- a/crates/core/src/entry/job/send.rs
+++ b/crates/core/src/entry/job/send.rs
@@ -136,6 +136,7 @@
             place,
             service: self.service.clone(),
             outcome: reply.outcome().into(),
+            reason: reply.reason(),
             load: reply.load,
             run: ran.then(|| Duration::from_micros(u64::from(reply.run_us))),
         }
