--- a/crates/claim/src/coordinator/event.rs
+++ b/crates/claim/src/coordinator/event.rs
@@ -134,6 +134,17 @@
     pub candidates: Vec<Node>,
 }
 
+/// When an offered task, for which there was no place, is offered again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Retry {
+    /// Soon, as if all candidates had refused it; not for ever.
+    Round,
+    /// From this time on, however often.
+    At(Duration),
+    /// Not at all: the task is given up.
+    Never,
+}
+
 /// The one answer of a job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Answer<A> {
--- a/crates/claim/src/coordinator/task.rs
+++ b/crates/claim/src/coordinator/task.rs
@@ -52,9 +52,9 @@
 }
 
 impl Ready {
-    /// When the next round begins, where one has been refused.
+    /// Earliest time of the next start, where there is one.
     pub(super) fn wake(&self) -> Option<Duration> {
-        (self.rounds > 0).then_some(self.from)
+        (!self.from.is_zero()).then_some(self.from)
     }
 
     /// The candidates that may be sent to.
@@ -86,6 +86,12 @@
         }
     }
 
+    /// The state until `from`, when it may start again.
+    pub(super) fn put_off(mut self, from: Duration) -> Ready {
+        self.from = from;
+        self
+    }
+
     /// The state after all candidates have refused, or nothing after the last
     /// round.
     pub(super) fn next_round(mut self, now: Duration) -> Option<Ready> {
--- a/crates/claim/tests/whole/faults.rs
+++ b/crates/claim/tests/whole/faults.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::world::{index, node, Value, World, AGENTS, CANDIDATES, LEASE};
-use gentian_claim::coordinator::{Event, Reply};
+use gentian_claim::coordinator::{Event, Reply, Retry};
 use gentian_claim::home::{self, Claim, Claimant, Holder, Home};
 use gentian_claim::memory::{Memory, SKEW};
 use gentian_claim::place::{Member, View, Views};
@@ -224,6 +224,26 @@
     assert_eq!(outcomes(&world, 0), expected);
 }
 
+#[test_case(Retry::Never, 1, &[NotRun] ; "which is given up")]
+#[test_case(Retry::Round, 6, &[NotRun] ; "in all rounds")]
+#[test_case(Retry::Round, 5, &[Done] ; "but in the last round")]
+#[test_case(Retry::At(Duration::ZERO), 99, &[Done] ; "for a while")]
+fn no_place_for_a_task(retry: Retry, times: u32, expected: &[Outcome]) {
+    let (mut world, _) = claimed(1);
+    for _ in 0..times {
+        world.now += LEASE / 40;
+        let now = world.now;
+        let coordinator = &mut world.attempts[0].coordinator;
+        let offer = coordinator.offer(now).unwrap();
+        let actions = coordinator.decline(offer.task, retry, now);
+        world.act(0, actions);
+    }
+    world.renew_all();
+    world.now += LEASE / 2;
+    world.settle();
+    assert_eq!(outcomes(&world, 0), expected);
+}
+
 #[test]
 fn home_tells_the_first_from_the_rest() {
     let start = Duration::from_secs(1000);
--- a/crates/claim/tests/whole/world.rs
+++ b/crates/claim/tests/whole/world.rs
@@ -260,7 +260,7 @@
         }
     }
 
-    fn act(&mut self, attempt: usize, actions: Vec<Action<Value>>) {
+    pub(crate) fn act(&mut self, attempt: usize, actions: Vec<Action<Value>>) {
         for action in actions {
             let (agent, request) = match action {
                 Action::Claim { home } => (home, Request::Claim),
--- a/crates/core/src/entry/job/driver.rs
+++ b/crates/core/src/entry/job/driver.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use gentian::claim::coordinator::{Action, Coordinator, Event, Offer};
+use gentian::claim::coordinator::{Action, Coordinator, Event, Offer, Retry};
 use gentian::wire::agent::StartReply;
 use gentian::wire::id::Service;
 use gentian::wire::outcome::Outcome;
@@ -13,7 +13,7 @@
 use super::send::{Followed, Sender};
 use super::submission::Submission;
 use super::{Context, Result};
-use crate::entry::dispatch::{Demand, Handle, Place, Report, Verdict};
+use crate::entry::dispatch::{Demand, Handle, Place, Reason, Refusal, Report, Verdict};
 
 /// Tasks of one job that wait for a place or run at one time.
 const MAX_UNDER_WAY: usize = 128;
@@ -169,14 +169,25 @@
     fn placed(&mut self, task: u32, verdict: Verdict) {
         match verdict {
             Verdict::Start(place) => self.start(task, place),
-            Verdict::Refuse(_) => {
+            Verdict::Refuse(refusal) => {
                 self.under_way -= 1;
-                let actions = self.coordinator.decline(task, self.now());
+                let retry = self.retry(&refusal);
+                let actions = self.coordinator.decline(task, retry, self.now());
                 self.act(actions);
             }
         }
     }
 
+    /// A full queue empties, and a lease comes back, before the deadline or not;
+    /// candidates that have gone from the view hardly do.
+    fn retry(&self, refusal: &Refusal) -> Retry {
+        match (refusal.reason, refusal.retry_after) {
+            (Reason::DeadlinePassed | Reason::NoTimeLeft, _) | (_, None) => Retry::Never,
+            (Reason::NoUpstream, Some(_)) => Retry::Round,
+            (_, Some(after)) => Retry::At(self.now() + after),
+        }
+    }
+
     fn start(&mut self, task: u32, place: Place) {
         if self.coordinator.assign(task, &place.agent).is_some() {
             let message = self.submission.tasks[task as usize].clone();
--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -84,14 +84,20 @@
     let system = system(3, 2);
     let before = count(&system, "total");
     let body = submission(key(0), 12, 1000);
-    let first = spawn_post(&system.entry_addresses[0], &body);
-    system.wait_for_running();
+    let mut first = Some(spawn_post(&system.entry_addresses[0], &body));
+    poll(|| {
+        if let Some(early) = first.take_if(|first| first.is_finished()) {
+            panic!("answered before a task ran: {:?}", early.join());
+        }
+        (count(&system, "running") > 0).then_some(())
+    });
     if killed {
         system.entries[0].kill();
     }
     let (status, answer) = post(&system.entry_addresses[1], &body);
     assert_eq!((status, outcomes(&answer, "done")), (200, 12), "{answer}");
     if !killed {
+        let first = first.expect("checked above");
         assert_eq!(first.join().expect("answer"), (200, answer));
     }
     assert_eq!(count(&system, "total") - before, 12);
