core: load of jobs

Cause: the main load is jobs of many tasks, and only single requests could be measured.

The ideal time of a job is the longest run time of its tasks.

--- a/crates/core/src/args/load.rs
+++ b/crates/core/src/args/load.rs
@@ -19,7 +19,8 @@
   gentiancove load --entries http://127.0.0.1:8080 --service demo --rate 50 --duration 20s
 
 Each request is timed from its intended start. The response ratio is that time over the
-task's own run time plus --network. An answer must repeat its request's body; one that
+task's own run time plus --network;
+of a job, the longest of its tasks'. An answer must repeat its request's body; one that
 does not is counted as wrong, and the exit code is then 5."
 )]
 pub(super) struct Args {
@@ -65,7 +66,10 @@
     /// Says that requests may run more than once
     #[arg(long)]
     idempotent: bool,
-    /// Length of each body
+    /// Sends jobs of this many tasks in place of single requests
+    #[arg(long, value_name = "TASKS", value_parser = clap::value_parser!(u16).range(1..=830))]
+    jobs: Option<u16>,
+    /// Length of each single request's body
     #[arg(long, default_value = "256B")]
     body: Bytes,
     /// Prints the result as JSON
@@ -105,6 +109,7 @@
             .network(self.network)
             .deadline(self.deadline)
             .idempotent(self.idempotent)
+            .tasks(self.jobs.map_or(0, usize::from))
             .body(self.body)
             .command(repeat())
             .build()
--- a/crates/core/src/load/mod.rs
+++ b/crates/core/src/load/mod.rs
@@ -8,6 +8,7 @@
 //! judges its answer, [`tally`] counts, [`summary`] tells.
 
 mod arrivals;
+mod job;
 mod messages;
 mod mixture;
 mod plan;
--- a/crates/core/src/load/plan.rs
+++ b/crates/core/src/load/plan.rs
@@ -24,6 +24,7 @@
     network: Duration,
     deadline: Duration,
     idempotent: bool,
+    tasks: usize,
     body: Bytes,
     command: String,
 }
@@ -60,6 +61,7 @@
             network: Duration::ZERO,
             deadline: Duration::from_secs(10),
             idempotent: false,
+            tasks: 0,
             body: Bytes(256),
             command: String::new(),
         };
@@ -83,7 +85,9 @@
         deadline: Duration,
         /// Whether requests may run more than once.
         idempotent: bool,
-        /// Length of each body, at least what the run time and number need.
+        /// Tasks of each job; 0 for single requests.
+        tasks: usize,
+        /// Length of each single request's body, at least what the run time and number need.
         body: Bytes,
         /// Command that repeats the load.
         command: String,
@@ -121,6 +125,7 @@
         network: Duration,
         deadline: Duration,
         idempotent: bool,
+        tasks: usize,
         body: Bytes,
     }
 
--- a/crates/core/src/load/send.rs
+++ b/crates/core/src/load/send.rs
@@ -11,6 +11,7 @@
 use strum::{Display, EnumCount, EnumIter};
 
 use super::arrivals::Arrival;
+use super::job::Submission;
 use super::Plan;
 use crate::client::{self, Client};
 
@@ -60,6 +61,8 @@
 pub(super) struct Sample {
     pub(super) arrival: Arrival,
     pub(super) fate: Fate,
+    /// Time that it takes where it starts at once.
+    pub(super) ideal: Duration,
     /// Time since the intended start.
     pub(super) seen: Duration,
 }
@@ -91,34 +94,66 @@
         }
     }
 
-    /// Sends the request and reports its sample.
+    /// Sends the request or job and reports its sample.
     pub(super) async fn send(self, arrival: Arrival, intended: Instant) {
+        match self.plan.tasks() {
+            0 => self.send_request(arrival, intended).await,
+            _ => self.send_job(arrival, intended).await,
+        }
+    }
+
+    async fn send_request(self, arrival: Arrival, intended: Instant) {
         let body = self.body(arrival);
+        let request = self.request(arrival, body.clone());
+        let (answer, seen) = self.exchange(request, intended).await;
+        let fate = self.judge(answer, seen, |answer| *answer == body);
+        self.report(arrival, fate, arrival.run, seen);
+    }
+
+    async fn send_job(self, arrival: Arrival, intended: Instant) {
+        let job = Submission::new(&self.plan, arrival);
+        let request = self.job_request(arrival, &job);
+        let (answer, seen) = self.exchange(request, intended).await;
+        let fate = self.judge(answer, seen, |answer| job.is_answered_by(answer));
+        self.report(arrival, fate, job.ideal, seen);
+    }
+
+    async fn exchange(
+        &self,
+        request: Request<Full<Bytes>>,
+        intended: Instant,
+    ) -> (client::Result<client::Answer>, Duration) {
         let timeout = self.plan.deadline() + GRACE;
-        let answer = self
-            .client
-            .send(self.request(arrival, body.clone()), timeout)
-            .await;
-        let seen = intended.elapsed();
-        let fate = match answer {
-            Ok(answer) => self.judge(&answer, &body, seen),
-            Err(client::Error::Connect(_)) => Fate::NoConnection,
-            Err(_) => Fate::NoAnswer,
-        };
+        let answer = self.client.send(request, timeout).await;
+        (answer, intended.elapsed())
+    }
+
+    fn report(&self, arrival: Arrival, fate: Fate, ideal: Duration, seen: Duration) {
         let sample = Sample {
             arrival,
             fate,
+            ideal,
             seen,
         };
         // The collector outlives every sender.
         let _ = self.samples.send(sample);
     }
 
-    fn judge(&self, answer: &client::Answer, body: &Bytes, seen: Duration) -> Fate {
+    fn judge(
+        &self,
+        answer: client::Result<client::Answer>,
+        seen: Duration,
+        is_own: impl Fn(&Bytes) -> bool,
+    ) -> Fate {
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(client::Error::Connect(_)) => return Fate::NoConnection,
+            Err(_) => return Fate::NoAnswer,
+        };
         let outcome = answer.headers.get("x-outcome");
         let outcome = outcome.and_then(|value| value.to_str().ok()?.parse().ok());
         match outcome {
-            Some(Outcome::Done) if answer.body != *body => Fate::Wrong,
+            Some(Outcome::Done) if !is_own(&answer.body) => Fate::Wrong,
             Some(Outcome::Done) if seen > self.plan.deadline() => Fate::Late,
             Some(Outcome::Done) => Fate::Done,
             Some(Outcome::Failed) => Fate::Failed,
@@ -129,6 +164,13 @@
         }
     }
 
+    fn job_request(&self, arrival: Arrival, job: &Submission) -> Request<Full<Bytes>> {
+        Request::post(self.plan.entry(arrival.number).join("/v1/jobs"))
+            .header(header::CONTENT_TYPE, "application/json")
+            .body(Full::new(job.body.clone()))
+            .expect("a constant header is valid")
+    }
+
     fn request(&self, arrival: Arrival, body: Bytes) -> Request<Full<Bytes>> {
         let plan = &self.plan;
         let deadline = humantime::format_duration(plan.deadline()).to_string();
--- a/crates/core/src/load/tally.rs
+++ b/crates/core/src/load/tally.rs
@@ -47,7 +47,7 @@
     }
 
     fn time(&mut self, sample: &Sample) {
-        let ideal = sample.arrival.run + self.network;
+        let ideal = sample.ideal + self.network;
         let ratio = sample.seen.as_secs_f64() / ideal.as_secs_f64();
         let micros = u64::try_from(sample.seen.as_micros()).unwrap_or(u64::MAX);
         self.latency.saturating_record(micros);
--- a/crates/core/tests/load.rs
+++ b/crates/core/tests/load.rs
@@ -155,3 +155,40 @@
         assert!(system.executions(upstream, "most_concurrent") <= 8);
     }
 }
+
+/// An entry that answers jobs; `spoil` changes the answers of the tasks.
+fn job_entry(spoil: fn(&mut Vec<Value>)) -> Fake {
+    Fake::with_headers(move |request| {
+        let sent = request.splitn(3, ' ').nth(2).unwrap_or_default();
+        let job: Value = serde_json::from_str(sent).unwrap_or_default();
+        let mut tasks = job["tasks"].as_array().cloned().unwrap_or_default();
+        spoil(&mut tasks);
+        let answer = serde_json::json!({"complete": true, "tasks": tasks});
+        (200, "x-outcome: done\r\n".to_owned(), answer.to_string())
+    })
+}
+
+#[test_case(|_| (), "done"; "complete answer is done")]
+#[test_case(|tasks| { tasks.pop(); }, "wrong"; "missing task is wrong")]
+#[test_case(|tasks| tasks.reverse(), "wrong"; "crossed tasks are wrong")]
+#[test_case(|tasks| tasks[0]["body"] = Value::Null, "wrong"; "task without answer is wrong")]
+fn jobs(spoil: fn(&mut Vec<Value>), fate: &str) {
+    let fake = job_entry(spoil);
+    let (code, result, stderr) = load(&url(&fake), &["--jobs", "5"]);
+    assert_eq!(Some(if fate == "done" { 0 } else { 5 }), code, "{stderr}");
+    assert_eq!(result["offered"], result["fates"][fate], "{result}");
+}
+
+#[test]
+fn whole_system_answers_jobs() {
+    let system = System::start(2);
+    let entry = format!("http://{}", system.entry_addresses[0]);
+    let more = ["--jobs", "4", "--rate", "5", "--deadline", "20s"];
+    let (code, result, stderr) = load(&entry, &more);
+    assert_eq!(Some(0), code, "{stderr}");
+    assert_eq!(0, result["fates"]["wrong"].as_u64().expect("a count"));
+    assert!(result["offered"].as_u64().expect("a count") > 0);
+    for upstream in 0..2 {
+        assert_eq!(0, system.executions(upstream, "twice"));
+    }
+}
