--- a/crates/core/src/entry/job/driver.rs
+++ b/crates/core/src/entry/job/driver.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use gentian::claim::coordinator::{Action, Coordinator, Event, Offer, Retry};
-use gentian::wire::agent::{Reason, StartReply};
+use gentian::wire::agent::{self, StartReply};
 use gentian::wire::id::Service;
 use gentian::wire::outcome::Outcome;
 use tokio::sync::{mpsc, watch};
@@ -231,7 +231,7 @@
         place,
         service: service.clone(),
         outcome: Outcome::NotRun,
-        reason: Reason::Unspecified,
+        reason: agent::Reason::Unspecified,
         load: None,
         run: None,
     }
