Dispatch: a refused request no longer queues for the retry budget

Agents that are full refuse; refusals were 6.6 % of the requests, the default budget pays for 6 %, so those that waited for it piled up until their deadline.

--- a/crates/core/src/entry/dispatch/service.rs
+++ b/crates/core/src/entry/dispatch/service.rs
@@ -26,7 +26,7 @@
 /// Time to come back while no upstream serves, since nothing tells when one will.
 const NO_UPSTREAM_WAIT: Duration = Duration::from_millis(500);
 
-/// How long a request that was refused waits for the retry budget to recover.
+/// How long a request that was refused waits where the retry budget is spent.
 const BUDGET_WAIT: Duration = Duration::from_millis(50);
 
 /// Answers after which the view is told the mean run time again.
@@ -44,18 +44,11 @@
     tickets: HashMap<u64, Ticket>,
     placed: HashMap<u64, Index>,
     /// Retries that wait out their backoff, by its end and their number.
-    later: BTreeMap<(Duration, u64), Later>,
+    later: BTreeMap<(Duration, u64), Waiting>,
     counts: Arc<Counts>,
     rng: Pcg64Mcg,
 }
 
-/// A retry that waits, and whether the budget has paid for it.
-#[derive(Debug)]
-struct Later {
-    waiting: Waiting,
-    paid: bool,
-}
-
 /// A demand that has no verdict yet.
 #[derive(Debug)]
 pub(super) struct Waiting {
@@ -175,7 +168,7 @@
             self.refuse(waiting.item, reason, NO_UPSTREAM_WAIT);
         }
         for later in std::mem::take(&mut self.later).into_values() {
-            self.refuse(later.waiting, reason, NO_UPSTREAM_WAIT);
+            self.refuse(later, reason, NO_UPSTREAM_WAIT);
         }
     }
 
@@ -240,17 +233,16 @@
         };
         match tried.again(&mut self.budget, &mut self.rng) {
             Some(Duration::ZERO) => self.push(waiting, now),
-            Some(backoff) => self.postpone(waiting, backoff, true, now),
+            Some(backoff) => self.postpone(waiting, backoff, now),
             None if outcome == Outcome::NotRun && tried.left > tried.run + BUDGET_WAIT => {
-                self.postpone(waiting, BUDGET_WAIT, false, now);
+                self.postpone(waiting, BUDGET_WAIT, now);
             }
             None => self.refuse(waiting, Reason::RetryBudgetSpent, NO_UPSTREAM_WAIT),
         }
     }
 
-    fn postpone(&mut self, waiting: Waiting, wait: Duration, paid: bool, now: Duration) {
-        let key = (now + wait, waiting.number);
-        self.later.insert(key, Later { waiting, paid });
+    fn postpone(&mut self, waiting: Waiting, wait: Duration, now: Duration) {
+        self.later.insert((now + wait, waiting.number), waiting);
     }
 
     fn resume(&mut self, now: Duration) {
@@ -258,11 +250,8 @@
             if first.key().0 > now {
                 return;
             }
-            let Later { waiting, paid } = first.remove();
-            match waiting.demand.retry_of {
-                Some(outcome) if !paid => self.again(waiting, outcome, now),
-                _ => self.push(waiting, now),
-            }
+            let waiting = first.remove();
+            self.push(waiting, now);
         }
     }
 
