core: entries keep to the shares of quotas that control lends

Cause: control served Lend, but no entry asked, so quotas limited nothing. Ruled out: asking control for each request, which would make every request wait for it; dividing a quota evenly by settings, which leaves shares where no request arrives. Change: each entry asks once a second for what its teams would need, and the dispatch thread begins no request of a limited team beyond its loan; others wait their turn in the queue and are refused when it is too late to start.

--- a/crates/core/src/entry/dispatch/mod.rs
+++ b/crates/core/src/entry/dispatch/mod.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{self, RecvTimeoutError};
+use gentian::limit::quota::Ask;
 use gentian::wire::agent::{self, Load};
 use gentian::wire::id;
 use gentian::wire::outcome::Outcome;
@@ -92,11 +93,21 @@
     pub(crate) run: Option<Duration>,
 }
 
+/// What control lent this entry of one team's quota.
+#[derive(Clone, Debug)]
+pub(crate) struct Lent {
+    pub(crate) team: id::Team,
+    pub(crate) amount: u32,
+    pub(crate) until: Instant,
+}
+
 enum Event {
     Demand(u64, Demand, oneshot::Sender<Verdict>),
     Cancel(u64),
     Report(Report),
     Hold(Arc<Held>),
+    Asks(oneshot::Sender<Vec<(id::Team, Ask)>>),
+    Lend(Vec<Lent>),
 }
 
 /// Sends events to the thread, which ends when the last handle is dropped.
@@ -132,6 +143,18 @@
         self.send(Event::Hold(held));
     }
 
+    /// What to ask control for each team that has a quota.
+    pub(crate) async fn asks(&self) -> Vec<(id::Team, Ask)> {
+        let (sender, asks) = oneshot::channel();
+        self.send(Event::Asks(sender));
+        asks.await.expect("each question gets an answer")
+    }
+
+    /// Tells what control lent.
+    pub(crate) fn lend(&self, lent: Vec<Lent>) {
+        self.send(Event::Lend(lent));
+    }
+
     /// What has been decided so far, by kind.
     #[expect(dead_code, reason = "the metrics page reads it")]
     pub(crate) fn counts(&self) -> &Counts {
@@ -199,5 +222,10 @@
         Event::Cancel(number) => state.cancel(number, now),
         Event::Report(report) => state.report(&report, now),
         Event::Hold(held) => state.hold(held, now),
+        Event::Asks(sender) => {
+            // Whoever asked may have stopped.
+            let _ = sender.send(state.asks(now));
+        }
+        Event::Lend(lent) => state.lend(&lent),
     }
 }
--- a/crates/core/src/entry/dispatch/service.rs
+++ b/crates/core/src/entry/dispatch/service.rs
@@ -7,6 +7,7 @@
 use gentian::config::document;
 use gentian::limit::after::after;
 use gentian::limit::queue::{Cause, Entry, Flow, Queue, Ticket};
+use gentian::limit::quota::Ledger;
 use gentian::limit::retry::{Budget, Try};
 use gentian::limit::weight::Weight;
 use gentian::route::choice::{Choice, Known};
@@ -42,13 +43,20 @@
     budget: Budget,
     addresses: HashMap<id::Node, String>,
     tickets: HashMap<u64, Ticket>,
-    placed: HashMap<u64, Index>,
+    placed: HashMap<u64, Placed>,
     /// Retries that wait out their backoff, by its end and their number.
     later: BTreeMap<(Duration, u64), Waiting>,
     counts: Arc<Counts>,
     rng: Pcg64Mcg,
 }
 
+/// A demand that holds a slot, counted to its team.
+#[derive(Debug)]
+struct Placed {
+    index: Index,
+    team: id::Team,
+}
+
 /// A demand that has no verdict yet.
 #[derive(Debug)]
 pub(super) struct Waiting {
@@ -117,25 +125,27 @@
     }
 
     /// Drops a demand, or frees the place it was given.
-    pub(super) fn cancel(&mut self, number: u64, now: Duration) {
+    pub(super) fn cancel(&mut self, number: u64, quotas: &mut Ledger, now: Duration) {
         if let Some(ticket) = self.tickets.remove(&number) {
             self.queue.cancel(ticket);
             self.counts.cancelled.add();
         }
-        if let Some(index) = self.placed.remove(&number) {
-            self.view.end(index, None, now);
+        if let Some(placed) = self.placed.remove(&number) {
+            quotas.put_back(&placed.team);
+            self.view.end(placed.index, None, now);
         }
         self.later.retain(|key, _| key.1 != number);
     }
 
     /// Frees a place and learns from what came of it.
-    pub(super) fn report(&mut self, report: &Report, now: Duration) {
-        let Some(index) = self.placed.remove(&report.place.number) else {
+    pub(super) fn report(&mut self, report: &Report, quotas: &mut Ledger, now: Duration) {
+        let Some(placed) = self.placed.remove(&report.place.number) else {
             return;
         };
+        quotas.put_back(&placed.team);
         let load = report.load.as_ref();
         let load = load.map(|load| Load::new(report.place.incarnation, load));
-        self.view.end(index, load, now);
+        self.view.end(placed.index, load, now);
         match report.outcome {
             Outcome::NotRun => self.counts.refused_by_agents.add(),
             Outcome::Unknown => self.counts.lost.add(),
@@ -150,15 +160,15 @@
     }
 
     /// Gives places to those whose turn it is, and gives up those it must.
-    pub(super) fn place(&mut self, view: id::View, now: Duration) {
+    pub(super) fn place(&mut self, view: id::View, quotas: &mut Ledger, now: Duration) {
         self.readmit(now);
         self.resume(now);
         while let Some(entry) = self.queue.shed(now) {
             let wait = self.queue.wait(&entry.team, entry.flow, now);
             self.refuse(entry.item, Reason::DeadlinePassed, wait);
         }
-        while let Some((waiting, index)) = self.pop(now) {
-            self.start(waiting, index, view, now);
+        while let Some((waiting, index)) = self.pop(quotas, now) {
+            self.start(waiting, index, view, quotas, now);
         }
     }
 
@@ -177,6 +187,11 @@
         self.view.slots() > 0
     }
 
+    /// Requests of a team that wait.
+    pub(super) fn waiting(&self, team: &id::Team) -> usize {
+        self.queue.len_of(team)
+    }
+
     /// Whether anything waits for a slot.
     pub(super) fn is_occupied(&self) -> bool {
         !self.queue.is_empty()
@@ -255,11 +270,14 @@
         }
     }
 
-    fn pop(&mut self, now: Duration) -> Option<(Waiting, Index)> {
+    fn pop(&mut self, quotas: &Ledger, now: Duration) -> Option<(Waiting, Index)> {
         let view = &mut self.view;
         let rng = &mut self.rng;
         let mut chosen = None;
         let fits = |entry: &Entry<Waiting>| {
+            if quotas.check(&entry.team, now).is_err() {
+                return false;
+            }
             chosen = choose(view, &entry.item.demand, now, rng);
             chosen.is_some()
         };
@@ -267,7 +285,14 @@
         Some((entry.item, chosen?))
     }
 
-    fn start(&mut self, waiting: Waiting, index: Index, view: id::View, now: Duration) {
+    fn start(
+        &mut self,
+        waiting: Waiting,
+        index: Index,
+        view: id::View,
+        quotas: &mut Ledger,
+        now: Duration,
+    ) {
         self.tickets.remove(&waiting.number);
         let Some(upstream) = self.view.get(index) else {
             return;
@@ -290,7 +315,9 @@
             self.counts.retried.add();
         }
         self.view.start(index, now);
-        self.placed.insert(waiting.number, index);
+        let team = waiting.demand.team;
+        quotas.take(&team, now).expect("it was checked before");
+        self.placed.insert(waiting.number, Placed { index, team });
     }
 
     fn refuse(&mut self, waiting: Waiting, reason: Reason, wait: Duration) {
--- a/crates/core/src/entry/dispatch/state.rs
+++ b/crates/core/src/entry/dispatch/state.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use gentian::limit::quota::{Ask, Ledger, Loan};
 use gentian::wire::id;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -11,7 +12,7 @@
 
 use super::members;
 use super::service::{Service, Waiting};
-use super::{Counts, Demand, Reason, Refusal, Report, Verdict};
+use super::{Counts, Demand, Lent, Reason, Refusal, Report, Verdict};
 use crate::renew::Held;
 
 /// Longest time without a look at what waits and what is ejected.
@@ -30,6 +31,7 @@
     origin: Instant,
     held: Arc<Held>,
     services: BTreeMap<id::Service, Service>,
+    quotas: Ledger,
     counts: Arc<Counts>,
 }
 
@@ -41,6 +43,7 @@
             origin: Instant::now(),
             held: Arc::default(),
             services: BTreeMap::new(),
+            quotas: Ledger::default(),
             counts,
         }
     }
@@ -70,21 +73,21 @@
         };
         service.demand(waiting, now);
         if first {
-            service.place(view, now);
+            service.place(view, &mut self.quotas, now);
         }
     }
 
     pub(super) fn cancel(&mut self, number: u64, now: Instant) {
         let now = self.since(now);
         for service in self.services.values_mut() {
-            service.cancel(number, now);
+            service.cancel(number, &mut self.quotas, now);
         }
     }
 
     pub(super) fn report(&mut self, report: &Report, now: Instant) {
         let now = self.since(now);
         if let Some(service) = self.services.get_mut(&report.service) {
-            service.report(report, now);
+            service.report(report, &mut self.quotas, now);
         }
     }
 
@@ -105,12 +108,38 @@
         let now = self.since(now);
         for service in self.services.values_mut() {
             match in_force {
-                true => service.place(view, now),
+                true => service.place(view, &mut self.quotas, now),
                 false => service.refuse_all(Reason::NoLease),
             }
         }
     }
 
+    /// What to ask control for each team that has a quota.
+    pub(super) fn asks(&mut self, now: Instant) -> Vec<(id::Team, Ask)> {
+        let now = self.since(now);
+        let teams: Vec<id::Team> = self.quotas.teams().cloned().collect();
+        let mut asks = Vec::with_capacity(teams.len());
+        for team in teams {
+            let waiting = self.services.values().map(|service| service.waiting(&team));
+            let waiting = u32::try_from(waiting.sum::<usize>()).unwrap_or(u32::MAX);
+            if let Some(ask) = self.quotas.ask(&team, waiting, now) {
+                asks.push((team, ask));
+            }
+        }
+        asks
+    }
+
+    /// Takes over what control lent.
+    pub(super) fn lend(&mut self, lent: &[Lent]) {
+        for lent in lent {
+            let loan = Loan {
+                amount: lent.amount,
+                until: self.since(lent.until),
+            };
+            self.quotas.lend(&lent.team, loan);
+        }
+    }
+
     pub(super) fn counts(&self) -> &Counts {
         &self.counts
     }
@@ -127,6 +156,8 @@
 
     fn adopt(&mut self, now: Duration) {
         let document = self.held.document.clone();
+        let teams: Vec<id::Team> = document.teams.keys().cloned().collect();
+        self.quotas.set_teams(&teams);
         let offered = members::services(&self.held.members, &document);
         for name in offered.keys() {
             if !self.services.contains_key(name) {
--- /dev/null
+++ b/crates/core/src/entry/lend.rs
@@ -0,0 +1,96 @@
+//! The entry's side of quota lending: asks control for shares ahead of need, so
+//! that no request waits for control.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use gentian::limit::quota::Ask;
+use gentian::wire::control::{LendReply, LendRequest, Share};
+use gentian::wire::id::{Incarnation, Node, Team};
+use tokio::sync::watch;
+
+use super::dispatch::{Handle, Lent};
+use crate::renew::Peers;
+
+const PERIOD: Duration = Duration::from_millis(1000);
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// The loop that keeps loans.
+#[derive(Debug)]
+pub(super) struct Loop {
+    entry: Node,
+    incarnation: Incarnation,
+    peers: Peers,
+    dispatcher: Handle,
+}
+
+impl Loop {
+    /// A loop that asks the control instances at `addresses`.
+    pub(super) fn new(
+        entry: Node,
+        incarnation: Incarnation,
+        addresses: &[SocketAddr],
+        dispatcher: Handle,
+    ) -> Loop {
+        Loop {
+            entry,
+            incarnation,
+            peers: Peers::new(addresses),
+            dispatcher,
+        }
+    }
+
+    /// Asks until `stop` turns true.
+    pub(super) async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        loop {
+            let asks = self.dispatcher.asks().await;
+            if !asks.is_empty() {
+                self.lend(asks).await;
+            }
+            tokio::select! {
+                () = tokio::time::sleep(PERIOD) => {}
+                _ = stop.wait_for(|stop| *stop) => return,
+            }
+        }
+    }
+
+    async fn lend(&mut self, asks: Vec<(Team, Ask)>) {
+        let Some(mut client) = self.peers.client(CALL_TIMEOUT) else {
+            return;
+        };
+        let request = LendRequest {
+            entry: self.entry.to_string(),
+            incarnation: self.incarnation.0,
+            shares: asks.iter().map(share).collect(),
+        };
+        let sent = Instant::now();
+        match tokio::time::timeout(CALL_TIMEOUT, client.lend(request)).await {
+            Ok(Ok(reply)) => self.answered(sent, reply.get_ref()),
+            Ok(Err(_)) | Err(_) => self.peers.turn(),
+        }
+    }
+
+    fn answered(&mut self, sent: Instant, reply: &LendReply) {
+        if reply.lease_ms == 0 {
+            self.peers.follow(&reply.leader_address);
+            return;
+        }
+        let until = sent + Duration::from_millis(reply.lease_ms.into());
+        let lent = reply.shares.iter().filter_map(|share| {
+            Some(Lent {
+                team: share.team.parse().ok()?,
+                amount: share.wanted,
+                until,
+            })
+        });
+        self.dispatcher.lend(lent.collect());
+    }
+}
+
+fn share((team, ask): &(Team, Ask)) -> Share {
+    Share {
+        team: team.to_string(),
+        held: ask.held,
+        wanted: ask.wanted,
+    }
+}
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod dispatch;
 mod http;
 mod job;
+mod lend;
 mod meter;
 
 use std::net::SocketAddr;
@@ -63,9 +64,12 @@
     /// Serves until `stop` turns true and the requests in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let node = format!("node {}", self.node.name);
+        let incarnation = id::Incarnation(self.node.incarnation);
         let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), &self.control);
         let (dispatcher, thread) = dispatch::start(&self.name, &self.data_center);
         tokio::spawn(follow(renewal.held(), dispatcher.clone()));
+        let (name, handle) = (self.name.clone(), dispatcher.clone());
+        let lending = lend::Loop::new(name, incarnation, &self.control, handle);
         tokio::spawn(renew::log_changes(node, renewal.held()));
         let meter = Arc::new(meter::Meter::new(self.name, renewal.held()));
         let clients = call::Clients::default();
@@ -82,11 +86,12 @@
         let requests = self.http.serve(Arc::new(front), stop.clone());
         // The lease is renewed until the last request has ended.
         let (ended, end) = watch::channel(false);
-        let renewing = tokio::spawn(renewal.run(end));
+        let renewing = tokio::spawn(renewal.run(end.clone()));
+        let lending = tokio::spawn(lending.run(end));
         requests.await;
         ended.send_replace(true);
         // Both end once nothing holds the dispatcher any more.
-        let _ = renewing.await;
+        let _ = tokio::join!(renewing, lending);
         let _ = tokio::task::spawn_blocking(move || thread.join()).await;
     }
 }
--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 
 pub(crate) use held::Held;
-use peers::Peers;
+pub(crate) use peers::Peers;
 pub(crate) use status::Status;
 
 pub(crate) use lines::log_changes;
--- a/crates/core/src/renew/peers.rs
+++ b/crates/core/src/renew/peers.rs
@@ -8,7 +8,7 @@
 
 /// The instances of the settings, and the one to ask next.
 #[derive(Debug)]
-pub(super) struct Peers {
+pub(crate) struct Peers {
     addresses: Vec<SocketAddr>,
     next: usize,
     leader: Option<SocketAddr>,
@@ -16,7 +16,7 @@
 }
 
 impl Peers {
-    pub(super) fn new(addresses: &[SocketAddr]) -> Peers {
+    pub(crate) fn new(addresses: &[SocketAddr]) -> Peers {
         Peers {
             addresses: addresses.to_vec(),
             next: 0,
@@ -26,7 +26,7 @@
     }
 
     /// A client for the instance to ask now, kept until it fails.
-    pub(super) fn client(&mut self, connect: Duration) -> Option<ControlClient<Channel>> {
+    pub(crate) fn client(&mut self, connect: Duration) -> Option<ControlClient<Channel>> {
         if self.client.is_none() {
             let address = self.leader.or(self.addresses.get(self.next).copied())?;
             self.client = Some(open(address, connect));
@@ -35,7 +35,7 @@
     }
 
     /// Asks another instance from now on.
-    pub(super) fn turn(&mut self) {
+    pub(crate) fn turn(&mut self) {
         self.client = None;
         if self.leader.take().is_none() {
             self.next = (self.next + 1) % self.addresses.len().max(1);
@@ -43,7 +43,7 @@
     }
 
     /// Asks the leader that an instance named, or else another instance.
-    pub(super) fn follow(&mut self, leader: &str) {
+    pub(crate) fn follow(&mut self, leader: &str) {
         self.turn();
         self.leader = leader.parse().ok();
     }
--- /dev/null
+++ b/crates/core/tests/quota.rs
@@ -0,0 +1,68 @@
+//! Quotas of teams, over several entries, through the real binary.
+
+mod support;
+
+use std::thread;
+
+use serde_json::{json, Value};
+use support::system::{poll, System};
+use support::{call, PATIENCE};
+
+const QUOTA: u64 = 4;
+
+/// Sets the quota of team `barn`, and waits until both entries act on it.
+fn limited() -> System {
+    let system = System::with_entries(2, 2);
+    let url = format!("http://{}/v1/config", system.control_http);
+    let patch = json!({
+        "id": uuid::Uuid::now_v7(), "base": 0, "author": "ada",
+        "merge": {"teams": {"barn": {"concurrent": QUOTA}}},
+    });
+    let (status, told) = call("PATCH", &url, &[], &patch.to_string());
+    assert_eq!(status.as_u16(), 200, "{told}");
+    for address in &system.entry_addresses {
+        poll(|| {
+            let (_, status) = call("GET", &format!("http://{address}/v1/status"), &[], "");
+            let status: Value = serde_json::from_str(&status).ok()?;
+            (status["version"] == 1).then_some(())
+        });
+    }
+    system
+}
+
+#[test]
+fn team_runs_no_more_than_its_quota_over_all_entries() {
+    let system = limited();
+    let send = |index: usize| {
+        let address = &system.entry_addresses[index % 2];
+        let url = format!("http://{address}/v1/requests");
+        thread::spawn(move || {
+            let deadline = format!("{}s", PATIENCE.as_secs());
+            let headers = [
+                ("x-service", "demo"),
+                ("x-team", "barn"),
+                ("x-deadline", &deadline),
+            ];
+            call("POST", &url, &headers, r#"{"run_ms":100}"#)
+        })
+    };
+    let senders: Vec<_> = (0..24).map(send).collect();
+    let mut most = 0;
+    while senders.iter().any(|sender| !sender.is_finished()) {
+        let running = (0..2).map(|upstream| system.executions(upstream, "running"));
+        most = most.max(running.sum());
+    }
+    for sender in senders {
+        let (status, answer) = sender.join().expect("an answer");
+        assert_eq!(status.as_u16(), 200, "{answer}");
+    }
+    assert!((1..=QUOTA).contains(&most), "{most} ran at once");
+}
+
+#[test]
+fn team_without_quota_is_not_held_up() {
+    let system = limited();
+    let headers = [("x-service", "demo"), ("x-team", "shop")];
+    let (status, answer) = system.request(&headers, "{}");
+    assert_eq!(status.as_u16(), 200, "{answer}");
+}
