--- a/crates/core/tests/job.rs
+++ b/crates/core/tests/job.rs
@@ -43,7 +43,13 @@
 /// A system whose view is old enough for a first claim to be told first.
 fn system(agents: usize, entries: usize) -> System {
     let system = System::with_entries(agents, entries);
-    let done = |address: &String| post(address, &submission(key(0), 1, 0)).0 == 200;
+    let done = |address: &String| {
+        let (status, answer) = post(address, &submission(key(0), 1, 0));
+        if status != 200 {
+            eprintln!("not yet: {status} {answer}");
+        }
+        status == 200
+    };
     // Each job has another home, and each home has its own age of the view.
     let settled = |address| (0..JOBS).all(|_| done(address));
     poll(|| system.entry_addresses.iter().all(settled).then_some(()));
