core: metrics and readiness of a control instance

Cause: a control instance told its status only; the alert that no instance leads had nothing to look at.

Seen red first: patches that are not counted.

--- a/crates/core/src/control/operators.rs
+++ b/crates/core/src/control/operators.rs
@@ -14,6 +14,7 @@
 
 use super::service::Service;
 use super::state::{Error, Leader, Log};
+use crate::metrics;
 use crate::serve::{self, Handler, Problem, Request, Response};
 
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -26,12 +27,14 @@
 #[derive(Debug)]
 pub(crate) struct Operators<L> {
     service: Arc<Service<L>>,
+    metrics: metrics::Control,
 }
 
 impl<L: Log> Operators<L> {
     pub(crate) fn new(service: Service<L>) -> Operators<L> {
         Operators {
             service: Arc::new(service),
+            metrics: metrics::Control::new(),
         }
     }
 
@@ -91,13 +94,36 @@
         respond(200, &status)
     }
 
+    fn page(&self) -> Response {
+        let leads = matches!(self.service.leader(), Leader::Own { .. });
+        let inner = self.service.shared().read();
+        let window = inner.state.window();
+        self.metrics.page(metrics::Known {
+            leads,
+            version: inner.state.ledger().version().0,
+            view: window.number().0,
+            members: window.members().len(),
+        })
+    }
+
+    /// An instance that neither leads nor knows who does can't help anyone.
+    fn ready(&self) -> Result<Response, Problem> {
+        match self.service.leader() {
+            Leader::Own { .. } | Leader::Other(Some(_)) => Ok(serve::text("ready\n")),
+            Leader::Other(None) => Err(self.not_leader()),
+        }
+    }
+
     async fn patch(&self, request: Request) -> Result<Response, Problem> {
         let limit = 2 * MAX_PATCH_BYTES;
         let body = serve::read(request.into_body(), limit, BODY_TIMEOUT).await?;
         let patch: Patch = serde_json::from_slice(&body)
             .map_err(|error| Problem::bad(&format!("the patch is unreadable: {error}")))?;
         match self.service.patch(patch).await {
-            Ok(answer) => Ok(respond(status(&answer), &json!(answer))),
+            Ok(answer) => {
+                self.metrics.patched(&answer);
+                Ok(respond(status(&answer), &json!(answer)))
+            }
             Err(Error::NotLeader) => Err(self.not_leader()),
             Err(error @ Error::Unknown) => {
                 let detail = format!("{error}; send the patch again with the same id");
@@ -124,6 +150,9 @@
             (&Method::PATCH, "/v1/config") => self.patch(request).await,
             (&Method::GET, "/v1/config/history") => self.history(&query),
             (&Method::GET, "/v1/status") => Ok(self.status()),
+            (&Method::GET, "/metrics") => Ok(self.page()),
+            (&Method::GET, "/live") => Ok(serve::text("live\n")),
+            (&Method::GET, "/ready") => self.ready(),
             _ => Err(Problem::new(
                 404,
                 "not found",
--- /dev/null
+++ b/crates/core/src/metrics/control.rs
@@ -0,0 +1,83 @@
+//! Metrics of a control instance.
+
+use gentian_config::ledger::Answer;
+use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+
+use super::{page, register};
+use crate::serve::Response;
+
+const ANSWERS: [&str; 4] = ["accepted", "conflict", "invalid", "reused"];
+
+/// Metrics of one control instance.
+#[derive(Debug)]
+pub(crate) struct Control {
+    registry: Registry,
+    leads: IntGauge,
+    version: IntGauge,
+    view: IntGauge,
+    members: IntGauge,
+    patches: IntCounterVec,
+}
+
+/// What a control instance knows now.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Known {
+    /// Whether it leads.
+    pub(crate) leads: bool,
+    /// The last version that it holds.
+    pub(crate) version: u64,
+    /// The last view that it holds.
+    pub(crate) view: u64,
+    /// Agents in that view.
+    pub(crate) members: usize,
+}
+
+impl Control {
+    pub(crate) fn new() -> Control {
+        let registry = Registry::new();
+        let patches = IntCounterVec::new(
+            Opts::new(
+                "gentian_control_patches_total",
+                "Patches answered by this instance, by answer",
+            ),
+            &["answer"],
+        );
+        let patches = register(&registry, patches);
+        for answer in ANSWERS {
+            patches.with_label_values(&[answer]);
+        }
+        let gauge = |name, help| register(&registry, IntGauge::new(name, help));
+        Control {
+            leads: gauge(
+                "gentian_control_leads",
+                "1 while the instance leads, else 0",
+            ),
+            version: gauge("gentian_control_version", "Last version that it holds"),
+            view: gauge("gentian_control_view", "Last membership view that it holds"),
+            members: gauge("gentian_control_agents", "Agents in that view"),
+            patches,
+            registry,
+        }
+    }
+
+    /// Counts an answered patch.
+    pub(crate) fn patched(&self, answer: &Answer) {
+        let label = match answer {
+            Answer::Accepted { .. } => "accepted",
+            Answer::Conflict { .. } => "conflict",
+            Answer::Invalid { .. } => "invalid",
+            Answer::Reused => "reused",
+        };
+        self.patches.with_label_values(&[label]).inc();
+    }
+
+    /// The page at `/metrics`.
+    pub(crate) fn page(&self, known: Known) -> Response {
+        let number = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.leads.set(i64::from(known.leads));
+        self.version.set(number(known.version));
+        self.view.set(number(known.view));
+        self.members.set(number(known.members as u64));
+        page(&self.registry)
+    }
+}
--- a/crates/core/src/metrics/mod.rs
+++ b/crates/core/src/metrics/mod.rs
@@ -5,6 +5,7 @@
 //! roles. docs/OPERATIONS.md lists every metric; a test compares the two.
 
 mod agent;
+mod control;
 mod entry;
 
 use bytes::Bytes;
@@ -14,6 +15,7 @@
 use strum::VariantNames;
 
 pub(crate) use agent::Agent;
+pub(crate) use control::{Control, Known};
 pub(crate) use entry::Entry;
 
 use crate::renew::Held;
--- a/crates/core/tests/metrics.rs
+++ b/crates/core/tests/metrics.rs
@@ -26,7 +26,11 @@
 #[test]
 fn page_lists_each_metric_of_each_role() {
     let system = System::start(1);
-    let addresses = [&system.entry_addresses[0], &system.agent_addresses[0]];
+    let addresses = [
+        &system.entry_addresses[0],
+        &system.agent_addresses[0],
+        &system.control_http,
+    ];
     let told = addresses.map(|address| get(address, "/metrics").1);
     let told = told.iter().flat_map(|metrics| metrics.lines());
     let told = told.filter_map(|line| line.strip_prefix("# HELP ")?.split(' ').next());
@@ -108,6 +112,37 @@
     }
 }
 
+#[test]
+fn control_tells_what_it_holds_and_counts_patches() {
+    let system = System::start(1);
+    let control = &system.control_http;
+    assert_eq!(
+        (200, 200),
+        (get(control, "/live").0, get(control, "/ready").0)
+    );
+    let patch = |base: u64| {
+        let id = uuid::Uuid::now_v7();
+        let merge = r#"{"limits":{"queue":100}}"#;
+        let body = format!(r#"{{"id":"{id}","base":{base},"author":"a","merge":{merge}}}"#);
+        call("PATCH", &format!("http://{control}/v1/config"), &[], &body)
+            .0
+            .as_u16()
+    };
+    let base = value(&get(control, "/metrics").1, "gentian_control_version") as u64;
+    assert_eq!((200, 409), (patch(base), patch(base)));
+    let metrics = get(control, "/metrics").1;
+    assert_eq!(1.0, value(&metrics, "gentian_control_leads"));
+    assert_eq!(
+        (base + 1) as f64,
+        value(&metrics, "gentian_control_version")
+    );
+    assert_eq!(1.0, value(&metrics, "gentian_control_agents"));
+    for (answer, count) in [("accepted", 1.0), ("conflict", 1.0), ("invalid", 0.0)] {
+        let sample = format!("gentian_control_patches_total{{answer=\"{answer}\"}}");
+        assert_eq!(count, value(&metrics, &sample));
+    }
+}
+
 #[test]
 fn unknown_paths_are_told() {
     let system = System::start(1);
