core: answer an embedded job in `local`

Cause: the first command of the README is to show the main job answered.

Change: `local` sends an embedded job of three tasks after its request, under one key until it is answered, and prints both.

Seen red: once_prints_the_answered_examples where the job that is printed is not the one that is sent.

--- a/crates/core/src/args/local.rs
+++ b/crates/core/src/args/local.rs
@@ -13,7 +13,7 @@
 Example:
   gentiancove local --entry 127.0.0.1:0
 
-The addresses are printed, then an example request and its answer. SIGTERM or Ctrl-C stops
+The addresses are printed, then an example request and an example job with their answers. SIGTERM or Ctrl-C stops
 the system once it has answered the requests in progress."
 )]
 pub(super) struct Args {
--- a/crates/core/src/local/mod.rs
+++ b/crates/core/src/local/mod.rs
@@ -5,9 +5,10 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
+use gentian::wire::id;
 use http::Request;
 use http_body_util::Full;
 use serde_json::Value;
@@ -20,13 +21,14 @@
 use crate::upstream;
 
 const SETTINGS: &str = include_str!("settings.json");
+const JOB: &str = include_str!("job.json");
 const SERVICE: &str = "demo";
 const TEAM: &str = "local";
 const EXAMPLE: &str = r#"{"run_ms":80,"text":"refresh the teat-cup alarm of stall 7"}"#;
 
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const READY_POLL: Duration = Duration::from_millis(100);
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Why no local system runs.
 #[derive(Debug, miette::Diagnostic, thiserror::Error)]
@@ -123,8 +125,8 @@
     Ok(upstream)
 }
 
-/// Sends the example until it is answered, and prints the answer. Returns then
-/// with `once`, and never without.
+/// Sends a request and a job until they are answered, and prints the answers.
+/// Returns then with `once`, and never without.
 async fn show(control: Option<(SocketAddr, SocketAddr)>, entry: &str, once: bool) -> Result<()> {
     let client = Client::new();
     let start = Instant::now();
@@ -134,23 +136,43 @@
     while !hears_agent(&client, entry).await && start.elapsed() < READY_TIMEOUT {
         tokio::time::sleep(READY_POLL).await;
     }
-    loop {
-        let answer = ask(&client, entry).await;
-        match answer {
-            Ok(body) => break println!("asked    {EXAMPLE}\nanswered {body}"),
-            Err(last) if start.elapsed() > READY_TIMEOUT => return Err(Error::Silent { last }),
-            Err(_) => tokio::time::sleep(READY_POLL).await,
-        }
-    }
+    let request = format!("{entry}/v1/requests");
+    let answer = ask(&client, &request, EXAMPLE).await?;
+    println!("request  {EXAMPLE}\nanswer   {answer}");
+    let job = job();
+    // The same key each time: whatever became of the last try, no task runs twice.
+    let answer = ask(&client, &format!("{entry}/v1/jobs"), &job).await?;
+    println!("job      {job}\nanswer   {answer}");
     if once {
         return Ok(());
     }
     println!(
-        "try      curl -d '{EXAMPLE}' -H 'x-service: {SERVICE}' -H 'x-team: {TEAM}' {entry}/v1/requests"
+        "try      curl -d '{EXAMPLE}' -H 'x-service: {SERVICE}' -H 'x-team: {TEAM}' {request}"
     );
     std::future::pending().await
 }
 
+/// The embedded job under a new key.
+fn job() -> String {
+    let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let key = id::Job::new(wall.unwrap_or_default(), rand::random());
+    let mut job: Value = serde_json::from_str(JOB).expect("the embedded job is JSON");
+    job["key"] = Value::from(key.to_string());
+    job.to_string()
+}
+
+/// Sends a body until it is answered.
+async fn ask(client: &Client, url: &str, body: &str) -> Result<String> {
+    let start = Instant::now();
+    loop {
+        match post(client, url, body).await {
+            Ok(answer) => return Ok(answer),
+            Err(last) if start.elapsed() > READY_TIMEOUT => return Err(Error::Silent { last }),
+            Err(_) => tokio::time::sleep(READY_POLL).await,
+        }
+    }
+}
+
 /// Makes the control instance the only member of a cluster, unless its data
 /// folder holds one from an earlier run. Where that fails, the example is not
 /// answered and the last answer tells why.
@@ -185,12 +207,12 @@
     status["members"].as_u64() > Some(0)
 }
 
-async fn ask(client: &Client, entry: &str) -> std::result::Result<String, String> {
-    let request = Request::post(format!("{entry}/v1/requests"))
+async fn post(client: &Client, url: &str, body: &str) -> std::result::Result<String, String> {
+    let request = Request::post(url)
         .header("x-service", SERVICE)
         .header("x-team", TEAM)
         .header("content-type", "application/json")
-        .body(Full::new(Bytes::from_static(EXAMPLE.as_bytes())))
+        .body(Full::new(Bytes::from(body.to_owned())))
         .map_err(|error| error.to_string())?;
     let answer = client.send(request, REQUEST_TIMEOUT).await;
     let answer = answer.map_err(|error: client::Error| error.to_string())?;
