--- a/crates/core/tests/support/system.rs
+++ b/crates/core/tests/support/system.rs
@@ -128,6 +128,12 @@
     fn wait_until_served(&self) {
         let headers = [("x-service", "demo"), ("x-team", "start")];
         for entry in 0..self.entries.len() {
+            poll(|| {
+                let url = format!("http://{}/v1/status", self.entry_addresses[entry]);
+                let told: serde_json::Value =
+                    serde_json::from_str(&call("GET", &url, &[], "").1).ok()?;
+                (told["members"].as_u64() == Some(self.agents.len() as u64)).then_some(())
+            });
             poll(|| {
                 let (status, _) = call("POST", &self.url(entry), &headers, "{}");
                 (status.as_u16() == 200).then_some(())
