agent: keep no answer of a single request, and copy those of jobs

Cause: an agent's memory grew by 4.8 KB a start: it kept every answer, each a slice that held the connection's whole read buffer, while its bound counted the bodies only. At 24 starts a second and ten minutes that is 68 MB, over the 64 MB of a node. Ruled out: the gate's records (84 bytes each, example gate_memory). Test: single_request_keeps_no_answer_and_evicts_none (new operation, so it was not seen red on the old code).

--- a/crates/claim/src/gate/mod.rs
+++ b/crates/claim/src/gate/mod.rs
@@ -139,14 +139,28 @@
 
     /// Notes that a started task has ended; gives back who waits for it.
     pub fn finish(&mut self, task: Task, outcome: Outcome, answer: A) -> Vec<Waiter> {
-        let Some(record @ Record::Running(_)) = self.records.get_mut(&task) else {
+        if !self.end(task, outcome) {
             return Vec::new();
-        };
-        *record = Record::Finished(outcome);
+        }
         self.answers.insert(task, answer);
         self.waiters.remove(&task).unwrap_or_default()
     }
 
+    /// Notes that a single request has ended. Its answer is not kept, since no
+    /// later coordinator asks for it.
+    pub fn finish_single(&mut self, task: Task, outcome: Outcome) {
+        self.end(task, outcome);
+    }
+
+    /// Ends a running task; tells whether it ran.
+    fn end(&mut self, task: Task, outcome: Outcome) -> bool {
+        let Some(record @ Record::Running(_)) = self.records.get_mut(&task) else {
+            return false;
+        };
+        *record = Record::Finished(outcome);
+        true
+    }
+
     /// Takes back a start whose work has not begun, such as one that was
     /// dropped from the queue; gives back who waits for it.
     pub fn retract(&mut self, task: Task) -> Vec<Waiter> {
--- a/crates/claim/tests/gate.rs
+++ b/crates/claim/tests/gate.rs
@@ -161,6 +161,26 @@
     assert_eq!((gate.len(), gate.kept()), (0, Bytes(0)));
 }
 
+#[test]
+fn single_request_keeps_no_answer_and_evicts_none() {
+    let mut gate = gate(10);
+    let (kept, single) = (job(1010).task(0), job(1011).task(0));
+    gate.start(kept, ballot(0), VIEW).unwrap();
+    gate.finish(kept, Outcome::Done, Value(0));
+    gate.start_single(single, VIEW).unwrap();
+    gate.finish_single(single, Outcome::Done);
+    let told = |task: Task, gate: &mut Gate<Value>| gate.ask(task.job, &[0], ballot(1), VIEW);
+    let finished = |answer| {
+        vec![Ask::Finished {
+            outcome: Outcome::Done,
+            answer,
+        }]
+    };
+    assert_eq!(told(kept, &mut gate), finished(Some(Value(0))));
+    assert_eq!(told(single, &mut gate), finished(None));
+    assert_eq!(gate.start_single(single, VIEW), Err(Refusal::Duplicate));
+}
+
 #[test]
 fn evicted_answer_leaves_a_record_that_bars_a_second_start() {
     let mut gate = gate(10);
--- a/crates/core/src/agent/claims.rs
+++ b/crates/core/src/agent/claims.rs
@@ -11,6 +11,7 @@
 use gentian::claim::place::Views;
 use gentian::wire::agent::StartReply;
 use gentian::wire::id::{Ballot, Job, Node, Task, View};
+use gentian::wire::outcome::Outcome;
 use gentian::wire::size::Bytes;
 use tokio::sync::oneshot;
 
@@ -27,6 +28,14 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Kept(pub(crate) StartReply);
 
+impl Kept {
+    /// Copies the body, which is a slice of a connection's larger buffer.
+    fn new(mut reply: StartReply) -> Kept {
+        reply.body = bytes::Bytes::copy_from_slice(&reply.body);
+        Kept(reply)
+    }
+}
+
 impl Weigh for Kept {
     fn weigh(&self) -> Bytes {
         let size = self.0.body.len() + self.0.content_type.len() + ANSWER_OVERHEAD;
@@ -81,10 +90,15 @@
     pub(crate) fn finish(&self, task: Task, reply: StartReply) {
         let mut state = self.state();
         let outcome = reply.outcome().into();
-        let waiters = state.gate.finish(task, outcome, Kept(reply));
+        let waiters = state.gate.finish(task, outcome, Kept::new(reply));
         state.wake(waiters);
     }
 
+    /// Notes a single request's end.
+    pub(crate) fn finish_single(&self, task: Task, outcome: Outcome) {
+        self.state().gate.finish_single(task, outcome);
+    }
+
     /// Takes back a start that was never sent to the upstream.
     pub(crate) fn retract(&self, task: Task) {
         let mut state = self.state();
--- a/crates/core/src/agent/service.rs
+++ b/crates/core/src/agent/service.rs
@@ -134,6 +134,7 @@
     drop(slot);
     match reply.outcome() {
         Outcome::NotRun => claims.retract(task),
+        outcome if request.ballot.is_none() => claims.finish_single(task, outcome.into()),
         _ => claims.finish(task, reply.clone()),
     }
     reply.load = Some(upstream.load());
