entry: a job without a length is told so, as a single request is

Cause: POST /v1/jobs without content-length read an empty body and answered 400 for its JSON. Change: one check in serve for both paths, 411. Seen red: the new case of missing_length_is_refused (400 in place of 411); after: 17 passed.

--- a/crates/core/src/entry/http.rs
+++ b/crates/core/src/entry/http.rs
@@ -103,7 +103,7 @@
 
     async fn read(&self, request: Request, arrived: Instant) -> Result<Single> {
         let (head, body) = request.into_parts();
-        check_length(&head.headers)?;
+        serve::require_length(&head.headers)?;
         let mut single = Single::read(&head.headers, arrived, self.default_deadline)?;
         single.body = serve::read(body, self.max_body.as_usize(), self.body_timeout).await?;
         Ok(single)
@@ -236,15 +236,6 @@
         .unwrap_or_else(|_| text(502, "the upstream's answer is no HTTP answer\n"))
 }
 
-/// Without a length a request that was cut off looks like one without a body.
-fn check_length(headers: &HeaderMap) -> Result<()> {
-    if headers.contains_key("content-length") || headers.contains_key("transfer-encoding") {
-        return Ok(());
-    }
-    let detail = "header content-length or transfer-encoding is missing";
-    Err(Problem::new(411, "length required", detail).outcome(Outcome::NotRun))
-}
-
 fn missing(path: &str) -> Problem {
     Problem::new(404, "not found", path)
 }
--- a/crates/core/src/entry/job/mod.rs
+++ b/crates/core/src/entry/job/mod.rs
@@ -128,6 +128,7 @@
     }
 
     async fn read(&self, request: Request, arrived: Instant) -> Result<Submission> {
+        serve::require_length(request.headers())?;
         let body = serve::read(request.into_body(), self.max_body, self.body_timeout).await?;
         Submission::read(&body, arrived, self.default_deadline)
     }
--- a/crates/core/src/serve/body.rs
+++ b/crates/core/src/serve/body.rs
@@ -4,6 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use gentian::wire::outcome::Outcome;
+use http::HeaderMap;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
@@ -71,3 +72,13 @@
         false => Err(Unread::Long(limit)),
     }
 }
+
+/// Refuses a request that tells no length of its body: one that was cut off
+/// would look like one without a body.
+pub(crate) fn require_length(headers: &HeaderMap) -> Result<(), Problem> {
+    if headers.contains_key("content-length") || headers.contains_key("transfer-encoding") {
+        return Ok(());
+    }
+    let detail = "header content-length or transfer-encoding is missing";
+    Err(Problem::new(411, "length required", detail).outcome(Outcome::NotRun))
+}
--- a/crates/core/src/serve/mod.rs
+++ b/crates/core/src/serve/mod.rs
@@ -28,7 +28,7 @@
 use tokio::sync::{watch, Semaphore};
 use tonic::transport::server::TcpIncoming;
 
-pub(crate) use body::read;
+pub(crate) use body::{read, require_length};
 pub(crate) use page::{json, respond, text};
 pub(crate) use problem::Problem;
 
--- a/crates/core/tests/input.rs
+++ b/crates/core/tests/input.rs
@@ -116,9 +116,12 @@
 fn missing_length_is_refused() {
     let system = System::start(1);
     let before = system.executions(0, "total");
-    let answer = raw(&system.entry_addresses[0], &[&header("")], Duration::ZERO);
-    assert!(answer.starts_with("HTTP/1.1 411"), "{answer}");
-    assert!(answer.contains("x-outcome: not_run"), "{answer}");
+    for path in ["/v1/requests", "/v1/jobs"] {
+        let header = header("").replace("/v1/requests", path);
+        let answer = raw(&system.entry_addresses[0], &[&header], Duration::ZERO);
+        assert!(answer.starts_with("HTTP/1.1 411"), "{path}: {answer}");
+        assert!(answer.contains("x-outcome: not_run"), "{path}: {answer}");
+    }
     assert_eq!(before, system.executions(0, "total"));
 }
 
