--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime};
 
+use gentian::claim::memory::{RETENTION, SKEW};
 use gentian::config::ledger::{Answer, Ledger, Proposal};
 use gentian::config::patch::Patch;
 use gentian::member::lease::Announcement;
@@ -20,10 +21,12 @@
 use tonic::{Request, Response, Status};
 
 use super::state::{Book, Error, Inner, Leader, Log, Shared, LEASE, LOAN};
+use crate::renew::GRACE;
 
 /// How long a view stays of use after the next one: the keys' retention, the
 /// time for which a node may still act on it, and twice the skew of clocks.
-const VIEW_KEPT: Duration = Duration::from_secs(600 + 9 + 2 * 5);
+const VIEW_KEPT: Duration =
+    Duration::from_secs(RETENTION.as_secs() + GRACE.as_secs() + 2 * SKEW.as_secs());
 
 /// One control instance.
 #[derive(Debug)]
--- a/crates/core/src/entry/dispatch/mod.rs
+++ b/crates/core/src/entry/dispatch/mod.rs
@@ -3,6 +3,7 @@
 //! One thread owns all state of the decision and takes events from a channel;
 //! traffic threads wait for its verdicts.
 
+mod choose;
 mod counts;
 mod members;
 mod service;
--- a/crates/core/src/entry/dispatch/service.rs
+++ b/crates/core/src/entry/dispatch/service.rs
@@ -10,17 +10,16 @@
 use gentian::limit::quota::Ledger;
 use gentian::limit::retry::{Budget, Try};
 use gentian::limit::weight::Weight;
-use gentian::route::choice::{Choice, Known};
 use gentian::route::eject::{Detector, Ending, Settings};
 use gentian::route::runtime::Runtime;
 use gentian::route::view::{Index, Load, Standing, View};
 use gentian::wire::agent;
 use gentian::wire::id;
 use gentian::wire::outcome::Outcome;
-use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::oneshot;
 
+use super::choose::choose;
 use super::members::Offer;
 use super::{Counts, Demand, Place, Reason, Refusal, Report, Verdict};
 
@@ -415,33 +414,3 @@
 fn is_unable(reason: agent::Reason) -> bool {
     matches!(reason, agent::Reason::NoLease | agent::Reason::NoUpstream)
 }
-
-/// The upstream for a demand. Those that have refused it are avoided as long
-/// as there are others.
-fn choose<R: Rng>(view: &mut View, demand: &Demand, now: Duration, rng: &mut R) -> Option<Index> {
-    let find = |nodes: &[id::Node]| -> Vec<Index> {
-        nodes.iter().filter_map(|node| view.find(node)).collect()
-    };
-    let avoid = find(&demand.refused_by);
-    let candidates = find(&demand.candidates);
-    if demand.candidates.is_empty() {
-        let others = view
-            .iter()
-            .any(|(index, upstream)| upstream.takes_work() && !avoid.contains(&index));
-        let avoid = if others { &avoid[..] } else { &[] };
-        return Known.choose(view, avoid, now, rng);
-    }
-    let others: Vec<Index> = candidates
-        .iter()
-        .filter(|index| !avoid.contains(index))
-        .copied()
-        .collect();
-    let takes_work = |index: &Index| {
-        view.get(*index)
-            .is_some_and(|upstream| upstream.takes_work())
-    };
-    if others.iter().any(takes_work) {
-        return Known.among(view, &others, now);
-    }
-    Known.among(view, &candidates, now)
-}
