--- /dev/null
+++ b/crates/gentian/examples/embed.rs
@@ -0,0 +1,101 @@
+//! Embeds the view, the choice, the queue and an agent's gate in a program of
+//! one's own: six requests for two upstreams of two slots.
+//!
+//!     cargo run -p gentian --example embed
+
+use std::time::Duration;
+
+use gentian::claim::gate::{Gate, Weigh};
+use gentian::claim::memory::Memory;
+use gentian::limit::queue::{Entry, Flow, Queue};
+use gentian::route::choice::{Choice, Known};
+use gentian::route::view::{Load, Member, View};
+use gentian::wire::agent;
+use gentian::wire::id::{Incarnation, Job};
+use gentian::wire::outcome::Outcome;
+use gentian::wire::size::Bytes;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+const START: Duration = Duration::from_secs(1_800_000_000);
+const RUN: Duration = Duration::from_millis(100);
+const UPSTREAMS: [&str; 2] = ["stall-1", "stall-2"];
+
+#[derive(Clone)]
+struct Answer;
+
+impl Weigh for Answer {
+    fn weigh(&self) -> Bytes {
+        Bytes(1)
+    }
+}
+
+fn main() {
+    let name = "beauce".parse().expect("a valid name");
+    let mut view = View::new(&"entry-1".parse().expect("a valid name"), name);
+    let mut now = Duration::ZERO;
+    for upstream in UPSTREAMS {
+        view.put(member(upstream), now);
+    }
+    let mut gate = Gate::<Answer>::new(Memory::new(START - RUN * 1000), Bytes(1 << 20));
+    gate.advance(START);
+    let mut queue = Queue::new(100);
+    for number in 0..6 {
+        let pushed = queue.push(request(number), now);
+        assert!(pushed.is_ok(), "the queue has room");
+    }
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    while !queue.is_empty() {
+        let mut placed = Vec::new();
+        loop {
+            let mut chosen = None;
+            let popped = queue.pop(now, |_| {
+                chosen = Known.choose(&mut view, &[], now, &mut rng);
+                chosen.is_some()
+            });
+            let (Some(entry), Some(index)) = (popped, chosen) else {
+                break;
+            };
+            view.start(index, now);
+            placed.push((entry.item, index));
+        }
+        println!("at {now:?}: {} started, {} wait", placed.len(), queue.len());
+        for (job, index) in placed {
+            let task = job.task(0);
+            assert!(gate.start_single(task, Default::default()).is_ok());
+            assert!(gate.start_single(task, Default::default()).is_err());
+            gate.finish_single(task, Outcome::Done);
+            view.end(index, Some(Load::new(Incarnation(1), &idle())), now + RUN);
+        }
+        now += RUN;
+    }
+}
+
+fn member(name: &str) -> Member {
+    Member {
+        node: name.parse().expect("a valid name"),
+        incarnation: Incarnation(1),
+        data_center: "beauce".parse().expect("a valid name"),
+        slots: 2,
+        connections: 64,
+        leaving: false,
+        allowed: true,
+    }
+}
+
+fn request(number: u8) -> Entry<Job> {
+    Entry {
+        team: "barn".parse().expect("a valid name"),
+        flow: Flow::Single,
+        deadline: Duration::from_secs(2),
+        run: RUN,
+        item: Job::new(START, [number; 10]),
+    }
+}
+
+fn idle() -> agent::Load {
+    agent::Load {
+        slots: 2,
+        ..agent::Load::default()
+    }
+}
