control: answer JSON through serve::json

Cause: membership and operators each built the response that serve::json builds. Ruled out: entry/job/answer.rs, which adds headers of its own.

--- a/crates/core/src/control/membership.rs
+++ b/crates/core/src/control/membership.rs
@@ -3,10 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gentian::quorum::replica;
 use http::Method;
-use http_body_util::Full;
 use serde::Deserialize;
 use serde_json::{json, Value};
 
@@ -112,9 +110,5 @@
         "commit": status.commit,
         "members": members,
     });
-    http::Response::builder()
-        .status(200)
-        .header("content-type", "application/json")
-        .body(Full::new(Bytes::from(body.to_string())))
-        .expect("the headers are valid")
+    serve::json(&body)
 }
--- a/crates/core/src/control/operators.rs
+++ b/crates/core/src/control/operators.rs
@@ -3,13 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use gentian::config::ledger::{Answer, Ledger, Record};
 use gentian::config::patch::{Patch, MAX_PATCH_BYTES};
 use gentian::wire::id::Version;
 use gentian::wire::outcome::Outcome;
-use http::Method;
-use http_body_util::Full;
+use http::{Method, StatusCode};
 use serde_json::{json, Value};
 
 use super::service::Service;
@@ -49,7 +47,7 @@
             })
         });
         match config {
-            Some(config) => Ok(respond(200, &config)),
+            Some(config) => Ok(respond(StatusCode::OK, &config)),
             None => Err(self.not_leader()),
         }
     }
@@ -69,7 +67,7 @@
             "more": more,
             "complete": leads && !more,
         });
-        Ok(respond(200, &history))
+        Ok(respond(StatusCode::OK, &history))
     }
 
     fn status(&self) -> Response {
@@ -91,7 +89,7 @@
             "oldest_view": window.floor(),
             "members": window.members().values().collect::<Vec<_>>(),
         });
-        respond(200, &status)
+        respond(StatusCode::OK, &status)
     }
 
     fn page(&self) -> Response {
@@ -163,11 +161,11 @@
     }
 }
 
-fn status(answer: &Answer) -> u16 {
+fn status(answer: &Answer) -> StatusCode {
     match answer {
-        Answer::Accepted { .. } => 200,
-        Answer::Conflict { .. } | Answer::Reused => 409,
-        Answer::Invalid { .. } => 422,
+        Answer::Accepted { .. } => StatusCode::OK,
+        Answer::Conflict { .. } | Answer::Reused => StatusCode::CONFLICT,
+        Answer::Invalid { .. } => StatusCode::UNPROCESSABLE_ENTITY,
     }
 }
 
@@ -190,10 +188,8 @@
     version.map_err(|error| Problem::bad(&format!("after: {error}")))
 }
 
-fn respond(status: u16, body: &Value) -> Response {
-    http::Response::builder()
-        .status(status)
-        .header("content-type", "application/json")
-        .body(Full::new(Bytes::from(body.to_string())))
-        .expect("the headers are valid")
+fn respond(status: StatusCode, body: &Value) -> Response {
+    let mut response = serve::json(body);
+    *response.status_mut() = status;
+    response
 }
