--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -6,6 +6,9 @@
 //! promised a tombstone ([`gate`]). The entry drives both with one state
 //! machine per job ([`coordinator`]).
 //!
+//! What may run again after it is surely gone needs less: its runs live under
+//! leases ([`run`]).
+//!
 //! Nothing here does I/O, reads a clock or draws random numbers: wall time
 //! comes in as a [`Duration`](std::time::Duration) since the Unix epoch, and
 //! replies leave as values. The price of memory without a disk is that a
@@ -17,3 +20,4 @@
 pub mod memory;
 pub mod place;
 pub mod refusal;
+pub mod run;
--- a/crates/config/src/document/check.rs
+++ b/crates/config/src/document/check.rs
@@ -1,11 +1,12 @@
 //! Checks of a document beyond what its types say.
 
+use std::collections::BTreeSet;
 use std::fmt::Display;
 use std::ops::RangeInclusive;
 
 use gentian_wire::size::Bytes;
 
-use super::{Document, Objectives, Problem, Service, Team};
+use super::{Document, Objectives, Problem, Queue, Service, Team};
 
 const MAX_CANDIDATES: u32 = 16;
 const MAX_CONCURRENT: u32 = 1_000_000;
@@ -26,6 +27,15 @@
         for (name, team) in &self.teams {
             check.team(&format!("teams.{name}"), team, self);
         }
+        let mut places = BTreeSet::new();
+        for (key, queue) in &self.queues {
+            check.queue(&format!("queues.{key}"), queue, self);
+            if !places.insert((&queue.host, &queue.prefix)) {
+                let place = format!("{}{}", queue.host, queue.prefix);
+                let allowed = "a host and prefix of its own".to_owned();
+                check.report(&format!("queues.{key}"), place, allowed);
+            }
+        }
         let limits = &self.limits;
         check.range("limits.queue", limits.queue, 1..=MAX_QUEUE);
         check.problems
@@ -105,6 +115,23 @@
         }
     }
 
+    fn queue(&mut self, at: &str, queue: &Queue, document: &Document) {
+        self.path(&format!("{at}.prefix"), &queue.prefix);
+        let known = |service| document.services.contains_key(service);
+        if !queue.service.as_ref().is_some_and(known) {
+            let allowed = "a service named under services";
+            let named = queue.service.as_ref().map_or("", |service| service.as_str());
+            self.report(&format!("{at}.service"), named, allowed.to_owned());
+        }
+        self.range(&format!("{at}.attempts"), queue.attempts, 1..=u32::MAX);
+        self.range(&format!("{at}.stretch"), queue.stretch, 0.0..=f64::MAX);
+        self.range(
+            &format!("{at}.timeout_ms"),
+            queue.timeout_ms,
+            1..=MAX_DEADLINE_MS,
+        );
+    }
+
     fn path(&mut self, at: &str, path: &str) {
         let legal = |byte: u8| byte.is_ascii_graphic() && !b"?#".contains(&byte);
         if !path.starts_with('/') || !path.bytes().all(legal) {
--- a/crates/config/src/document/mod.rs
+++ b/crates/config/src/document/mod.rs
@@ -4,6 +4,7 @@
 //! name is an error instead of a setting without effect.
 
 mod check;
+mod queue;
 mod read;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,8 +16,10 @@
 use gentian_wire::size::Bytes;
 use serde::{Deserialize, Serialize};
 
+pub use queue::{Queue, Release};
+
 /// Largest document, as canonical JSON.
-pub const MAX_DOCUMENT_BYTES: usize = 256 * 1024;
+pub const MAX_DOCUMENT_BYTES: usize = 1024 * 1024;
 
 /// A result whose error lists everything that is wrong with a document.
 pub type Result<T> = std::result::Result<T, Vec<Problem>>;
@@ -55,6 +58,19 @@
     pub upstreams: Upstreams,
     /// Limits of every entry and agent.
     pub limits: Limits,
+    /// Queues for jobs, under keys of any kind.
+    pub queues: BTreeMap<String, Queue>,
+    /// What the services and queues were last taken from, where that came whole.
+    pub release: Option<Release>,
+}
+
+impl Document {
+    /// The queue of a request: the one with the longest prefix that fits.
+    pub fn queue(&self, host: &str, path: &str) -> Option<&Queue> {
+        let queues = self.queues.values();
+        let fitting = queues.filter(|queue| queue.takes(host, path));
+        fitting.max_by_key(|queue| queue.prefix.len())
+    }
 }
 
 /// One service.
--- a/crates/config/src/patch/mod.rs
+++ b/crates/config/src/patch/mod.rs
@@ -5,7 +5,7 @@
 
 use gentian_wire::id::Version;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::{Map, Value};
 use sha2::{Digest as _, Sha256};
 use uuid::Uuid;
 
@@ -52,6 +52,16 @@
 }
 
 impl Patch {
+    /// A patch that turns `from` into `to`.
+    pub fn between(id: Id, base: Version, author: &str, from: &Value, to: &Value) -> Patch {
+        Patch {
+            id,
+            base,
+            author: author.to_owned(),
+            merge: difference(from, to).unwrap_or_else(|| Value::Object(Map::new())),
+        }
+    }
+
     /// The document that results from this patch.
     pub fn apply(&self, document: &Value) -> Value {
         let mut document = document.clone();
@@ -105,3 +115,20 @@
         hash.finalize().into()
     }
 }
+
+/// The merge patch from one value to another; nothing where they are equal.
+fn difference(from: &Value, to: &Value) -> Option<Value> {
+    let (Value::Object(from), Value::Object(to)) = (from, to) else {
+        return (from != to).then(|| to.clone());
+    };
+    let gone = from.keys().filter(|name| !to.contains_key(*name));
+    let mut merge: Map<_, _> = gone.map(|name| (name.clone(), Value::Null)).collect();
+    for (name, value) in to {
+        let change = match from.get(name) {
+            Some(before) => difference(before, value),
+            None => Some(value.clone()),
+        };
+        merge.extend(change.map(|change| (name.clone(), change)));
+    }
+    (!merge.is_empty()).then_some(Value::Object(merge))
+}
--- /dev/null
+++ b/crates/core/src/agent/lease/beside.rs
@@ -0,0 +1,696 @@
+//! The upstream beside the agent: the orders to it and what comes of them.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime};
+
+use bytes::Bytes;
+use gentian::claim::run::{self, End, Fate, Owner, Refusal, Run, Runs, Started};
+use gentian::wire::agent::{self, Orders, Reports};
+use gentian::wire::control;
+use gentian::wire::need::Need;
+use gentian_platform::heartbeat::Report;
+use gentian_platform::order::{self, Authority, Begun, Clock, List};
+use http_body_util::Full;
+use tokio::sync::{Notify, Semaphore};
+
+use super::known::{Known, News};
+use super::stream::{self, Sender};
+use crate::client::{self, Client};
+use crate::metrics;
+use crate::renew::Announce;
+
+/// How long a look waits for something to end.
+const LOOK_WAIT: Duration = Duration::from_millis(100);
+/// Longest time for an answer beyond what the order waits for.
+const ANSWER: Duration = Duration::from_millis(250);
+/// Pause after a look that failed.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// Pause between two looks while nothing runs, unless something is to be done.
+const IDLE: Duration = Duration::from_millis(500);
+/// Shortest time between two reports of the room that is left.
+const ROOM_PERIOD: Duration = Duration::from_millis(25);
+/// Shortest time between two reports of slow runs.
+const PROGRESS_PERIOD: Duration = Duration::from_millis(100);
+/// Starts that are under way at once: each takes a connection.
+const STARTS: usize = 4;
+/// Added to a fencing token that is too low, doubled each time.
+const TOKEN_STEP: u64 = 1_000;
+
+/// The upstream beside the agent, and the streams of the entries.
+#[derive(Debug)]
+pub(super) struct Beside {
+    incarnation: u64,
+    origin: Instant,
+    state: Mutex<State>,
+    client: Client,
+    starts: Arc<Semaphore>,
+    /// Something is to be looked for.
+    look: Notify,
+    /// The room that is left has changed.
+    room: Notify,
+    metrics: Arc<metrics::Runs>,
+}
+
+#[derive(Debug)]
+struct State {
+    runs: Runs,
+    upstream: Option<Known>,
+    streams: BTreeMap<Owner, Stream>,
+    joined: u64,
+    token: u64,
+    token_step: u64,
+    /// Highest end that the upstream was told to forget.
+    acknowledged: u64,
+    leaving: bool,
+    progress_at: Duration,
+}
+
+#[derive(Debug)]
+struct Stream {
+    number: u64,
+    sender: Sender,
+    told: Option<agent::Room>,
+}
+
+/// An order on its way: to whom, and with which authority.
+struct Order {
+    id: String,
+    address: std::net::SocketAddr,
+    authority: Authority,
+}
+
+impl Beside {
+    pub(super) fn new(incarnation: u64, metrics: Arc<metrics::Runs>) -> Beside {
+        let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        // Higher than that of every earlier process, unless the clock was set back.
+        let token = wall.unwrap_or_default().as_millis() as u64;
+        Beside {
+            incarnation,
+            origin: Instant::now(),
+            state: Mutex::new(State {
+                runs: Runs::default(),
+                upstream: None,
+                streams: BTreeMap::new(),
+                joined: 0,
+                token,
+                token_step: TOKEN_STEP,
+                acknowledged: 0,
+                leaving: false,
+                progress_at: Duration::ZERO,
+            }),
+            client: Client::new(),
+            starts: Arc::new(Semaphore::new(STARTS)),
+            look: Notify::new(),
+            room: Notify::new(),
+            metrics,
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with this lock")
+    }
+
+    /// Takes in a report of the upstream.
+    pub(super) fn heard(&self, report: Report) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let incarnation = report.incarnation.clone();
+        let ready = report.ready;
+        let before = state.upstream.as_ref().map(|known| known.report.ready);
+        let ends = match Known::take(&mut state.upstream, report, now) {
+            News::Old => return,
+            News::Same => {
+                if before != Some(ready) {
+                    log::info!("upstream {}: ready {ready}", incarnation.id);
+                }
+                Vec::new()
+            }
+            News::Replaced => {
+                let born = incarnation.born_ms;
+                log::info!("upstream {} born {born}: ready {ready}", incarnation.id);
+                state.acknowledged = 0;
+                state.runs.replaced(self.now())
+            }
+        };
+        state.admit(now);
+        self.deliver(&mut state, ends);
+        drop(state);
+        self.room.notify_one();
+        self.look.notify_one();
+    }
+
+    /// Takes in that the upstream is about to end.
+    pub(super) fn left(&self, id: &str) {
+        let mut state = self.state();
+        if let Some(known) = &mut state.upstream {
+            if known.incarnation().id == id {
+                known.leave();
+                log::info!("upstream {id}: leaves");
+            }
+        }
+        state.admit(Instant::now());
+        drop(state);
+        self.room.notify_one();
+    }
+
+    /// Takes no new runs from now on.
+    pub(super) fn leave(&self) {
+        let mut state = self.state();
+        state.leaving = true;
+        state.admit(Instant::now());
+        drop(state);
+        self.room.notify_one();
+    }
+
+    /// Ends all streams.
+    pub(super) fn close(&self) {
+        self.state().streams.clear();
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        let state = self.state();
+        state.runs.is_empty() && state.acknowledged >= state.runs.seen()
+    }
+
+    pub(super) fn running(&self) -> usize {
+        self.state().runs.len()
+    }
+
+    /// Takes an entry's stream in place of its last; its number.
+    pub(super) fn join_stream(&self, owner: &Owner, sender: Sender, first: &Orders) -> u64 {
+        let now = self.now();
+        let mut state = self.state();
+        state.joined += 1;
+        let number = state.joined;
+        let stream = Stream {
+            number,
+            sender,
+            told: None,
+        };
+        state.streams.insert(owner.clone(), stream);
+        let known: Vec<Run> = first.known.iter().map(stream::run).collect();
+        let ends = state.runs.resume(owner, &known, now);
+        log::info!(
+            "entry {} incarnation {}: stream opened, {} runs known, {} of them over",
+            owner.entry,
+            owner.incarnation,
+            known.len(),
+            ends.len()
+        );
+        self.deliver(&mut state, ends);
+        number
+    }
+
+    pub(super) fn leave_stream(&self, owner: &Owner, number: u64) {
+        let mut state = self.state();
+        if state.streams.get(owner).is_some_and(|s| s.number == number) {
+            state.streams.remove(owner);
+        }
+    }
+
+    /// Carries out the orders of an entry; not those of a stream that another
+    /// has replaced, since the entry no longer counts on them.
+    pub(super) fn obey(self: &Arc<Self>, owner: &Owner, number: u64, orders: Orders) -> bool {
+        let now = self.now();
+        let mut state = self.state();
+        if state.streams.get(owner).is_none_or(|s| s.number != number) {
+            return false;
+        }
+        state.admit(Instant::now());
+        state.runs.renew(owner, stream::time(orders.lease_until_ms), now);
+        for run in &orders.stops {
+            state.runs.stop(owner, &stream::run(run));
+        }
+        let mut refused = Vec::new();
+        for batch in orders.starts {
+            let need = Need::from(batch.need.unwrap_or_default());
+            let estimate = stream::time(batch.estimate_ms.into());
+            for run in batch.runs.iter().map(stream::run) {
+                match state.runs.order(owner, &run, need, now) {
+                    Ok(()) => {
+                        state.runs.expect(&run, estimate);
+                        tokio::spawn(start(self.clone(), run, batch.spec.clone()));
+                    }
+                    Err(refusal) => {
+                        self.metrics.refused(refusal);
+                        refused.push(refusal_of(owner, run, refusal));
+                    }
+                }
+            }
+        }
+        let stops = state.runs.due_stops(now);
+        self.send_stops(stops);
+        // Each message is answered, so that the entry knows the clock.
+        self.report(&mut state, owner, refused);
+        drop(state);
+        self.look.notify_one();
+        self.room.notify_one();
+        true
+    }
+
+    fn send_stops(self: &Arc<Self>, stops: Vec<Run>) {
+        for run in stops {
+            tokio::spawn(stop(self.clone(), run));
+        }
+    }
+
+    /// Tells owners what became of their runs.
+    fn deliver(&self, state: &mut State, ends: Vec<End>) {
+        let mut by_owner: BTreeMap<Owner, Vec<End>> = BTreeMap::new();
+        for end in ends {
+            self.metrics.ended(&end);
+            by_owner.entry(end.owner.clone()).or_default().push(end);
+        }
+        for (owner, ends) in by_owner {
+            self.report(state, &owner, ends);
+        }
+    }
+
+    fn report(&self, state: &mut State, owner: &Owner, ends: Vec<End>) {
+        let room = state.room(owner);
+        let Some(stream) = state.streams.get_mut(owner) else {
+            return;
+        };
+        let room = (stream.told != room).then(|| room.clone()).flatten();
+        if room.is_some() {
+            stream.told.clone_from(&room);
+        }
+        let reports = Reports {
+            clock_ms: self.clock(),
+            room,
+            ends: ends.iter().map(end).collect(),
+            progress: Vec::new(),
+            incarnation: self.incarnation,
+        };
+        self.send(state, owner, reports);
+    }
+
+    /// An entry that doesn't read loses its stream, and asks again for what it
+    /// has missed.
+    fn send(&self, state: &mut State, owner: &Owner, reports: Reports) {
+        let Some(stream) = state.streams.get(owner) else {
+            return;
+        };
+        if stream.sender.try_send(Ok(reports)).is_err() {
+            log::warn!("entry {}: stream given up, it is not read", owner.entry);
+            state.streams.remove(owner);
+        }
+    }
+
+    fn clock(&self) -> u64 {
+        u64::try_from(self.now().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// The next order to this upstream, which carries the lease.
+    fn order(&self, state: &mut State) -> Option<Order> {
+        let (now, at) = (self.now(), Instant::now());
+        let lease = state.runs.lease(now);
+        let known = state.upstream.as_ref()?;
+        let until = lease.map(|until| known.clock(at) + until.saturating_sub(now));
+        let order = Order {
+            id: known.incarnation().id.clone(),
+            address: known.report.address,
+            authority: Authority {
+                token: state.token,
+                until,
+            },
+        };
+        if let Some(until) = lease {
+            state.runs.granted(until, now);
+        }
+        Some(order)
+    }
+
+    async fn send_order(
+        &self,
+        order: &Order,
+        request: http::Request<Bytes>,
+        time: Duration,
+    ) -> client::Result<client::Answer> {
+        let (mut head, body) = request.into_parts();
+        let uri = format!("http://{}{}", order.address, head.uri);
+        head.uri = uri.parse().expect("an address and a path make a URI");
+        let request = http::Request::from_parts(head, Full::new(body));
+        self.client.send(request, time).await
+    }
+
+    /// Takes in an answer's clock; whether another life of the upstream answered.
+    fn tick(&self, state: &mut State, order: &Order, clock: Clock) -> bool {
+        let Some(known) = &mut state.upstream else {
+            return true;
+        };
+        if known.incarnation().id != order.id || known.is_other(clock) {
+            return true;
+        }
+        known.tick(clock.now, Instant::now());
+        false
+    }
+
+    /// Ends all runs, since another life of the upstream answered.
+    fn replace(&self, state: &mut State, order: &Order) {
+        let known = state.upstream.as_mut();
+        let Some(known) = known.filter(|known| known.incarnation().id == order.id) else {
+            return;
+        };
+        log::warn!("upstream {}: is another one now", order.id);
+        known.leave();
+        state.admit(Instant::now());
+        let ends = state.runs.replaced(self.now());
+        self.deliver(state, ends);
+        self.room.notify_one();
+    }
+
+    /// Takes a higher token, since this one is lower than one that was seen.
+    fn fence(&self, state: &mut State, used: u64) {
+        if state.token == used {
+            state.token += state.token_step;
+            state.token_step *= 2;
+            log::warn!("upstream has seen a higher fencing token than {used}");
+        }
+    }
+}
+
+impl State {
+    /// Sets whether the upstream takes new runs.
+    fn admit(&mut self, now: Instant) {
+        let Some(known) = &self.upstream else {
+            return;
+        };
+        let open = known.is_open(now) && !self.leaving;
+        self.runs.upstream(known.report.capacity, open);
+    }
+
+    /// What an entry is told of the room here.
+    fn room(&self, owner: &Owner) -> Option<agent::Room> {
+        let known = self.upstream.as_ref()?;
+        Some(agent::Room {
+            service: known.report.service.to_string(),
+            capacity: Some(self.runs.capacity().into()),
+            others: Some(self.runs.others(owner).into()),
+            open: self.runs.is_open(),
+            labels: known.report.labels.clone(),
+        })
+    }
+}
+
+impl Announce for Beside {
+    fn upstreams(&self) -> Vec<control::Upstream> {
+        let state = self.state();
+        let known = state.upstream.iter();
+        let upstreams = known.map(|known| control::Upstream {
+            service: known.report.service.to_string(),
+            slots: 1,
+            connections: STARTS as u32,
+            leaving: false,
+        });
+        upstreams.collect()
+    }
+
+    fn leaving(&self) -> bool {
+        self.state().leaving
+    }
+}
+
+/// Starts a run at the upstream.
+async fn start(beside: Arc<Beside>, run: Run, spec: Bytes) {
+    let _permit = beside.starts.acquire().await;
+    let Ok(spec) = std::str::from_utf8(&spec) else {
+        return begun(&beside, &run, Started::Refused(Refusal::Invalid));
+    };
+    let asked = Instant::now();
+    // A token that is too low is raised until it is taken.
+    for _ in 0..8 {
+        let order = beside.order(&mut beside.state());
+        let Some(order) = order.filter(|order| order.authority.until.is_some()) else {
+            return begun(&beside, &run, Started::Refused(Refusal::Expired));
+        };
+        let request = order::start(&order.id, &run, spec, order.authority);
+        let answer = beside.send_order(&order, request, ANSWER).await;
+        let read = answer.map(|answer| order::started(answer.status, &answer.body));
+        beside.metrics.start_took(asked.elapsed());
+        match read {
+            Ok(Ok((clock, begun))) => {
+                let mut state = beside.state();
+                if clock.is_some_and(|clock| beside.tick(&mut state, &order, clock)) {
+                    return beside.replace(&mut state, &order);
+                }
+                match begun {
+                    Begun::Known(started) => {
+                        drop(state);
+                        return self::begun(&beside, &run, started);
+                    }
+                    Begun::Fenced => beside.fence(&mut state, order.authority.token),
+                }
+            }
+            Ok(Err(order::Error::Replaced)) => {
+                return beside.replace(&mut beside.state(), &order);
+            }
+            Ok(Err(error)) => {
+                log::warn!("{run}: {error}");
+                return self::begun(&beside, &run, Started::Unknown);
+            }
+            Err(client::Error::Connect(error)) => {
+                log::warn!("{run}: no connection to the upstream: {error}");
+                let refusal = Started::Refused(Refusal::NoAnswer);
+                return self::begun(&beside, &run, refusal);
+            }
+            Err(error) => {
+                log::warn!("{run}: start not answered: {error}");
+                return self::begun(&beside, &run, Started::Unknown);
+            }
+        }
+    }
+    self::begun(&beside, &run, Started::Refused(Refusal::Closed));
+}
+
+/// Takes in the answer to a start.
+fn begun(beside: &Arc<Beside>, run: &Run, started: Started) {
+    if let Started::Refused(refusal) = started {
+        beside.metrics.refused(refusal);
+    }
+    let now = beside.now();
+    let mut state = beside.state();
+    let end = state.runs.started(run, started, now);
+    let stops = state.runs.due_stops(now);
+    beside.send_stops(stops);
+    beside.deliver(&mut state, end.into_iter().collect());
+    drop(state);
+    beside.look.notify_one();
+}
+
+/// Tells the upstream to stop a run.
+async fn stop(beside: Arc<Beside>, run: Run) {
+    let Some(order) = beside.order(&mut beside.state()) else {
+        return;
+    };
+    let request = order::stop(&order.id, &run, order.authority);
+    let answer = beside.send_order(&order, request, ANSWER).await;
+    match answer.map(|answer| order::stopped(answer.status)) {
+        Ok(Ok(true)) => beside.state().runs.stopped(&run),
+        Ok(Ok(false)) => beside.fence(&mut beside.state(), order.authority.token),
+        Ok(Err(order::Error::Replaced)) => beside.replace(&mut beside.state(), &order),
+        // It is sent again for as long as the run is there.
+        Ok(Err(error)) => log::warn!("{run}: stop: {error}"),
+        Err(error) => log::warn!("{run}: stop not answered: {error}"),
+    }
+    beside.look.notify_one();
+}
+
+/// Looks at the upstream for as long as something runs there or is not
+/// acknowledged, and keeps its lease that way.
+pub(super) async fn look(beside: Arc<Beside>) {
+    loop {
+        let due = {
+            let mut state = beside.state();
+            let live = !state.runs.is_empty();
+            let unread = state.runs.seen() > state.acknowledged;
+            match live || unread {
+                true => beside.order(&mut state).map(|order| {
+                    let wait = if live { LOOK_WAIT } else { Duration::ZERO };
+                    (order, state.runs.look(), state.runs.seen(), wait)
+                }),
+                false => None,
+            }
+        };
+        let Some((order, number, seen, wait)) = due else {
+            // Woken by the next order, or to see what has lapsed meanwhile.
+            let _ = tokio::time::timeout(IDLE, beside.look.notified()).await;
+            beside.lapse();
+            continue;
+        };
+        let request = order::look(&order.id, seen, wait, order.authority);
+        let answer = beside.send_order(&order, request, wait + ANSWER).await;
+        let found = match answer {
+            Ok(answer) => beside.looked(&order, number, seen, &answer),
+            Err(error) => {
+                log::warn!("upstream {}: look not answered: {error}", order.id);
+                false
+            }
+        };
+        beside.lapse();
+        if !found {
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+}
+
+impl Beside {
+    /// Takes in a look's answer; whether it was a good one.
+    fn looked(
+        self: &Arc<Self>,
+        order: &Order,
+        number: u64,
+        seen: u64,
+        answer: &client::Answer,
+    ) -> bool {
+        match order::listed(answer.status, &answer.body) {
+            Ok(Some(list)) => self.take(order, number, seen, &list),
+            Ok(None) => {
+                self.fence(&mut self.state(), order.authority.token);
+                false
+            }
+            Err(order::Error::Replaced) => {
+                self.replace(&mut self.state(), order);
+                false
+            }
+            Err(error) => {
+                log::warn!("upstream {}: {error}", order.id);
+                false
+            }
+        }
+    }
+
+    fn take(self: &Arc<Self>, order: &Order, number: u64, seen: u64, list: &List) -> bool {
+        let now = self.now();
+        let mut state = self.state();
+        if list.unreadable > 0 {
+            log::warn!("upstream {}: {} entries unreadable", order.id, list.unreadable);
+        }
+        if self.tick(&mut state, order, list.clock) {
+            self.replace(&mut state, order);
+            return false;
+        }
+        state.acknowledged = state.acknowledged.max(seen);
+        let ends = state.runs.looked(number, &list.running, &list.ended, now);
+        let stops = state.runs.due_stops(now);
+        self.send_stops(stops);
+        let any = !ends.is_empty();
+        self.deliver(&mut state, ends);
+        self.tell_progress(&mut state, now);
+        drop(state);
+        if any {
+            self.room.notify_one();
+        }
+        true
+    }
+
+    /// Ends what must be gone, and stops what has outlived its lease.
+    fn lapse(self: &Arc<Self>) {
+        let now = self.now();
+        let mut state = self.state();
+        let ends = state.runs.lapse(now);
+        if !ends.is_empty() {
+            log::warn!("{} runs lapsed with the upstream's lease", ends.len());
+        }
+        let stops = state.runs.due_stops(now);
+        self.send_stops(stops);
+        self.deliver(&mut state, ends);
+        let open = state.runs.is_open();
+        state.admit(Instant::now());
+        if open != state.runs.is_open() {
+            log::warn!("upstream: takes new runs {}", !open);
+            self.room.notify_one();
+        }
+    }
+
+    fn tell_progress(&self, state: &mut State, now: Duration) {
+        if now < state.progress_at + PROGRESS_PERIOD {
+            return;
+        }
+        state.progress_at = now;
+        let mut by_owner: BTreeMap<Owner, Vec<agent::Progress>> = BTreeMap::new();
+        for (owner, run, percent) in state.runs.slow(now) {
+            let progress = agent::Progress {
+                run: Some(wire_run(run)),
+                percent,
+            };
+            by_owner.entry(owner.clone()).or_default().push(progress);
+        }
+        for (owner, progress) in by_owner {
+            let reports = Reports {
+                clock_ms: self.clock(),
+                progress,
+                incarnation: self.incarnation,
+                ..Reports::default()
+            };
+            self.send(state, &owner, reports);
+        }
+    }
+}
+
+/// Tells all entries of the room that is left, whenever it has changed.
+pub(super) async fn tell(beside: Arc<Beside>) {
+    loop {
+        beside.room.notified().await;
+        {
+            let mut state = beside.state();
+            let owners: Vec<Owner> = state.streams.keys().cloned().collect();
+            for owner in owners {
+                let room = state.room(&owner);
+                if state.streams.get(&owner).is_some_and(|s| s.told != room) {
+                    beside.report(&mut state, &owner, Vec::new());
+                }
+            }
+        }
+        tokio::time::sleep(ROOM_PERIOD).await;
+    }
+}
+
+fn refusal_of(owner: &Owner, run: Run, refusal: Refusal) -> End {
+    End {
+        owner: owner.clone(),
+        run,
+        fate: Fate::Refused(refusal),
+        ran: Duration::ZERO,
+    }
+}
+
+fn wire_run(run: &Run) -> agent::Run {
+    agent::Run {
+        task: run.task.to_string(),
+        run: run.number,
+    }
+}
+
+fn end(end: &End) -> agent::End {
+    let (fate, refusal) = match end.fate {
+        Fate::Done => (agent::Fate::Done, agent::Refusal::Unspecified),
+        Fate::Failed => (agent::Fate::Failed, agent::Refusal::Unspecified),
+        Fate::Stopped => (agent::Fate::Stopped, agent::Refusal::Unspecified),
+        Fate::Lost => (agent::Fate::Lost, agent::Refusal::Unspecified),
+        Fate::Refused(refusal) => (agent::Fate::Refused, wire_refusal(refusal)),
+    };
+    agent::End {
+        run: Some(wire_run(&end.run)),
+        fate: fate.into(),
+        refusal: refusal.into(),
+        run_ms: u32::try_from(end.ran.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn wire_refusal(refusal: run::Refusal) -> agent::Refusal {
+    match refusal {
+        Refusal::Full => agent::Refusal::Full,
+        Refusal::Closed => agent::Refusal::Closed,
+        Refusal::Expired => agent::Refusal::Expired,
+        Refusal::OldRun => agent::Refusal::OldRun,
+        Refusal::Unhealthy => agent::Refusal::Unhealthy,
+        Refusal::NoAnswer => agent::Refusal::NoAnswer,
+        Refusal::Invalid => agent::Refusal::Invalid,
+    }
+}
--- a/crates/core/src/agent/mod.rs
+++ b/crates/core/src/agent/mod.rs
@@ -5,6 +5,7 @@
 mod answer;
 mod claims;
 mod http;
+mod lease;
 mod pool;
 mod service;
 
@@ -21,7 +22,7 @@
 use crate::renew;
 use crate::run::{self, Error, Result};
 use crate::serve::{self, Server};
-use crate::settings::{Agent, Settings};
+use crate::settings::{Agent, Dialect, Settings};
 
 const MAX_CONNECTIONS: usize = 256;
 const DRAIN: Duration = Duration::from_millis(2500);
@@ -33,13 +34,17 @@
     peer: TcpListener,
     name: id::Node,
     node: control::Node,
-    control: Vec<SocketAddr>,
+    control: watch::Receiver<Vec<SocketAddr>>,
     section: Agent,
 }
 
 impl Role {
     /// Listens on the addresses of `section`.
-    pub(crate) async fn bind(settings: &Settings, section: &Agent) -> Result<Role> {
+    pub(crate) async fn bind(
+        settings: &Settings,
+        section: &Agent,
+        control: watch::Receiver<Vec<SocketAddr>>,
+    ) -> Result<Role> {
         let http = Server::bind(section.http, MAX_CONNECTIONS).await;
         let http = http.map_err(Error::listen("agent.http", section.http))?;
         let peer = TcpListener::bind(section.peer).await;
@@ -51,7 +56,7 @@
             peer,
             name: settings.name.clone(),
             node,
-            control: settings.control.clone(),
+            control,
             section: section.clone(),
         })
     }
@@ -72,11 +77,14 @@
     /// Serves until `stop` turns true, the entries have had time to hear that
     /// this agent leaves, and the tasks in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
+        if self.section.dialect == Dialect::Platform {
+            return lease::run(self.node, self.http, self.peer, self.control, stop).await;
+        }
         let incarnation = self.node.incarnation;
         let node = format!("node {}", self.node.name);
         let table = Arc::new(announce::Table::new(&self.section));
         let (drained, drain) = watch::channel(false);
-        let renewal = renew::Loop::new(self.node, table.clone(), &self.control);
+        let renewal = renew::Loop::new(self.node, table.clone(), self.control);
         tokio::spawn(renew::log_changes(node, renewal.held()));
         let metrics = Arc::new(metrics::Agent::new());
         let service = service::Service::new(
--- a/crates/core/src/agent/service.rs
+++ b/crates/core/src/agent/service.rs
@@ -6,13 +6,13 @@
 use bytes::Bytes;
 use gentian::wire::agent::agent_server::Agent;
 use gentian::wire::agent::{
-    AskReply, AskRequest, CancelReply, CancelRequest, ClaimReply, ClaimRequest, Outcome, Reason,
-    StartReply, StartRequest,
+    AskReply, AskRequest, CancelReply, CancelRequest, ClaimReply, ClaimRequest, Orders, Outcome,
+    Reason, Reports, StartReply, StartRequest,
 };
 use gentian::wire::id::{Ballot, Job, Task, View};
 use http_body_util::Full;
 use tokio::sync::watch;
-use tonic::{Request, Response, Status};
+use tonic::{Request, Response, Status, Streaming};
 
 use super::announce::{Admission, Refusal, Slot, Table};
 use super::claims::Claims;
@@ -212,6 +212,15 @@
 
 #[tonic::async_trait]
 impl Agent for Service {
+    type LeaseStream = tokio_stream::Empty<Result<Reports, Status>>;
+
+    async fn lease(
+        &self,
+        _: Request<Streaming<Orders>>,
+    ) -> Result<Response<Self::LeaseStream>, Status> {
+        Err(Status::unimplemented("this agent runs no tasks under leases"))
+    }
+
     async fn start(&self, request: Request<StartRequest>) -> Result<Response<StartReply>, Status> {
         let request = request.into_inner();
         let task = request.task.clone();
--- a/crates/core/src/args/run.rs
+++ b/crates/core/src/args/run.rs
@@ -16,6 +16,6 @@
 impl Args {
     pub(super) fn run(self) -> Result<()> {
         let settings = Settings::read(&self.settings)?;
-        Ok(run::run(&settings)?)
+        Ok(run::run(&settings, &self.settings)?)
     }
 }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod membership;
 mod operators;
+mod release;
 mod replica;
 mod service;
 mod state;
@@ -20,6 +21,7 @@
 
 use membership::Membership;
 use operators::Operators;
+use release::Releases;
 use replica::Handle;
 use service::Service;
 use state::{Log, Shared};
@@ -36,23 +38,32 @@
     peer: TcpListener,
     shared: Shared,
     replica: Handle,
+    section: Controller,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
 }
 
 impl Role {
     /// Opens the data folder and listens on the addresses of `section`.
-    pub(crate) async fn bind(section: &Controller) -> Result<Role> {
+    /// `seeds` are the control instances that the settings name.
+    pub(crate) async fn bind(
+        section: &Controller,
+        seeds: watch::Receiver<Vec<SocketAddr>>,
+    ) -> Result<Role> {
         let http = Server::bind(section.http, MAX_CONNECTIONS).await;
         let http = http.map_err(Error::listen("controller.http", section.http))?;
         let peer = TcpListener::bind(section.peer).await;
         let peer = peer.map_err(Error::listen("controller.peer", section.peer))?;
         let shared = Shared::new();
         let address = peer.local_addr()?.to_string();
-        let replica = Handle::start(&section.data, address, shared.clone())?;
+        let tolerated = section.tolerates.unwrap_or(0) as usize;
+        let replica = Handle::start(&section.data, address, tolerated, shared.clone())?;
         Ok(Role {
             http,
             peer,
             shared,
             replica,
+            section: section.clone(),
+            seeds,
         })
     }
 
@@ -67,9 +78,16 @@
     /// Serves until `stop` turns true.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
         let mut stopped = stop.clone();
+        if let (Ok(own), Some(_)) = (self.peer.local_addr(), self.section.tolerates) {
+            let (seeds, found) = (self.seeds.clone(), self.section.found);
+            tokio::spawn(self.replica.clone().keep(own, seeds, found, stop.clone()));
+        }
         let service = Service::new(Arc::new(self.replica.clone()), self.shared);
         let operators = Operators::new(service.clone());
-        let operators = Arc::new(Membership::new(self.replica.clone(), operators));
+        let operators = Membership::new(self.replica.clone(), operators);
+        let dialect = self.section.dialect;
+        let port = self.section.http.port();
+        let operators = Arc::new(Releases::new(service.clone(), dialect, port, operators));
         let ticking = tokio::spawn(tick(service.clone(), stop.clone()));
         let peer = tonic::transport::Server::builder()
             .add_service(self.replica.server())
--- a/crates/core/src/control/replica/mod.rs
+++ b/crates/core/src/control/replica/mod.rs
@@ -4,6 +4,7 @@
 //! asks it for something.
 
 mod clock;
+mod heal;
 mod log;
 mod members;
 mod publish;
@@ -13,10 +14,12 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
 use crossbeam::channel;
+use gentian::quorum::heal::Healer;
 use gentian::quorum::replica::{self, Settings};
 use gentian::quorum::store::{self, File};
 use gentian::quorum::{Machine, Replica};
@@ -75,15 +78,19 @@
     inbox: Inbox,
     published: Published,
     service: transport::Service,
+    healer: Arc<Mutex<Healer>>,
 }
 
 impl Handle {
     /// Opens the data folder and starts the thread, within a tokio runtime.
     ///
     /// `address` is where other instances reach this one until the members say so.
+    /// `tolerated` is how many lost members the cluster is to bear at once,
+    /// where it keeps its members by itself.
     pub(crate) fn start<M>(
         path: &Path,
         address: String,
+        tolerated: usize,
         machine: M,
     ) -> std::result::Result<Handle, StartError>
     where
@@ -128,6 +135,7 @@
             inbox,
             published,
             service,
+            healer: Arc::new(Mutex::new(Healer::new(tolerated))),
         })
     }
 
--- a/crates/core/src/control/replica/publish.rs
+++ b/crates/core/src/control/replica/publish.rs
@@ -1,5 +1,6 @@
 //! What other threads may know of the replica.
 
+use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -27,6 +28,8 @@
     pub(crate) commit: u64,
     /// Members in force.
     pub(crate) members: Members,
+    /// When each member was heard last, on the clock of leases.
+    pub(crate) heard: BTreeMap<Member, Duration>,
     lease_until: Option<Duration>,
 }
 
@@ -40,6 +43,7 @@
             leader,
             commit: replica.commit(),
             members: replica.members().clone(),
+            heard: BTreeMap::new(),
             lease_until: replica.lease_until(),
         }
     }
@@ -70,10 +74,19 @@
             status.commit = replica.commit();
             status.lease_until = replica.lease_until();
         } else {
+            let heard = std::mem::take(&mut status.heard);
             *status = Status::new(replica, leader);
+            let members = status.members.clone();
+            status.heard = heard;
+            status.heard.retain(|id, _| members.get(*id).is_some());
         }
     }
 
+    /// Notes that a member was heard.
+    pub(super) fn heard(&self, member: Member, now: Duration) {
+        self.lock().heard.insert(member, now);
+    }
+
     /// A copy of the status.
     pub(crate) fn get(&self) -> Status {
         self.lock().clone()
--- a/crates/core/src/control/replica/thread.rs
+++ b/crates/core/src/control/replica/thread.rs
@@ -101,6 +101,7 @@
         match event {
             Event::Letter { from, letter } => {
                 self.addresses.insert(from, letter.address);
+                self.published.heard(from, now);
                 for message in letter.messages {
                     self.replica.receive(now, from, message);
                 }
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -4,6 +4,7 @@
 //! still leads after the reading: so it holds all that was accepted before the
 //! request came.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime};
 
@@ -14,10 +15,15 @@
 use gentian::member::member::{self, Member};
 use gentian::member::share::{Ask, Borrower};
 use gentian::member::state::{Command, Reply};
+use gentian::quorum::id;
 use gentian::member::view::Event;
 use gentian::wire::control::control_server::Control;
-use gentian::wire::control::{LendReply, LendRequest, RenewReply, RenewRequest, Role, Share};
+use gentian::wire::control::{
+    self as messages, JoinReply, JoinRequest, LendReply, LendRequest, RenewReply, RenewRequest,
+    Role, Share,
+};
 use gentian::wire::id::{Incarnation, Node, Team, View};
+use prost::Message;
 use tonic::{Request, Response, Status};
 
 use super::state::{Book, Error, Inner, Leader, Log, Shared, LEASE, LOAN};
@@ -149,7 +155,10 @@
                 log::warn!("{stale}");
                 return Ok(RenewReply::default());
             }
-            (grant(&inner, request, now), table.due(now, &node, window))
+            let mut reply = grant(&inner, request, now);
+            tell_present(&mut reply, table.alive(now), request.known_roster);
+            reply.control = self.log.members();
+            (reply, table.due(now, &node, window))
         };
         if let Some(event) = event {
             let service = self.clone();
@@ -234,6 +243,26 @@
     reply
 }
 
+/// Tells the agents that renew now, unless the node knows of them.
+fn tell_present<'a>(
+    reply: &mut RenewReply,
+    alive: impl Iterator<Item = &'a Announcement>,
+    known: u64,
+) {
+    let staying = alive.filter(|announcement| !announcement.leaving);
+    let present = staying.filter_map(|announcement| announcement.member.as_ref());
+    let present: Vec<messages::Member> = present.map(messages::Member::from).collect();
+    let mut hasher = DefaultHasher::new();
+    for member in &present {
+        member.encode_to_vec().hash(&mut hasher);
+    }
+    // Zero is what a node names that knows of none.
+    reply.roster = hasher.finish().max(1);
+    if reply.roster != known {
+        reply.present = present;
+    }
+}
+
 fn elsewhere(leader: Leader) -> RenewReply {
     RenewReply {
         leader_address: address(leader),
@@ -295,6 +324,23 @@
         self.renewed(request.get_ref()).map(Response::new)
     }
 
+    async fn join(&self, request: Request<JoinRequest>) -> Result<Response<JoinReply>, Status> {
+        let request = request.into_inner();
+        let leader = self.log.leader();
+        if !matches!(leader, Leader::Own { .. }) {
+            return Ok(Response::new(JoinReply {
+                leader_address: address(leader),
+                member: false,
+            }));
+        }
+        let member = id::Member::new(request.member);
+        let member = member.ok_or_else(|| Status::invalid_argument("member: no member id"))?;
+        Ok(Response::new(JoinReply {
+            leader_address: String::new(),
+            member: self.log.join(member, request.address),
+        }))
+    }
+
     async fn lend(&self, request: Request<LendRequest>) -> Result<Response<LendReply>, Status> {
         self.lent(request.get_ref()).map(Response::new)
     }
--- a/crates/core/src/control/state/log.rs
+++ b/crates/core/src/control/state/log.rs
@@ -3,6 +3,8 @@
 use std::future::Future;
 use std::net::SocketAddr;
 
+use gentian::quorum::id::Member;
+
 /// Why a payload got no reply.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub(crate) enum Error {
@@ -34,4 +36,10 @@
 
     /// Who leads at the time of the call.
     fn leader(&self) -> Leader;
+
+    /// Peer addresses of the control instances.
+    fn members(&self) -> Vec<String>;
+
+    /// Notes that an instance wants to join; whether it is a member already.
+    fn join(&self, member: Member, address: String) -> bool;
 }
--- /dev/null
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -0,0 +1,539 @@
+//! The jobs in progress, what waits, and where the tasks run.
+//!
+//! All of it is under one lock, which is held for decisions only: no call is
+//! made under it.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use gentian::claim::run::Run;
+use gentian::limit::after;
+use gentian::limit::line::{Line, Objective, Rank};
+use gentian::member::member::Member;
+use gentian::route::eject::Ending;
+use gentian::route::room::{is_worth_moving, Rooms, Told};
+use gentian::route::runtime;
+use gentian::wire::agent::{End, Fate, Orders, Progress, Refusal, Reports, Room};
+use gentian::wire::id::{self, Incarnation, Node, Service};
+use gentian::wire::need::Need;
+use gentian::wire::{agent, control};
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+use tokio::sync::{oneshot, Notify};
+
+use super::job::{Cause, Job, Outcome, Submission};
+use super::link::{Link, Placed};
+
+/// Queues whose run times are learned apart.
+const QUEUES: usize = 256;
+/// Moves of one task at most.
+const MOVES: usize = 3;
+/// Added to a task's number where another start of it was there before.
+const NUMBER_STEP: u64 = 1_000;
+/// Time to come back where nothing is known of the wait.
+const RETURN: Duration = Duration::from_millis(500);
+
+/// The jobs in progress, what waits, and where the tasks run.
+#[derive(Debug)]
+pub(super) struct Dispatcher {
+    entry: Node,
+    incarnation: Incarnation,
+    data_center: id::DataCenter,
+    origin: Instant,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    rooms: Rooms,
+    lines: BTreeMap<Service, Line>,
+    jobs: HashMap<u64, Job>,
+    arrivals: u64,
+    links: BTreeMap<Node, Link>,
+    runtimes: runtime::Table<String>,
+    rng: StdRng,
+}
+
+impl Dispatcher {
+    pub(super) fn new(node: &control::Node, data_center: id::DataCenter) -> Dispatcher {
+        Dispatcher {
+            entry: node.name.parse().expect("a node's name was checked"),
+            incarnation: Incarnation(node.incarnation),
+            data_center,
+            origin: Instant::now(),
+            state: Mutex::new(State {
+                rooms: Rooms::new(),
+                lines: BTreeMap::new(),
+                jobs: HashMap::new(),
+                arrivals: 0,
+                links: BTreeMap::new(),
+                runtimes: runtime::Table::new(QUEUES),
+                rng: StdRng::from_os_rng(),
+            }),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with this lock")
+    }
+
+    fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Takes a job in; its number, until when it may wait to begin, and where
+    /// its outcome will come.
+    pub(super) fn submit(
+        &self,
+        submission: Submission,
+    ) -> (u64, Duration, oneshot::Receiver<Outcome>) {
+        let now = self.now();
+        let mut state = self.state();
+        let (sender, receiver) = oneshot::channel();
+        let objective = state.objective(&submission);
+        state.arrivals += 1;
+        let number = state.arrivals;
+        let rank = Rank {
+            fresh: true,
+            priority: submission.queue.priority,
+            begin_by: now + objective.wait(),
+            arrival: number,
+        };
+        if let Some(outcome) = state.judge(&submission, &objective, &rank) {
+            let _ = sender.send(outcome);
+            return (number, objective.wait(), receiver);
+        }
+        let service = submission.service.clone();
+        let job = Job::new(submission, objective, rank, sender);
+        state.enqueue(&service, rank, job.work());
+        state.jobs.insert(number, job);
+        state.place(&service);
+        (number, objective.wait(), receiver)
+    }
+
+    /// Refuses a job of which nothing has begun; whether that was so.
+    pub(super) fn expire(&self, number: u64, cause: Cause) -> bool {
+        let now = self.now();
+        let mut state = self.state();
+        let Some(job) = state.jobs.get(&number).filter(|job| !job.begun) else {
+            return false;
+        };
+        let (service, rank) = (job.submission.service.clone(), job.rank);
+        let after = state.come_back(&service, &rank);
+        state.finish(number, Outcome::Refused(after, cause));
+        state.readmit(now);
+        true
+    }
+
+    /// Gives a job up, whatever of it runs.
+    pub(super) fn abandon(&self, number: u64) {
+        let mut state = self.state();
+        if let Some(job) = state.jobs.get(&number) {
+            let service = job.submission.service.clone();
+            state.finish(number, Outcome::GivenUp);
+            state.place(&service);
+        }
+    }
+
+    /// Whether a job could begin at all.
+    pub(super) fn is_useful(&self) -> bool {
+        let state = self.state();
+        state.links.is_empty() || state.rooms.any_reachable()
+    }
+
+    /// Jobs of a queue that wait with nothing begun.
+    pub(super) fn waiting(&self, queue: &str) -> u64 {
+        let state = self.state();
+        let jobs = state.jobs.values().filter(|job| !job.begun);
+        jobs.filter(|job| job.submission.queue.name == queue).count() as u64
+    }
+
+    /// Knows an agent from now on.
+    pub(super) fn know(&self, member: &Member) {
+        let near = member.data_center == self.data_center;
+        let mut state = self.state();
+        let link = state.links.entry(member.node.clone());
+        link.or_insert_with(|| Link::new(near));
+    }
+
+    /// Forgets an agent; what may run there is lost.
+    pub(super) fn forget(&self, node: &Node) {
+        let mut state = self.state();
+        state.rooms.remove(node);
+        let Some(mut link) = state.links.remove(node) else {
+            return;
+        };
+        let lost: Vec<(Run, Placed)> = link.live.drain().collect();
+        for (run, placed) in lost {
+            state.lost(node, &run, &placed);
+        }
+    }
+
+    pub(super) fn is_connected(&self, node: &Node) -> bool {
+        self.state().links.get(node).is_some_and(|link| link.connected)
+    }
+
+    pub(super) fn has_runs(&self, node: &Node) -> bool {
+        let state = self.state();
+        state.links.get(node).is_some_and(|link| !link.live.is_empty())
+    }
+
+    /// What tells that there are orders for an agent.
+    pub(super) fn wake(&self, node: &Node) -> Arc<Notify> {
+        let state = self.state();
+        state.links.get(node).map(|link| link.wake.clone()).unwrap_or_default()
+    }
+
+    pub(super) fn first_orders(&self, node: &Node) -> Orders {
+        let mut state = self.state();
+        let link = state.links.get_mut(node);
+        link.map(|link| link.first(&self.entry, self.incarnation)).unwrap_or_default()
+    }
+
+    pub(super) fn orders(&self, node: &Node, lease_until_ms: u64) -> Orders {
+        let mut state = self.state();
+        let link = state.links.get_mut(node);
+        link.map(|link| link.orders(lease_until_ms)).unwrap_or_default()
+    }
+
+    pub(super) fn disconnected(&self, node: &Node) {
+        let mut state = self.state();
+        state.rooms.reachable(node, false);
+        if let Some(link) = state.links.get_mut(node) {
+            link.connected = false;
+        }
+    }
+
+    /// Takes in what an agent reports; `first` on a new stream.
+    pub(super) fn reported(&self, node: &Node, first: bool, reports: Reports) {
+        let now = self.now();
+        let mut state = self.state();
+        let incarnation = Incarnation(reports.incarnation);
+        let Some(link) = state.links.get_mut(node) else {
+            return;
+        };
+        if first {
+            link.answered_by(incarnation);
+            link.connected = true;
+            state.rooms.reachable(node, true);
+        }
+        if let Some(room) = reports.room {
+            state.told(node, incarnation, room);
+        }
+        for end in reports.ends {
+            state.ended(node, end, now);
+        }
+        for progress in reports.progress {
+            state.progressed(node, progress, now);
+        }
+        state.readmit(now);
+        state.place_all();
+    }
+
+    /// Gives up what must be gone by now.
+    pub(super) fn give_up_orphans(&self) {
+        let now = Instant::now();
+        let mut state = self.state();
+        let due = |link: &Link| link.next_orphan().is_some_and(|at| at <= now);
+        let nodes = state.links.iter().filter(|(_, link)| due(link));
+        let nodes: Vec<Node> = nodes.map(|(node, _)| node.clone()).collect();
+        for node in &nodes {
+            let link = state.links.get_mut(node);
+            let gone = link.map(|link| link.gone(now)).unwrap_or_default();
+            log::warn!("agent {node}: {} runs given up", gone.len());
+            for (run, placed) in gone {
+                state.lost(node, &run, &placed);
+            }
+        }
+        state.readmit(self.now());
+        if !nodes.is_empty() {
+            state.place_all();
+        }
+    }
+}
+
+impl State {
+    fn objective(&self, submission: &Submission) -> Objective {
+        let queue = &submission.queue;
+        Objective {
+            work: self.expected(queue.name.as_str()).unwrap_or(submission.estimate),
+            stretch: queue.stretch,
+            target: queue.target(),
+        }
+    }
+
+    /// Median run time of a queue's tasks, once that is known.
+    fn expected(&self, queue: &str) -> Option<Duration> {
+        self.runtimes.get(&queue.to_owned()).quantile(0.5)
+    }
+
+    /// Refuses a job that surely can't be served in time.
+    fn judge(
+        &self,
+        submission: &Submission,
+        objective: &Objective,
+        rank: &Rank,
+    ) -> Option<Outcome> {
+        let service = &submission.service;
+        if self.rooms.could_ever_fit(service, submission.need) == Some(false) {
+            return Some(Outcome::Refused(RETURN, Cause::TooLarge));
+        }
+        if !self.rooms.serves(service) {
+            return Some(Outcome::Refused(RETURN, Cause::NoUpstream));
+        }
+        let line = self.lines.get(service)?;
+        let wait = line.wait(rank, self.cores(service));
+        (wait > objective.wait()).then_some(Outcome::Refused(wait, Cause::Overload))
+    }
+
+    /// Cores that work on what this entry hands out.
+    fn cores(&self, service: &Service) -> f64 {
+        f64::from(self.rooms.own_part(service).cpu) / 1e3
+    }
+
+    fn come_back(&mut self, service: &Service, rank: &Rank) -> Duration {
+        let cores = self.cores(service);
+        let line = self.lines.get(service);
+        let wait = line.map_or(RETURN, |line| line.wait(rank, cores));
+        after::after(wait, &mut self.rng)
+    }
+
+    fn enqueue(&mut self, service: &Service, rank: Rank, work: f64) {
+        self.lines.entry(service.clone()).or_default().put(rank, work);
+    }
+
+    fn dequeue(&mut self, service: &Service, rank: &Rank) {
+        if let Some(line) = self.lines.get_mut(service) {
+            line.remove(rank);
+        }
+    }
+
+    fn place_all(&mut self) {
+        let waiting = self.lines.iter().filter(|(_, line)| !line.is_empty());
+        let services: Vec<Service> = waiting.map(|(service, _)| service.clone()).collect();
+        for service in services {
+            self.place(&service);
+        }
+    }
+
+    /// Begins what waits, in its order, until the next has no room.
+    fn place(&mut self, service: &Service) {
+        loop {
+            let next = self.lines.get(service).and_then(|line| line.iter().next());
+            let Some(rank) = next.copied() else {
+                return;
+            };
+            let number = rank.arrival;
+            while let Some(index) = self.jobs[&number].waiting.front().copied() {
+                if !self.begin(service, number, index) {
+                    return self.requeue(number);
+                }
+            }
+            self.dequeue(service, &rank);
+        }
+    }
+
+    /// Begins one task of a job where there is room.
+    fn begin(&mut self, service: &Service, number: u64, index: usize) -> bool {
+        let expected = self.expected(&self.jobs[&number].submission.queue.name);
+        let job = self.jobs.get_mut(&number).expect("only jobs in progress wait");
+        let need = job.submission.need;
+        let task = &mut job.tasks[index];
+        let Some(node) = self.rooms.place(service, need, &task.avoid) else {
+            return false;
+        };
+        let link = self.links.get_mut(&node).expect("rooms are of agents that are known");
+        task.number += 1;
+        let run = Run {
+            task: task.name.clone(),
+            number: task.number,
+        };
+        task.at = Some((node, run.clone()));
+        let placed = Placed {
+            job: number,
+            index,
+            need,
+            at: Instant::now(),
+            stopped: false,
+            incarnation: link.incarnation,
+        };
+        let estimate = expected.unwrap_or(job.submission.estimate);
+        link.start(&run, placed, service, &job.submission.spec, estimate);
+        job.waiting.pop_front();
+        job.begun = true;
+        true
+    }
+
+    /// Puts a job back into its line with what still waits.
+    fn requeue(&mut self, number: u64) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        let before = job.rank;
+        job.rank.fresh = !job.begun;
+        let (rank, work) = (job.rank, job.work());
+        let service = job.submission.service.clone();
+        self.dequeue(&service, &before);
+        self.enqueue(&service, rank, work);
+    }
+
+    fn told(&mut self, node: &Node, incarnation: Incarnation, room: Room) {
+        let Ok(service) = room.service.parse() else {
+            log::warn!("agent {node}: names the service {:?}", room.service);
+            return;
+        };
+        let near = self.links.get(node).is_some_and(|link| link.near);
+        let told = Told {
+            service,
+            capacity: Need::from(room.capacity.unwrap_or_default()),
+            others: Need::from(room.others.unwrap_or_default()),
+            open: room.open,
+        };
+        self.rooms.told(node, incarnation, near, told);
+    }
+
+    fn ended(&mut self, node: &Node, end: End, now: Duration) {
+        let Some(run) = end.run.as_ref().map(run) else {
+            return;
+        };
+        let link = self.links.get_mut(node);
+        let Some(placed) = link.and_then(|link| link.live.remove(&run)) else {
+            return;
+        };
+        self.rooms.release(node, placed.need);
+        let Some(job) = self.jobs.get(&placed.job) else {
+            return;
+        };
+        let queue = job.submission.queue.name.clone();
+        let ran = Duration::from_millis(end.run_ms.into());
+        let expected = self.expected(&queue);
+        let ending = match end.fate() {
+            Fate::Done => Some(Ending::Good { run: ran, expected }),
+            Fate::Failed => Some(Ending::Bad),
+            Fate::Refused => match end.refusal() {
+                Refusal::Unhealthy | Refusal::NoAnswer => Some(Ending::Refused),
+                _ => None,
+            },
+            Fate::Lost | Fate::Stopped | Fate::Unspecified => None,
+        };
+        if let Some(ending) = ending {
+            let change = self.rooms.ended(node, ending, now, &mut self.rng);
+            if let Some(standing) = change {
+                log::warn!("agent {node}: is {standing} after {run}: {ending:?}");
+            }
+        }
+        if end.fate() == Fate::Done {
+            self.runtimes.observe(queue, ran);
+        }
+        self.settle(node, &run, &placed, &end);
+    }
+
+    /// Goes on with a job of which a run has ended.
+    fn settle(&mut self, node: &Node, run: &Run, placed: &Placed, end: &End) {
+        let Some(job) = self.jobs.get_mut(&placed.job) else {
+            return;
+        };
+        let attempts = job.submission.queue.attempts;
+        let task = &mut job.tasks[placed.index];
+        if task.at.as_ref().is_none_or(|(_, at)| at != run) {
+            return;
+        }
+        task.at = None;
+        task.moving = false;
+        match end.fate() {
+            Fate::Done => {
+                job.left -= 1;
+                if job.left == 0 {
+                    self.finish(placed.job, Outcome::Completed);
+                }
+                return;
+            }
+            Fate::Failed => {
+                task.failures += 1;
+                task.avoid.push(node.clone());
+                if task.failures >= attempts {
+                    return self.finish(placed.job, Outcome::Failed);
+                }
+            }
+            Fate::Refused if end.refusal() == Refusal::OldRun => task.number += NUMBER_STEP,
+            Fate::Refused if end.refusal() == Refusal::Full => {}
+            Fate::Refused | Fate::Lost | Fate::Stopped | Fate::Unspecified => {
+                task.avoid.push(node.clone());
+            }
+        }
+        job.waiting.push_back(placed.index);
+        self.requeue(placed.job);
+    }
+
+    /// Takes in that a run is gone with its agent.
+    fn lost(&mut self, node: &Node, run: &Run, placed: &Placed) {
+        self.rooms.release(node, placed.need);
+        let end = End {
+            fate: Fate::Lost.into(),
+            ..End::default()
+        };
+        self.settle(node, run, placed, &end);
+    }
+
+    /// Moves a run that stands still, or goes much slower than elsewhere.
+    fn progressed(&mut self, node: &Node, progress: Progress, now: Duration) {
+        let Some(run) = progress.run.as_ref().map(run) else {
+            return;
+        };
+        let link = self.links.get(node);
+        let Some(placed) = link.and_then(|link| link.live.get(&run)).cloned() else {
+            return;
+        };
+        let Some(job) = self.jobs.get(&placed.job) else {
+            return;
+        };
+        let expected = self.expected(&job.submission.queue.name);
+        let expected = expected.unwrap_or(job.submission.estimate);
+        let elapsed = placed.at.elapsed();
+        let task = &job.tasks[placed.index];
+        let fixed = task.moving || task.avoid.len() >= MOVES;
+        if fixed || !is_worth_moving(elapsed, progress.percent, expected) {
+            return;
+        }
+        log::info!("{run}: moves from {node} at {} % after {elapsed:?}", progress.percent);
+        let ending = Ending::Overdue { elapsed, expected };
+        self.rooms.ended(node, ending, now, &mut self.rng);
+        if let Some(job) = self.jobs.get_mut(&placed.job) {
+            job.tasks[placed.index].moving = true;
+        }
+        if let Some(link) = self.links.get_mut(node) {
+            link.stop(run);
+        }
+    }
+
+    fn readmit(&mut self, now: Duration) {
+        while let Some(node) = self.rooms.readmit(now) {
+            log::info!("agent {node}: on trial");
+        }
+    }
+
+    /// Ends a job and stops what of it runs.
+    fn finish(&mut self, number: u64, outcome: Outcome) {
+        let Some(mut job) = self.jobs.remove(&number) else {
+            return;
+        };
+        self.dequeue(&job.submission.service, &job.rank);
+        for (node, run) in job.tasks.iter_mut().filter_map(|task| task.at.take()) {
+            if let Some(link) = self.links.get_mut(&node) {
+                link.stop(run);
+            }
+        }
+        if let Some(answer) = job.answer.take() {
+            // The caller may have left.
+            let _ = answer.send(outcome);
+        }
+    }
+}
+
+fn run(message: &agent::Run) -> Run {
+    Run {
+        task: message.task.as_str().into(),
+        number: message.run,
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/lease/front.rs
@@ -0,0 +1,186 @@
+//! What callers of queues are answered.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use gentian::config::document::Queue;
+use gentian_platform::caller::{self, Call, Head, State, Waiting};
+use gentian_platform::path;
+use http::StatusCode;
+use tokio::sync::watch;
+
+use super::dispatcher::Dispatcher;
+use super::job::{Cause, Outcome, Submission};
+use crate::renew::Held;
+use crate::serve::{self, Handler, Problem, Request, Response};
+
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// How long the configuration is served on without a word from control: longer
+/// than it takes control to come back from a loss of power.
+const OUTAGE: Duration = Duration::from_secs(15);
+
+/// When to come back while there is no configuration.
+const RETURN: Duration = Duration::from_millis(500);
+
+/// A result whose error is told to the caller.
+type Result<T> = std::result::Result<T, Problem>;
+
+/// Answers callers of queues, and the balancer.
+#[derive(Debug)]
+pub(super) struct Front {
+    dispatcher: Arc<Dispatcher>,
+    held: watch::Receiver<Arc<Held>>,
+    stopping: watch::Receiver<bool>,
+    max_body: usize,
+}
+
+/// Gives a job up unless it has been answered.
+struct Guard {
+    dispatcher: Arc<Dispatcher>,
+    number: u64,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.dispatcher.abandon(self.number);
+    }
+}
+
+impl Front {
+    pub(super) fn new(
+        dispatcher: Arc<Dispatcher>,
+        held: watch::Receiver<Arc<Held>>,
+        stopping: watch::Receiver<bool>,
+        max_body: usize,
+    ) -> Front {
+        Front {
+            dispatcher,
+            held,
+            stopping,
+            max_body,
+        }
+    }
+
+    /// The configuration in force, or nothing where none is known well enough.
+    fn known(&self) -> Option<Arc<Held>> {
+        let held = self.held.borrow().clone();
+        let fresh = held.age(Instant::now()).is_some_and(|age| age < OUTAGE);
+        (fresh && held.document.release.is_some()).then_some(held)
+    }
+
+    fn ready(&self) -> Result<Response> {
+        if *self.stopping.borrow() {
+            return Err(Problem::busy("this entry stops"));
+        }
+        if self.known().is_none() {
+            return Err(Problem::busy("there is no configuration"));
+        }
+        match self.dispatcher.is_useful() {
+            true => Ok(serve::text("ready\n")),
+            false => Err(Problem::busy("no agent can be reached")),
+        }
+    }
+
+    async fn route(&self, request: Request) -> Result<Response> {
+        let path = request.uri().path().to_owned();
+        if path::Call::read(request.method(), &path) == Some(path::Call::Ready) {
+            return self.ready();
+        }
+        let head = Head::read(request.headers());
+        let held = self.known().ok_or_else(|| {
+            Problem::busy("there is no configuration").retry_after(RETURN)
+        })?;
+        let queue = held.document.queue(&head.host, &path);
+        let queue = queue.ok_or_else(|| Problem::new(404, "not found", "no such queue"))?;
+        match Call::read(request.method(), &path[queue.prefix.len()..]) {
+            Some(Call::Submit(id)) => self.submit(id, queue.clone(), &head, request).await,
+            // Jobs are answered when they end, so none is known by its id.
+            Some(Call::State | Call::Cancel) => Err(Problem::new(410, "gone", "no such job")),
+            Some(Call::Waiting) => Ok(serve::json(&Waiting {
+                waiting: self.dispatcher.waiting(&queue.name),
+            })),
+            None => Err(Problem::new(404, "not found", "no such call")),
+        }
+    }
+
+    async fn submit(
+        &self,
+        id: &str,
+        queue: Queue,
+        head: &Head,
+        request: Request,
+    ) -> Result<Response> {
+        let arrived = Instant::now();
+        let body = serve::read(request.into_body(), self.max_body, BODY_TIMEOUT).await?;
+        let submission = caller::Submission::read(id, &body);
+        let job = match submission.map_err(|error| Problem::bad(&error.to_string()))? {
+            caller::Submission::Transient(job) => job,
+            caller::Submission::Unsupported(what) => {
+                log::warn!("job {id}: refused, it asks for {what}");
+                return Err(Problem::busy(&format!("not served: {what}")));
+            }
+        };
+        let service = queue.service.clone();
+        let service = service.ok_or_else(|| Problem::busy("the queue has no service"))?;
+        let timeout = head.deadline.unwrap_or(queue.timeout());
+        let deadline = arrived + timeout.min(queue.timeout());
+        let submission = Submission {
+            id: id.to_owned(),
+            queue,
+            service,
+            spec: Bytes::from(job.spec),
+            tasks: job.tasks,
+            need: job.need,
+            estimate: job.estimate,
+        };
+        answer(self.dispatch(submission, deadline).await)
+    }
+
+    async fn dispatch(&self, submission: Submission, deadline: Instant) -> Outcome {
+        let (number, wait, mut outcome) = self.dispatcher.submit(submission);
+        let _guard = Guard {
+            dispatcher: self.dispatcher.clone(),
+            number,
+        };
+        let begin_by = (Instant::now() + wait).min(deadline);
+        tokio::select! {
+            outcome = &mut outcome => return outcome.unwrap_or(Outcome::GivenUp),
+            () = tokio::time::sleep_until(begin_by.into()) => {
+                self.dispatcher.expire(number, Cause::Waited);
+            }
+        }
+        tokio::select! {
+            outcome = &mut outcome => outcome.unwrap_or(Outcome::GivenUp),
+            () = tokio::time::sleep_until(deadline.into()) => {
+                // Nothing of it may have begun in the meantime.
+                self.dispatcher.expire(number, Cause::Deadline);
+                self.dispatcher.abandon(number);
+                outcome.await.unwrap_or(Outcome::GivenUp)
+            }
+        }
+    }
+}
+
+fn answer(outcome: Outcome) -> Result<Response> {
+    match outcome {
+        Outcome::Completed => Ok(serve::json(&State::COMPLETED)),
+        Outcome::Failed => Ok(serve::json(&State::FAILED)),
+        Outcome::Refused(after, cause) => {
+            Err(Problem::busy(&format!("not run: {cause}")).retry_after(after))
+        }
+        Outcome::GivenUp => {
+            let status = StatusCode::GATEWAY_TIMEOUT.as_u16();
+            let detail = "the job was given up after something of it had run";
+            Err(Problem::new(status, "given up", detail))
+        }
+    }
+}
+
+impl Handler for Front {
+    async fn handle(&self, request: Request) -> Response {
+        let result = self.route(request).await;
+        result.unwrap_or_else(|problem| problem.respond())
+    }
+}
--- a/crates/core/src/entry/lend.rs
+++ b/crates/core/src/entry/lend.rs
@@ -29,13 +29,13 @@
     pub(super) fn new(
         entry: Node,
         incarnation: Incarnation,
-        addresses: &[SocketAddr],
+        control: watch::Receiver<Vec<SocketAddr>>,
         dispatcher: Handle,
     ) -> Loop {
         Loop {
             entry,
             incarnation,
-            peers: Peers::new(addresses),
+            peers: Peers::new(control),
             dispatcher,
         }
     }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod dispatch;
 mod http;
 mod job;
+mod lease;
 mod lend;
 mod meter;
 
@@ -18,37 +19,53 @@
 use crate::renew::{self, Held};
 use crate::run::{self, Error, Result};
 use crate::serve::Server;
-use crate::settings::{Entry, Settings};
+use crate::settings::{Dialect, Entry, Settings};
+
+/// Connections of the balancer that may be open at once.
+const READY_CONNECTIONS: usize = 64;
 
 /// The entry role, listening.
 #[derive(Debug)]
 pub(crate) struct Role {
     http: Server,
+    ready: Option<Server>,
     name: id::Node,
     address: SocketAddr,
     node: control::Node,
     data_center: id::DataCenter,
     section: Entry,
-    control: Vec<SocketAddr>,
+    control: watch::Receiver<Vec<SocketAddr>>,
 }
 
 impl Role {
     /// Listens on the addresses of `section`.
-    pub(crate) async fn bind(settings: &Settings, section: &Entry) -> Result<Role> {
+    pub(crate) async fn bind(
+        settings: &Settings,
+        section: &Entry,
+        control: watch::Receiver<Vec<SocketAddr>>,
+    ) -> Result<Role> {
         let http = Server::bind(section.http, section.max_connections).await;
         let http = http.map_err(Error::listen("entry.http", section.http))?;
         let http = http.header_timeout(section.header_timeout);
+        let ready = match section.ready {
+            Some(address) => {
+                let server = Server::bind(address, READY_CONNECTIONS).await;
+                Some(server.map_err(Error::listen("entry.ready", address))?)
+            }
+            None => None,
+        };
         let mut node = run::node(settings, control::Role::Entry);
         let address = http.address()?;
         node.address = address.to_string();
         Ok(Role {
             http,
+            ready,
             name: settings.name.clone(),
             address,
             node,
             data_center: settings.data_center.clone(),
             section: section.clone(),
-            control: settings.control.clone(),
+            control,
         })
     }
 
@@ -63,13 +80,16 @@
 
     /// Serves until `stop` turns true and the requests in progress have ended.
     pub(crate) async fn run(self, stop: watch::Receiver<bool>) {
+        if self.section.dialect == Dialect::Platform {
+            return self.run_leases(stop).await;
+        }
         let node = format!("node {}", self.node.name);
         let incarnation = id::Incarnation(self.node.incarnation);
-        let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), &self.control);
+        let renewal = renew::Loop::new(self.node, Arc::new(renew::Nothing), self.control.clone());
         let (dispatcher, thread) = dispatch::start(&self.name, &self.data_center);
         tokio::spawn(follow(renewal.held(), dispatcher.clone()));
         let (name, handle) = (self.name.clone(), dispatcher.clone());
-        let lending = lend::Loop::new(name, incarnation, &self.control, handle);
+        let lending = lend::Loop::new(name, incarnation, self.control, handle);
         tokio::spawn(renew::log_changes(node, renewal.held()));
         let meter = Arc::new(meter::Meter::new(self.name, renewal.held()));
         let clients = call::Clients::default();
@@ -96,6 +116,21 @@
     }
 }
 
+impl Role {
+    async fn run_leases(self, stop: watch::Receiver<bool>) {
+        let max_body = self.section.max_body.as_usize();
+        let Role {
+            node,
+            data_center,
+            http,
+            ready,
+            control,
+            ..
+        } = self;
+        lease::run(node, data_center, http, ready, control, max_body, stop).await;
+    }
+}
+
 async fn follow(mut held: watch::Receiver<Arc<Held>>, dispatcher: dispatch::Handle) {
     while held.changed().await.is_ok() {
         let held = held.borrow_and_update().clone();
--- a/crates/core/src/local/mod.rs
+++ b/crates/core/src/local/mod.rs
@@ -99,7 +99,7 @@
 
 async fn serve(settings: &Settings, once: bool) -> Result<()> {
     let mut signals = Signals::listen().map_err(run::Error::Start)?;
-    let roles = Roles::bind(settings).await?;
+    let roles = Roles::bind(settings, watch::channel(settings.control.clone()).1).await?;
     let entry = url(roles.entry_http());
     let control = roles.control();
     let upstream = upstream(&url(roles.agent_http())).await?;
--- a/crates/core/src/metrics/mod.rs
+++ b/crates/core/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod control;
 mod entry;
+mod runs;
 
 use bytes::Bytes;
 use gentian_wire::outcome::Outcome;
@@ -17,6 +18,7 @@
 pub(crate) use agent::Agent;
 pub(crate) use control::{Control, Known};
 pub(crate) use entry::Entry;
+pub(crate) use runs::Runs;
 
 use crate::renew::Held;
 use crate::serve::{respond, Response};
--- /dev/null
+++ b/crates/core/src/metrics/runs.rs
@@ -0,0 +1,104 @@
+//! Metrics of an agent that runs tasks under leases.
+
+use std::time::Duration;
+
+use gentian_claim::run::{End, Fate, Refusal};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry};
+
+use super::{page, register};
+use crate::serve::Response;
+
+/// Upper bounds of the buckets for starts, in seconds.
+const START_BUCKETS: [f64; 8] = [0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.1, 0.25];
+/// Upper bounds of the buckets for run times, in seconds.
+const RUN_BUCKETS: [f64; 9] = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4];
+
+/// Metrics of one agent that runs tasks under leases.
+#[derive(Debug)]
+pub(crate) struct Runs {
+    registry: Registry,
+    ends: IntCounterVec,
+    refusals: IntCounterVec,
+    unreadable: IntCounter,
+    start: Histogram,
+    run: Histogram,
+}
+
+impl Runs {
+    pub(crate) fn new() -> Runs {
+        let registry = Registry::new();
+        let counters = |name, help, label| {
+            register(&registry, IntCounterVec::new(Opts::new(name, help), &[label]))
+        };
+        let histogram = |name, help, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            register(&registry, Histogram::with_opts(options))
+        };
+        Runs {
+            ends: counters(
+                "gentian_run_ends_total",
+                "Runs at the upstream that ended, by what became of them",
+                "fate",
+            ),
+            refusals: counters(
+                "gentian_run_refusals_total",
+                "Starts that were refused, by reason; none of them ran",
+                "reason",
+            ),
+            unreadable: register(
+                &registry,
+                IntCounter::new(
+                    "gentian_upstream_reports_unreadable_total",
+                    "Reports of the upstream that can't be read",
+                ),
+            ),
+            start: histogram(
+                "gentian_run_start_seconds",
+                "Time from the order of a start to the upstream's answer",
+                &START_BUCKETS,
+            ),
+            run: histogram(
+                "gentian_run_seconds",
+                "Time from the start of a run to its end, where it was done",
+                &RUN_BUCKETS,
+            ),
+            registry,
+        }
+    }
+
+    /// Counts a run that has ended.
+    pub(crate) fn ended(&self, end: &End) {
+        let fate = match end.fate {
+            Fate::Done => "done",
+            Fate::Failed => "failed",
+            Fate::Stopped => "stopped",
+            Fate::Lost => "lost",
+            Fate::Refused(_) => return,
+        };
+        self.ends.with_label_values(&[fate]).inc();
+        if end.fate == Fate::Done {
+            self.run.observe(end.ran.as_secs_f64());
+        }
+    }
+
+    /// Counts a start that was refused.
+    pub(crate) fn refused(&self, refusal: Refusal) {
+        let reason = refusal.to_string();
+        self.refusals.with_label_values(&[reason.as_str()]).inc();
+    }
+
+    /// Counts a report that can't be read.
+    pub(crate) fn unreadable(&self) {
+        self.unreadable.inc();
+    }
+
+    /// Notes how long the answer to a start took.
+    pub(crate) fn start_took(&self, time: Duration) {
+        self.start.observe(time.as_secs_f64());
+    }
+
+    /// The page at `/metrics`.
+    pub(crate) fn page(&self) -> Response {
+        page(&self.registry)
+    }
+}
--- a/crates/core/src/renew/held.rs
+++ b/crates/core/src/renew/held.rs
@@ -46,6 +46,12 @@
     pub(crate) view: u64,
     /// The view's members.
     pub(crate) members: Vec<Member>,
+    /// Tells one list of `present` from another.
+    pub(crate) roster: u64,
+    /// Agents that renew, whether or not the view lists them yet.
+    pub(crate) present: Arc<Vec<member::Member>>,
+    /// When control was last asked with success.
+    renewed_at: Option<Instant>,
     /// All views that are still of use.
     pub(crate) window: Arc<Window>,
 }
@@ -62,6 +68,9 @@
             document: Arc::default(),
             view: 0,
             members: Vec::new(),
+            roster: 0,
+            present: Arc::default(),
+            renewed_at: None,
             window: Arc::default(),
         }
     }
@@ -73,6 +82,11 @@
         self.hold.in_force(self.since_origin(now)).is_some()
     }
 
+    /// How old what the node knows is, where it knows anything.
+    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
+        Some(now.saturating_duration_since(self.renewed_at?))
+    }
+
     /// Until when the node may act, where it holds a lease.
     pub(crate) fn until(&self) -> Option<Instant> {
         let now = Instant::now();
@@ -118,6 +132,8 @@
         })?;
         held.take_document(reply)?;
         held.take_view(received, reply)?;
+        held.take_present(reply)?;
+        held.renewed_at = Some(sent);
         Ok(held)
     }
 
@@ -131,6 +147,15 @@
         Ok(())
     }
 
+    fn take_present(&mut self, reply: &RenewReply) -> Result<()> {
+        if reply.roster != self.roster {
+            let present = reply.present.iter().map(member::Member::try_from);
+            self.present = Arc::new(present.collect::<member::Result<_>>()?);
+            self.roster = reply.roster;
+        }
+        Ok(())
+    }
+
     fn take_view(&mut self, received: Instant, reply: &RenewReply) -> Result<()> {
         let age = Duration::from_millis(reply.view_age_ms);
         let since = received.checked_sub(age).unwrap_or(self.origin);
--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -54,20 +54,32 @@
     node: Node,
     announce: Arc<A>,
     peers: Peers,
+    period: Duration,
     held: watch::Sender<Arc<Held>>,
 }
 
 impl<A: Announce> Loop<A> {
     /// A loop for `node` that asks the control instances at `addresses`.
-    pub(crate) fn new(node: Node, announce: Arc<A>, addresses: &[SocketAddr]) -> Loop<A> {
+    pub(crate) fn new(
+        node: Node,
+        announce: Arc<A>,
+        control: watch::Receiver<Vec<SocketAddr>>,
+    ) -> Loop<A> {
         Loop {
             node,
             announce,
-            peers: Peers::new(addresses),
+            peers: Peers::new(control),
+            period: PERIOD,
             held: watch::Sender::new(Arc::default()),
         }
     }
 
+    /// Renews with another period.
+    pub(crate) fn period(mut self, period: Duration) -> Loop<A> {
+        self.period = period;
+        self
+    }
+
     /// What is held, as it changes.
     pub(crate) fn held(&self) -> watch::Receiver<Arc<Held>> {
         self.held.subscribe()
@@ -77,7 +89,7 @@
     pub(crate) async fn run(mut self, mut stop: watch::Receiver<bool>) {
         loop {
             let pause = match self.renew().await {
-                true => PERIOD,
+                true => self.period,
                 false => RETRY,
             };
             tokio::select! {
@@ -98,6 +110,7 @@
             known_version: known.version,
             known_view: known.view,
             leaving: self.announce.leaving(),
+            known_roster: known.roster,
         };
         let sent = Instant::now();
         match tokio::time::timeout(CALL_TIMEOUT, client.renew(request)).await {
@@ -114,6 +127,7 @@
             self.peers.follow(&reply.leader_address);
             return false;
         }
+        self.peers.learn(&reply.control);
         match known.renewed(sent, Instant::now(), reply) {
             Ok(held) => {
                 self.held.send_replace(Arc::new(held));
--- a/crates/core/src/renew/peers.rs
+++ b/crates/core/src/renew/peers.rs
@@ -4,21 +4,25 @@
 use std::time::Duration;
 
 use gentian::wire::control::control_client::ControlClient;
+use tokio::sync::watch;
 use tonic::transport::{Channel, Endpoint};
 
 /// The instances of the settings, and the one to ask next.
 #[derive(Debug)]
 pub(crate) struct Peers {
-    addresses: Vec<SocketAddr>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    told: Vec<SocketAddr>,
     next: usize,
     leader: Option<SocketAddr>,
     client: Option<ControlClient<Channel>>,
 }
 
 impl Peers {
-    pub(crate) fn new(addresses: &[SocketAddr]) -> Peers {
+    /// Instances to ask; `seeds` are those of the settings in force.
+    pub(crate) fn new(seeds: watch::Receiver<Vec<SocketAddr>>) -> Peers {
         Peers {
-            addresses: addresses.to_vec(),
+            seeds,
+            told: Vec::new(),
             next: 0,
             leader: None,
             client: None,
@@ -28,7 +32,7 @@
     /// A client for the instance to ask now, kept until it fails.
     pub(crate) fn client(&mut self, connect: Duration) -> Option<ControlClient<Channel>> {
         if self.client.is_none() {
-            let address = self.leader.or(self.addresses.get(self.next).copied())?;
+            let address = self.leader.or_else(|| self.turn_of())?;
             self.client = Some(open(address, connect));
         }
         self.client.clone()
@@ -38,10 +42,25 @@
     pub(crate) fn turn(&mut self) {
         self.client = None;
         if self.leader.take().is_none() {
-            self.next = (self.next + 1) % self.addresses.len().max(1);
+            self.next = self.next.wrapping_add(1);
         }
     }
 
+    /// Takes in which instances there are now.
+    pub(crate) fn learn(&mut self, addresses: &[String]) {
+        let told = addresses.iter().filter_map(|address| address.parse().ok());
+        self.told = told.collect();
+    }
+
+    /// Those that the settings name and those that were told take turns.
+    fn turn_of(&self) -> Option<SocketAddr> {
+        let seeds = self.seeds.borrow();
+        let new = self.told.iter().filter(|address| !seeds.contains(address));
+        let all: Vec<_> = seeds.iter().chain(new).collect();
+        let index = self.next.checked_rem(all.len())?;
+        Some(*all[index])
+    }
+
     /// Asks the leader that an instance named, or else another instance.
     pub(crate) fn follow(&mut self, leader: &str) {
         self.turn();
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::{Duration, SystemTime};
 
 use gentian::wire::control as wire;
@@ -12,7 +13,7 @@
 use tokio::task::JoinHandle;
 
 use crate::settings::Settings;
-use crate::{agent, control, entry, logging};
+use crate::{agent, control, entry, logging, reload};
 
 /// Longest time for control to end what is in progress.
 const CONTROL_STOP: Duration = Duration::from_secs(10);
@@ -56,19 +57,23 @@
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
 /// Runs until the process is told to stop and all roles have finished.
-pub(crate) fn run(settings: &Settings) -> Result<()> {
+/// `path` is the settings file, which is read again when it changes.
+pub(crate) fn run(settings: &Settings, path: &Path) -> Result<()> {
     logging::start(&settings.log)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .thread_name("traffic")
         .build()?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(settings, path))
 }
 
-async fn serve(settings: &Settings) -> Result<()> {
+async fn serve(settings: &Settings, path: &Path) -> Result<()> {
     // Before the roles start, so that no signal is missed.
     let mut signals = Signals::listen()?;
-    let roles = Roles::bind(settings).await?;
+    let hangups = signal(SignalKind::hangup())?;
+    let (control, told) = watch::channel(settings.control.clone());
+    let roles = Roles::bind(settings, told).await?;
+    tokio::spawn(reload::follow(path.to_owned(), settings.clone(), hangups, control));
     let name = &settings.name;
     log::info!("process {name} runs");
     let (stop, stopped) = watch::channel(false);
@@ -92,30 +97,35 @@
 
 impl Roles {
     /// Listens on all addresses that the settings name, and prints each.
-    pub(crate) async fn bind(settings: &Settings) -> Result<Roles> {
-        let mut settings = settings.clone();
+    /// `seeds` are the control instances to ask, as the settings name them now.
+    pub(crate) async fn bind(
+        settings: &Settings,
+        seeds: watch::Receiver<Vec<SocketAddr>>,
+    ) -> Result<Roles> {
+        let mut seeds = seeds;
         let mut roles = Roles {
             control: None,
             agent: None,
             entry: None,
         };
         if let Some(section) = &settings.controller {
-            let role = control::Role::bind(section).await?;
+            let role = control::Role::bind(section, seeds.clone()).await?;
             println!("listening control-http {}", role.http()?);
             println!("listening control-peer {}", role.peer()?);
             if settings.control.is_empty() {
-                settings.control.push(role.peer()?);
+                // The one control instance is this process itself.
+                seeds = watch::channel(vec![role.peer()?]).1;
             }
             roles.control = Some(role);
         }
         if let Some(section) = &settings.agent {
-            let role = agent::Role::bind(&settings, section).await?;
+            let role = agent::Role::bind(settings, section, seeds.clone()).await?;
             println!("listening agent-http {}", role.http()?);
             println!("listening agent-peer {}", role.peer()?);
             roles.agent = Some(role);
         }
         if let Some(section) = &settings.entry {
-            let role = entry::Role::bind(&settings, section).await?;
+            let role = entry::Role::bind(settings, section, seeds).await?;
             println!("listening entry-http {}", role.http()?);
             roles.entry = Some(role);
         }
--- a/crates/core/src/settings/check.rs
+++ b/crates/core/src/settings/check.rs
@@ -10,15 +10,18 @@
 use gentian_wire::size::Bytes;
 use serde_json::Value;
 
-use super::{typed, Agent, Controller, Entry, Log, Mistake, Settings};
+use super::{typed, Agent, Controller, Dialect, Entry, Log, Mistake, Settings};
 
 const ADDRESS: &str = "an IP address and port such as 127.0.0.1:8080";
 const NAME: &str = "a name of 1 to 64 of the characters a-z, A-Z, 0-9, '-', '_' and '.'";
 const PATH: &str = "a path such as \"/var/lib/gentiancove\"";
+const FLAG: &str = "true or false";
+const DIALECTS: &str = "one of native, platform";
 const LEVELS: &str = "one of off, error, warn, info, debug, trace";
 /// Leaves room for the role, which sets apart the nodes of one process.
 const LONGEST_SHARED_NAME: usize = 56;
 const MAX_CONTROL_INSTANCES: usize = 7;
+const MAX_TOLERATED: u64 = 3;
 
 const BODY_BYTES: RangeInclusive<u64> = 1 << 10..=64 << 20;
 const CONNECTIONS: RangeInclusive<u64> = 1..=100_000;
@@ -54,6 +57,7 @@
         let rack = self.required("rack", typed.rack, NAME, parse);
         let region = self.required("region", typed.region, NAME, parse);
         let control = self.control(typed.control);
+        let port = self.port(typed.control_port);
         let entry = typed.entry.map(|entry| self.entry(entry));
         let agent = typed.agent.map(|agent| self.agent(agent));
         let controller = typed.controller.map(|section| self.controller(section));
@@ -63,7 +67,7 @@
             data_center: data_center?,
             rack: rack?,
             region: region?,
-            control: control?,
+            control: on_port(control?, port?),
             entry: whole(entry)?,
             agent: whole(agent)?,
             controller: whole(controller)?,
@@ -74,6 +78,10 @@
     fn entry(&mut self, typed: typed::Entry) -> Option<Entry> {
         self.unknown("entry.", &typed.unknown, typed::Entry::FIELDS);
         let http = self.required("entry.http", typed.http, ADDRESS, parse);
+        let dialect = self.dialect("entry.dialect", typed.dialect);
+        let ready = self.optional("entry.ready", typed.ready, None, ADDRESS, |v| {
+            parse(v).map(Some)
+        });
         let max_body = self.size("entry.max_body", typed.max_body, Bytes(1 << 20));
         let max_connections = self.count(
             "entry.max_connections",
@@ -87,6 +95,8 @@
         let drain_timeout = self.time("entry.drain_timeout", typed.drain_timeout, 300_000);
         Some(Entry {
             http: http?,
+            dialect: dialect?,
+            ready: ready?,
             max_body: max_body?,
             max_connections: usize::try_from(max_connections?).ok()?,
             header_timeout: header_timeout?,
@@ -100,6 +110,7 @@
         self.unknown("agent.", &typed.unknown, typed::Agent::FIELDS);
         let http = self.required("agent.http", typed.http, ADDRESS, parse);
         let peer = self.required("agent.peer", typed.peer, ADDRESS, parse);
+        let dialect = self.dialect("agent.dialect", typed.dialect);
         let max_slots = self.count("agent.max_slots", typed.max_slots, 8, SLOTS);
         let max_connections = self.count(
             "agent.max_connections",
@@ -111,6 +122,7 @@
         Some(Agent {
             http: http?,
             peer: peer?,
+            dialect: dialect?,
             max_slots: u32::try_from(max_slots?).ok()?,
             max_connections: u32::try_from(max_connections?).ok()?,
             drain_timeout: drain_timeout?,
@@ -121,11 +133,21 @@
         self.unknown("controller.", &typed.unknown, typed::Controller::FIELDS);
         let http = self.required("controller.http", typed.http, ADDRESS, parse);
         let peer = self.required("controller.peer", typed.peer, ADDRESS, parse);
+        let dialect = self.dialect("controller.dialect", typed.dialect);
         let data = self.required("controller.data", typed.data, PATH, path);
+        let found = self.optional("controller.found", typed.found, false, FLAG, Value::as_bool);
+        let allowed = format!("a whole number from 0 to {MAX_TOLERATED}");
+        let tolerates = typed.tolerates.filter(|value| !value.is_null());
+        let tolerates = self.optional("controller.tolerates", tolerates, None, &allowed, |v| {
+            v.as_u64().filter(|n| *n <= MAX_TOLERATED).map(Some)
+        });
         Some(Controller {
             http: http?,
             peer: peer?,
+            dialect: dialect?,
             data: data?,
+            found: found?,
+            tolerates: tolerates?,
         })
     }
 
@@ -179,6 +201,18 @@
         self.optional("control", value, Vec::new(), allowed, addresses)
     }
 
+    fn port(&mut self, value: Option<Value>) -> Option<Option<u16>> {
+        let allowed = "a port from 1 to 65535";
+        self.optional("control_port", value, None, allowed, |value| {
+            let port = u16::try_from(value.as_u64()?).ok()?;
+            (port > 0).then_some(Some(port))
+        })
+    }
+
+    fn dialect(&mut self, field: &str, value: Option<Value>) -> Option<Dialect> {
+        self.optional(field, value, Dialect::default(), DIALECTS, parse)
+    }
+
     fn size(&mut self, field: &str, value: Option<Value>, default: Bytes) -> Option<Bytes> {
         let (least, most) = (Bytes(*BODY_BYTES.start()), Bytes(*BODY_BYTES.end()));
         let allowed = format!("a size from {least} to {most} such as \"64KiB\"");
@@ -260,6 +294,15 @@
     }
 }
 
+/// The addresses with another port, where one is given.
+fn on_port(addresses: Vec<SocketAddr>, port: Option<u16>) -> Vec<SocketAddr> {
+    let on_port = |address: SocketAddr| {
+        let port = port.unwrap_or(address.port());
+        SocketAddr::new(address.ip(), port)
+    };
+    addresses.into_iter().map(on_port).collect()
+}
+
 fn parse<T: FromStr>(value: &Value) -> Option<T> {
     value.as_str()?.parse().ok()
 }
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -20,6 +20,20 @@
 
 pub(crate) use error::{Error, Mistake, Result};
 
+/// Whom a role speaks to, beside the system's own processes.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, strum::Display, strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Dialect {
+    /// Whoever uses the product's own interface.
+    #[default]
+    Native,
+    /// The platform, through its published protocol.
+    Platform,
+}
+
 /// The settings of one process.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Settings {
@@ -52,6 +66,11 @@
 pub(crate) struct Entry {
     /// Address for callers.
     pub(crate) http: SocketAddr,
+    /// What callers speak.
+    pub(crate) dialect: Dialect,
+    /// Address that only tells whether the entry wants new connections.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) ready: Option<SocketAddr>,
     /// Longest body that is read.
     pub(crate) max_body: Bytes,
     /// Connections that may be open at once.
@@ -77,6 +96,8 @@
     pub(crate) http: SocketAddr,
     /// Address for entries.
     pub(crate) peer: SocketAddr,
+    /// What the upstream speaks.
+    pub(crate) dialect: Dialect,
     /// Slots of an upstream that are used at most, whatever it announces.
     pub(crate) max_slots: u32,
     /// Connections to an upstream that are opened at most, whatever it announces.
@@ -93,8 +114,17 @@
     pub(crate) http: SocketAddr,
     /// Address for entries, agents and other control instances.
     pub(crate) peer: SocketAddr,
+    /// What operators speak.
+    pub(crate) dialect: Dialect,
     /// Folder that holds all state of this instance.
     pub(crate) data: PathBuf,
+    /// Whether the instances of `control` form a new system, where none has
+    /// any state yet.
+    pub(crate) found: bool,
+    /// Lost instances that the system is to bear at once, for which it keeps
+    /// its members by itself; operators keep them where this is absent.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(crate) tolerates: Option<u64>,
 }
 
 /// Settings of the log.
@@ -144,7 +174,10 @@
 
     /// The addresses that the process listens on.
     fn listeners(&self) -> Vec<(&'static str, SocketAddr)> {
-        let entry = self.entry.iter().map(|e| ("entry.http", e.http));
+        let entry = self.entry.iter().flat_map(|e| {
+            let ready = e.ready.map(|ready| ("entry.ready", ready));
+            std::iter::once(("entry.http", e.http)).chain(ready)
+        });
         let agent = self.agent.iter();
         let agent = agent.flat_map(|a| [("agent.http", a.http), ("agent.peer", a.peer)]);
         let controller = self.controller.iter();
--- a/crates/core/src/settings/typed.rs
+++ b/crates/core/src/settings/typed.rs
@@ -34,6 +34,7 @@
         rack: Value,
         region: Value,
         control: Value,
+        control_port: Value,
         entry: Entry,
         agent: Agent,
         controller: Controller,
@@ -45,6 +46,8 @@
     /// The section `entry`.
     Entry {
         http: Value,
+        dialect: Value,
+        ready: Value,
         max_body: Value,
         max_connections: Value,
         header_timeout: Value,
@@ -59,6 +62,7 @@
     Agent {
         http: Value,
         peer: Value,
+        dialect: Value,
         max_slots: Value,
         max_connections: Value,
         drain_timeout: Value,
@@ -70,7 +74,10 @@
     Controller {
         http: Value,
         peer: Value,
+        dialect: Value,
         data: Value,
+        found: Value,
+        tolerates: Value,
     }
 }
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -5,6 +5,7 @@
 //! with a time to come back, while that answer is still of use to the caller.
 
 pub mod after;
+pub mod line;
 pub mod queue;
 pub mod quota;
 pub mod retry;
--- a/crates/quorum/src/lib.rs
+++ b/crates/quorum/src/lib.rs
@@ -10,6 +10,7 @@
 //! that lost its disk is a stranger until an operator replaces the lost member.
 
 pub mod entry;
+pub mod heal;
 pub mod id;
 pub mod log;
 pub mod machine;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -8,5 +8,6 @@
 
 pub mod choice;
 pub mod eject;
+pub mod room;
 pub mod runtime;
 pub mod view;
--- /dev/null
+++ b/crates/route/src/room/mod.rs
@@ -0,0 +1,195 @@
+//! Placing tasks by the processor and memory that upstreams have left.
+//!
+//! An entry knows exactly what it has running itself, and from each agent what
+//! the other entries had running when the agent last told. A task goes where
+//! the larger part of an upstream stays free, and rather to an upstream that
+//! works fast: so bursts spread out, and a straggler takes work last. An
+//! upstream that ends its tasks badly, or late against the others, takes none
+//! for a while (see [`eject`](crate::eject)).
+
+mod peer;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gentian_wire::id::{Incarnation, Node, Service};
+use gentian_wire::need::Need;
+use rand::Rng;
+
+use crate::eject::{Detector, Ending, Settings};
+use crate::view::Standing;
+
+pub use peer::Told;
+use peer::Peer;
+
+/// How much of an upstream's room its pace is worth: an upstream that works
+/// half as fast counts as if this share of it were taken.
+const PACE_WEIGHT: f64 = 0.5;
+
+/// Weight of being in another data centre, as a share of an upstream.
+const FAR_WEIGHT: f64 = 0.02;
+
+/// Longest time out of an upstream that works badly.
+const LONGEST_OUT: Duration = Duration::from_secs(4);
+const SHORTEST_OUT: Duration = Duration::from_millis(1_000);
+
+/// Tasks that an upstream on trial may run at once.
+const TRIAL_TASKS: u32 = 1;
+
+/// The upstreams of all services, as one entry knows them.
+#[derive(Debug)]
+pub struct Rooms {
+    peers: BTreeMap<Node, Peer>,
+    detectors: BTreeMap<Service, Detector>,
+}
+
+impl Default for Rooms {
+    fn default() -> Rooms {
+        Rooms::new()
+    }
+}
+
+impl Rooms {
+    /// Knows no upstream yet.
+    pub fn new() -> Rooms {
+        Rooms {
+            peers: BTreeMap::new(),
+            detectors: BTreeMap::new(),
+        }
+    }
+
+    /// Takes in what an agent tells of its upstream.
+    pub fn told(&mut self, node: &Node, incarnation: Incarnation, near: bool, told: Told) {
+        let detector = self.detectors.entry(told.service.clone());
+        let detector = detector.or_insert_with(|| Detector::new(settings()));
+        detector.put(node, incarnation);
+        let peer = self.peers.entry(node.clone());
+        peer.or_default().take(near, told);
+    }
+
+    /// Whether an agent can be reached; nothing is placed where it can't.
+    pub fn reachable(&mut self, node: &Node, reachable: bool) {
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.reachable = reachable;
+        }
+    }
+
+    /// Forgets an agent.
+    pub fn remove(&mut self, node: &Node) {
+        let Some(peer) = self.peers.remove(node) else {
+            return;
+        };
+        if let Some(detector) = self.detectors.get_mut(&peer.told.service) {
+            detector.remove(node);
+        }
+    }
+
+    /// What this entry has of the upstreams of a service, or could take at once.
+    pub fn own_part(&self, service: &Service) -> Need {
+        let open = self.of(service).filter(|(_, peer)| peer.is_open());
+        open.fold(Need::default(), |sum, (_, peer)| sum.plus(peer.own_part()))
+    }
+
+    /// Whether any upstream of a service takes work now.
+    pub fn serves(&self, service: &Service) -> bool {
+        self.of(service).any(|(_, peer)| peer.is_open())
+    }
+
+    /// Whether any agent can be reached.
+    pub fn any_reachable(&self) -> bool {
+        self.peers.values().any(|peer| peer.reachable)
+    }
+
+    /// Whether a task could run at all if nothing else did, or nothing if no
+    /// upstream of the service is known.
+    pub fn could_ever_fit(&self, service: &Service, need: Need) -> Option<bool> {
+        let mut known = self.of(service).peekable();
+        known.peek()?;
+        Some(known.any(|(_, peer)| need.fits(peer.told.capacity)))
+    }
+
+    /// Chooses an upstream for one task and takes its room there.
+    ///
+    /// Those in `avoid` are taken only where no other has room.
+    pub fn place(&mut self, service: &Service, need: Need, avoid: &[Node]) -> Option<Node> {
+        let open = self.of(service);
+        let fitting = open.filter(|(_, peer)| peer.takes(need));
+        let ranked = fitting.map(|(node, peer)| {
+            let avoided = if avoid.contains(node) { 1.0 } else { 0.0 };
+            (avoided * AVOIDED + peer.rank(need), node)
+        });
+        let best = ranked.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        let node = best.1.clone();
+        self.peers.get_mut(&node)?.start(need);
+        Some(node)
+    }
+
+    /// Gives the room of a task back.
+    pub fn release(&mut self, node: &Node, need: Need) {
+        if let Some(peer) = self.peers.get_mut(node) {
+            peer.end(need);
+        }
+    }
+
+    /// Takes in how a run ended; the upstream's new standing, if it changes.
+    pub fn ended<R: Rng>(
+        &mut self,
+        node: &Node,
+        ending: Ending,
+        now: Duration,
+        rng: &mut R,
+    ) -> Option<Standing> {
+        let peer = self.peers.get_mut(node)?;
+        if let Ending::Good {
+            run,
+            expected: Some(expected),
+        } = ending
+        {
+            peer.observe(run, expected);
+        }
+        let detector = self.detectors.get_mut(&peer.told.service)?;
+        let standing = detector.observe(node, ending, now, rng)?;
+        peer.standing = standing;
+        Some(standing)
+    }
+
+    /// An upstream that takes work again, on trial. To be called until there is none.
+    pub fn readmit(&mut self, now: Duration) -> Option<Node> {
+        let node = self.detectors.values_mut().find_map(|d| d.readmit(now))?;
+        if let Some(peer) = self.peers.get_mut(&node) {
+            peer.standing = Standing::Trial;
+        }
+        Some(node)
+    }
+
+    fn of<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = (&'a Node, &'a Peer)> {
+        let peers = self.peers.iter();
+        peers.filter(move |(_, peer)| peer.told.service == *service)
+    }
+}
+
+/// Whether a run that takes long had better be stopped and begun elsewhere: it
+/// has run for `elapsed` and is `percent` done, where `expected` is usual.
+///
+/// A run that is long by itself makes progress in proportion; one on a hung or
+/// slowed upstream has more to go here than a whole run takes elsewhere.
+pub fn is_worth_moving(elapsed: Duration, percent: u32, expected: Duration) -> bool {
+    let done = f64::from(percent.min(100)) / 100.0;
+    let left = elapsed.as_secs_f64() * (1.0 - done) / done.max(1e-6);
+    left > expected.as_secs_f64() * MOVE_GAIN + MOVE_COST.as_secs_f64()
+}
+
+/// How many times a usual run must be left for a move to pay.
+const MOVE_GAIN: f64 = 2.0;
+/// Time that it takes to stop a run and begin it elsewhere.
+const MOVE_COST: Duration = Duration::from_millis(60);
+
+/// Puts upstreams to be avoided behind all others.
+const AVOIDED: f64 = 100.0;
+
+fn settings() -> Settings {
+    Settings::builder()
+        .shortest(SHORTEST_OUT)
+        .longest(LONGEST_OUT)
+        .build()
+}
--- /dev/null
+++ b/crates/route/src/room/peer.rs
@@ -0,0 +1,109 @@
+//! One upstream, as an entry knows it.
+
+use std::time::Duration;
+
+use gentian_wire::id::Service;
+use gentian_wire::need::Need;
+
+use super::{FAR_WEIGHT, PACE_WEIGHT, TRIAL_TASKS};
+use crate::view::Standing;
+
+/// Weight of the newest run in an upstream's pace.
+const PACE_NEWEST: f64 = 0.05;
+
+/// Slowest and fastest pace that is believed.
+const PACE: std::ops::RangeInclusive<f64> = 0.5..=8.0;
+
+/// What an agent tells of its upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Told {
+    /// What the upstream serves.
+    pub service: Service,
+    /// What it has.
+    pub capacity: Need,
+    /// What the runs of other entries take of it.
+    pub others: Need,
+    /// Whether it takes new runs.
+    pub open: bool,
+}
+
+/// One upstream, as an entry knows it.
+#[derive(Clone, Debug)]
+pub(super) struct Peer {
+    pub(super) told: Told,
+    pub(super) near: bool,
+    pub(super) reachable: bool,
+    pub(super) standing: Standing,
+    own: Need,
+    tasks: u32,
+    /// Mean of run times over what was expected.
+    pace: f64,
+}
+
+impl Default for Peer {
+    fn default() -> Peer {
+        Peer {
+            told: Told {
+                service: "none".parse().expect("a constant name is valid"),
+                capacity: Need::default(),
+                others: Need::default(),
+                open: false,
+            },
+            near: false,
+            reachable: true,
+            standing: Standing::Normal,
+            own: Need::default(),
+            tasks: 0,
+            pace: 1.0,
+        }
+    }
+}
+
+impl Peer {
+    pub(super) fn take(&mut self, near: bool, told: Told) {
+        self.near = near;
+        self.told = told;
+    }
+
+    pub(super) fn is_open(&self) -> bool {
+        self.told.open && self.reachable && self.standing != Standing::Ejected
+    }
+
+    pub(super) fn takes(&self, need: Need) -> bool {
+        let trial = self.standing == Standing::Trial && self.tasks >= TRIAL_TASKS;
+        let free = self.told.capacity.minus(self.taken());
+        self.is_open() && !trial && need.fits(free)
+    }
+
+    /// Smaller for upstreams that are to be taken rather.
+    pub(super) fn rank(&self, need: Need) -> f64 {
+        let load = self.taken().plus(need).share_of(self.told.capacity);
+        let far = if self.near { 0.0 } else { FAR_WEIGHT };
+        load + PACE_WEIGHT * (self.pace - 1.0) + far
+    }
+
+    pub(super) fn start(&mut self, need: Need) {
+        self.own = self.own.plus(need);
+        self.tasks += 1;
+    }
+
+    pub(super) fn end(&mut self, need: Need) {
+        self.own = self.own.minus(need);
+        self.tasks = self.tasks.saturating_sub(1);
+    }
+
+    pub(super) fn observe(&mut self, run: Duration, expected: Duration) {
+        let ratio = run.as_secs_f64() / expected.as_secs_f64().max(1e-3);
+        let ratio = ratio.clamp(*PACE.start(), *PACE.end());
+        self.pace += PACE_NEWEST * (ratio - self.pace);
+    }
+
+    /// What is this entry's, and what is free.
+    pub(super) fn own_part(&self) -> Need {
+        self.told.capacity.minus(self.told.others)
+    }
+
+    fn taken(&self) -> Need {
+        self.own.plus(self.told.others)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -7,6 +7,7 @@
 //! received.
 
 pub mod id;
+pub mod need;
 pub mod outcome;
 pub mod rate;
 pub mod size;
