Runs move by their upstream's pace; leases are renewed however often agents report

(2) the entry's renewal timer began anew with each report, so leases lapsed under frequent reports. Ruled out: the caller's deadline (answers came in time once it was used in place of the queue's timeout). Change: the agent tells the pace of all its runs together; the renewal is due at a time, not after a silence.

--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -36,6 +36,8 @@
     /// Whether its start got no answer at first.
     pub(super) unsure: bool,
     pub(super) percent: u32,
+    /// When a look found it last.
+    pub(super) found_at: Duration,
     pub(super) estimate: Duration,
 }
 
@@ -50,6 +52,7 @@
             stopped_at: None,
             unsure: false,
             percent: 0,
+            found_at: now,
             estimate: Duration::MAX,
         }
     }
@@ -61,13 +64,20 @@
         self.stop && again && !matches!(self.phase, Phase::Starting)
     }
 
-    /// Notes that a look found the run.
-    pub(super) fn found(&mut self, percent: u32, look: u64, now: Duration) {
+    /// Notes that a look found the run; the work done since the last look, as
+    /// the time that it was expected to take, and the time that it took.
+    pub(super) fn found(&mut self, percent: u32, look: u64, now: Duration) -> Option<(f64, f64)> {
+        let done = f64::from(percent.saturating_sub(self.percent)) / 100.0;
+        let took = now.saturating_sub(self.found_at).as_secs_f64();
+        let known = self.estimate != Duration::MAX;
+        let step = known.then(|| (done * self.estimate.as_secs_f64(), took));
         self.percent = percent;
+        self.found_at = now;
         if matches!(self.phase, Phase::Unsure { .. }) {
             self.phase = Phase::Running { after: look };
             self.since = self.since.min(now);
         }
+        step
     }
 
     /// What it means that the look of the given number did not find the run.
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -13,6 +13,7 @@
 
 mod ledger;
 mod live;
+mod pace;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -24,6 +25,7 @@
 
 use ledger::Ended;
 use live::{Live, Phase};
+use pace::Pace;
 
 /// Longest lease of an upstream, and of an entry at an agent.
 pub const LEASE: Duration = Duration::from_millis(500);
@@ -159,6 +161,7 @@
     seen: u64,
     strays: Vec<Run>,
     granted_until: Duration,
+    pace: Pace,
 }
 
 impl Runs {
@@ -357,13 +360,20 @@
                 ends.extend(self.ended_there(end, now));
             }
         }
+        let (mut work, mut time) = (0.0, 0.0);
         for found in running {
             match self.live.get_mut(&found.run) {
-                Some(live) => live.found(found.percent, look, now),
+                Some(live) => {
+                    let step = live.found(found.percent, look, now);
+                    let (done, took) = step.unwrap_or_default();
+                    work += done;
+                    time += took;
+                }
                 None if self.strays.contains(&found.run) => {}
                 None => self.strays.push(found.run.clone()),
             }
         }
+        self.pace.observe(work, time, now);
         let missing = self.missing(running, look, now);
         ends.extend(missing.into_iter().filter_map(|(run, fate)| self.end(&run, fate, now)));
         ends
@@ -393,6 +403,11 @@
         }
     }
 
+    /// The time that runs take here over what was expected of them, where known.
+    pub fn pace(&self) -> Option<f64> {
+        self.pace.get()
+    }
+
     /// Ends whatever must be gone by now since the upstream's lease has lapsed.
     pub fn lapse(&mut self, now: Duration) -> Vec<End> {
         if now < self.granted_until {
@@ -409,6 +424,7 @@
         self.seen = 0;
         self.strays.clear();
         self.granted_until = Duration::ZERO;
+        self.pace = Pace::default();
         let gone: Vec<Run> = self.live.keys().cloned().collect();
         self.end_all(&gone, now)
     }
--- a/crates/core/src/agent/lease/beside.rs
+++ b/crates/core/src/agent/lease/beside.rs
@@ -32,6 +32,8 @@
 const ROOM_PERIOD: Duration = Duration::from_millis(25);
 /// Shortest time between two reports of slow runs.
 const PROGRESS_PERIOD: Duration = Duration::from_millis(100);
+/// Steps for a pace between one and twice that.
+const PACE_STEPS: f64 = 3.0;
 /// Starts that are under way at once: each takes a connection.
 const STARTS: usize = 4;
 /// Added to a fencing token that is too low, doubled each time.
@@ -394,6 +396,7 @@
             others: Some(self.runs.others(owner).into()),
             open: self.runs.is_open(),
             labels: known.report.labels.clone(),
+            pace_percent: self.runs.pace().map_or(0, in_steps),
         })
     }
 }
@@ -651,6 +654,13 @@
     }
 }
 
+/// A pace as it is told: in percent, in steps of a quarter of itself, so that
+/// not each look is worth a message.
+fn in_steps(pace: f64) -> u32 {
+    let steps = (pace.max(0.1).log2() * PACE_STEPS).round() / PACE_STEPS;
+    (steps.exp2() * 100.0) as u32
+}
+
 fn refusal_of(owner: &Owner, run: Run, refusal: Refusal) -> End {
     End {
         owner: owner.clone(),
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -29,6 +29,8 @@
 const QUEUES: usize = 256;
 /// Moves of one task at most.
 const MOVES: usize = 3;
+/// Time without progress after which a run counts as hung.
+const STANDSTILL: Duration = Duration::from_millis(400);
 /// Added to a task's number where another start of it was there before.
 const NUMBER_STEP: u64 = 1_000;
 /// Time to come back where nothing is known of the wait.
@@ -355,6 +357,7 @@
             index,
             need,
             at: Instant::now(),
+            progress: (0, Instant::now()),
             stopped: false,
             incarnation: link.incarnation,
         };
@@ -389,6 +392,7 @@
             capacity: Need::from(room.capacity.unwrap_or_default()),
             others: Need::from(room.others.unwrap_or_default()),
             open: room.open,
+            pace: (room.pace_percent > 0).then(|| f64::from(room.pace_percent) / 100.0),
         };
         self.rooms.told(node, incarnation, near, told);
     }
@@ -481,10 +485,15 @@
         let Some(run) = progress.run.as_ref().map(run) else {
             return;
         };
-        let link = self.links.get(node);
-        let Some(placed) = link.and_then(|link| link.live.get(&run)).cloned() else {
+        let link = self.links.get_mut(node);
+        let Some(placed) = link.and_then(|link| link.live.get_mut(&run)) else {
             return;
         };
+        if placed.progress.0 != progress.percent {
+            placed.progress = (progress.percent, Instant::now());
+        }
+        let stands = placed.progress.1.elapsed() > STANDSTILL;
+        let placed = placed.clone();
         let Some(job) = self.jobs.get(&placed.job) else {
             return;
         };
@@ -493,10 +502,13 @@
         let elapsed = placed.at.elapsed();
         let task = &job.tasks[placed.index];
         let fixed = task.moving || task.avoid.len() >= MOVES;
-        if fixed || !is_worth_moving(elapsed, progress.percent, expected) {
+        let slowness = self.rooms.slowness(node);
+        let moves = stands || is_worth_moving(elapsed, progress.percent, slowness);
+        if fixed || !moves {
             return;
         }
-        log::info!("{run}: moves from {node} at {} % after {elapsed:?}", progress.percent);
+        let percent = progress.percent;
+        log::info!("{run}: moves from {node}, {percent} % after {elapsed:?}, {slowness:.1} times slow");
         let ending = Ending::Overdue { elapsed, expected };
         self.rooms.ended(node, ending, now, &mut self.rng);
         if let Some(job) = self.jobs.get_mut(&placed.job) {
--- a/crates/core/src/entry/lease/front.rs
+++ b/crates/core/src/entry/lease/front.rs
@@ -124,8 +124,8 @@
         };
         let service = queue.service.clone();
         let service = service.ok_or_else(|| Problem::busy("the queue has no service"))?;
-        let timeout = head.deadline.unwrap_or(queue.timeout());
-        let deadline = arrived + timeout.min(queue.timeout());
+        // How long the caller waits goes before what the queue allows.
+        let deadline = arrived + head.deadline.unwrap_or(queue.timeout());
         let submission = Submission {
             id: id.to_owned(),
             queue,
--- a/crates/core/src/entry/lease/link.rs
+++ b/crates/core/src/entry/lease/link.rs
@@ -18,6 +18,8 @@
     pub(super) index: usize,
     pub(super) need: Need,
     pub(super) at: Instant,
+    /// How far it was told to be, and since when.
+    pub(super) progress: (u32, Instant),
     /// It was told to stop.
     pub(super) stopped: bool,
     /// The agent that it was ordered of, once that has told.
--- a/crates/core/src/entry/lease/peer.rs
+++ b/crates/core/src/entry/lease/peer.rs
@@ -83,6 +83,7 @@
         told: None,
         asked: Some(Instant::now()),
     };
+    let mut ordered = Instant::now();
     loop {
         let period = if dispatcher.has_runs(node) { RENEWAL } else { IDLE };
         let silent = clock.asked.map(|at| at + SILENT);
@@ -98,14 +99,15 @@
                 }
             }
             () = wake.notified(), if clock.told.is_some() => {}
-            () = tokio::time::sleep(period), if clock.told.is_some() => {}
+            () = until(Some(ordered + period)), if clock.told.is_some() => {}
             () = until(silent) => return Err(tonic::Status::unavailable("no answer in time")),
         }
         let orders = dispatcher.orders(node, clock.lease());
         if sender.try_send(orders).is_err() {
             return Err(tonic::Status::unavailable("orders are not taken"));
         }
-        clock.asked = clock.asked.or(Some(Instant::now()));
+        ordered = Instant::now();
+        clock.asked = clock.asked.or(Some(ordered));
     }
 }
 
--- a/crates/route/src/room/mod.rs
+++ b/crates/route/src/room/mod.rs
@@ -153,6 +153,22 @@
         Some(standing)
     }
 
+    /// How many times longer runs take at an upstream than at the usual one of
+    /// its service.
+    pub fn slowness(&self, node: &Node) -> f64 {
+        let Some(peer) = self.peers.get(node) else {
+            return 1.0;
+        };
+        let others = self.of(&peer.told.service).filter(|(other, _)| *other != node);
+        let mut paces: Vec<f64> = others.map(|(_, peer)| peer.pace).collect();
+        if paces.is_empty() {
+            return 1.0;
+        }
+        let middle = paces.len() / 2;
+        let (_, median, _) = paces.select_nth_unstable_by(middle, f64::total_cmp);
+        peer.pace / *median
+    }
+
     /// An upstream that takes work again, on trial. To be called until there is none.
     pub fn readmit(&mut self, now: Duration) -> Option<Node> {
         let node = self.detectors.values_mut().find_map(|d| d.readmit(now))?;
@@ -169,20 +185,23 @@
 }
 
 /// Whether a run that takes long had better be stopped and begun elsewhere: it
-/// has run for `elapsed` and is `percent` done, where `expected` is usual.
+/// has run for `elapsed` and is `percent` done, at an upstream where runs take
+/// `slowness` times what they take elsewhere.
 ///
-/// A run that is long by itself makes progress in proportion; one on a hung or
-/// slowed upstream has more to go here than a whole run takes elsewhere.
-pub fn is_worth_moving(elapsed: Duration, percent: u32, expected: Duration) -> bool {
-    let done = f64::from(percent.min(100)) / 100.0;
-    let left = elapsed.as_secs_f64() * (1.0 - done) / done.max(1e-6);
-    left > expected.as_secs_f64() * MOVE_GAIN + MOVE_COST.as_secs_f64()
+/// A run that is long by itself would be as long elsewhere.
+pub fn is_worth_moving(elapsed: Duration, percent: u32, slowness: f64) -> bool {
+    let done = (f64::from(percent.min(100)) / 100.0).max(LEAST_PROGRESS);
+    let whole = elapsed.as_secs_f64() / done;
+    let elsewhere = whole / slowness.max(1.0) + MOVE_COST.as_secs_f64();
+    whole * (1.0 - done) > elsewhere * MOVE_GAIN
 }
 
-/// How many times a usual run must be left for a move to pay.
-const MOVE_GAIN: f64 = 2.0;
+/// How many times the time elsewhere must be left for a move to pay.
+const MOVE_GAIN: f64 = 1.25;
 /// Time that it takes to stop a run and begin it elsewhere.
 const MOVE_COST: Duration = Duration::from_millis(60);
+/// Progress that a run is believed to have made at least.
+const LEAST_PROGRESS: f64 = 0.005;
 
 /// Puts upstreams to be avoided behind all others.
 const AVOIDED: f64 = 100.0;
--- a/crates/route/src/room/peer.rs
+++ b/crates/route/src/room/peer.rs
@@ -12,10 +12,10 @@
 const PACE_NEWEST: f64 = 0.05;
 
 /// Slowest and fastest pace that is believed.
-const PACE: std::ops::RangeInclusive<f64> = 0.5..=8.0;
+const PACE: std::ops::RangeInclusive<f64> = 0.5..=20.0;
 
 /// What an agent tells of its upstream.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Told {
     /// What the upstream serves.
     pub service: Service,
@@ -25,6 +25,8 @@
     pub others: Need,
     /// Whether it takes new runs.
     pub open: bool,
+    /// Time that runs take there over what was expected of them, where known.
+    pub pace: Option<f64>,
 }
 
 /// One upstream, as an entry knows it.
@@ -36,8 +38,8 @@
     pub(super) standing: Standing,
     own: Need,
     tasks: u32,
-    /// Mean of run times over what was expected.
-    pace: f64,
+    /// Run times over what was expected.
+    pub(super) pace: f64,
 }
 
 impl Default for Peer {
@@ -48,6 +50,7 @@
                 capacity: Need::default(),
                 others: Need::default(),
                 open: false,
+                pace: None,
             },
             near: false,
             reachable: true,
@@ -62,6 +65,9 @@
 impl Peer {
     pub(super) fn take(&mut self, near: bool, told: Told) {
         self.near = near;
+        if let Some(pace) = told.pace {
+            self.pace = pace.clamp(*PACE.start(), *PACE.end());
+        }
         self.told = told;
     }
 
