Lost upstreams lapse though orders to them fail; faster return after a loss of power

(2) after power came back, entries waited for a usual renewal until they heard of agents, and an election took 1 to 2 s. Ruled out: more wait for room (refusals at 26 s are real overload).

--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -149,6 +149,10 @@
     pub fate: Fate,
 }
 
+/// A lease on its way to the upstream.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Grant(u64);
+
 /// The runs at one upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Runs {
@@ -161,6 +165,9 @@
     seen: u64,
     strays: Vec<Run>,
     granted_until: Duration,
+    /// Leases on their way to the upstream, and when each would be over.
+    granting: BTreeMap<Grant, Duration>,
+    grants: u64,
     pace: Pace,
 }
 
@@ -265,17 +272,33 @@
         (until > now).then_some(until)
     }
 
-    /// Notes that the upstream was sent a lease that ends at `until`.
-    pub fn granted(&mut self, until: Duration, now: Duration) {
+    /// Notes that the upstream is sent a lease that ends at `until`.
+    pub fn grant(&mut self, until: Duration, now: Duration) -> Grant {
         let length = until.saturating_sub(now).mul_f64(1.0 + CLOCK_DRIFT);
-        let end = now + length + STOP_GRACE;
-        self.granted_until = self.granted_until.max(end);
+        self.grants += 1;
+        let grant = Grant(self.grants);
+        self.granting.insert(grant, now + length + STOP_GRACE);
+        grant
+    }
+
+    /// Notes whether a lease may have reached the upstream.
+    pub fn granted(&mut self, grant: Grant, reached: bool) {
+        let until = self.granting.remove(&grant).unwrap_or_default();
+        if reached {
+            self.granted_until = self.granted_until.max(until);
+        }
+    }
+
+    /// When everything at the upstream must be over unless more is granted.
+    fn over_at(&self) -> Duration {
+        let granting = self.granting.values().copied().max();
+        self.granted_until.max(granting.unwrap_or_default())
     }
 
     /// Takes in the answer to a start.
     pub fn started(&mut self, run: &Run, answer: Started, now: Duration) -> Option<End> {
         let looks = self.looks;
-        let granted_until = self.granted_until;
+        let granted_until = self.over_at();
         let live = self.live.get_mut(run)?;
         if !matches!(live.phase, Phase::Starting) {
             return None;
@@ -410,7 +433,7 @@
 
     /// Ends whatever must be gone by now since the upstream's lease has lapsed.
     pub fn lapse(&mut self, now: Duration) -> Vec<End> {
-        if now < self.granted_until {
+        if now < self.over_at() {
             return Vec::new();
         }
         let starting = |live: &Live| matches!(live.phase, Phase::Starting);
@@ -424,6 +447,7 @@
         self.seen = 0;
         self.strays.clear();
         self.granted_until = Duration::ZERO;
+        self.granting.clear();
         self.pace = Pace::default();
         let gone: Vec<Run> = self.live.keys().cloned().collect();
         self.end_all(&gone, now)
--- a/crates/core/src/agent/lease/beside.rs
+++ b/crates/core/src/agent/lease/beside.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use bytes::Bytes;
-use gentian::claim::run::{self, End, Fate, Owner, Refusal, Run, Runs, Started};
+use gentian::claim::run::{self, End, Fate, Grant, Owner, Refusal, Run, Runs, Started};
 use gentian::wire::agent::{self, Orders, Reports};
 use gentian::wire::control;
 use gentian::wire::need::Need;
@@ -23,9 +23,9 @@
 /// How long a look waits for something to end.
 const LOOK_WAIT: Duration = Duration::from_millis(100);
 /// Longest time for an answer beyond what the order waits for.
-const ANSWER: Duration = Duration::from_millis(250);
+const ANSWER: Duration = Duration::from_millis(200);
 /// Pause after a look that failed.
-const LOOK_PAUSE: Duration = Duration::from_millis(20);
+const LOOK_PAUSE: Duration = Duration::from_millis(40);
 /// Pause between two looks while nothing runs, unless something is to be done.
 const IDLE: Duration = Duration::from_millis(500);
 /// Shortest time between two reports of the room that is left.
@@ -80,6 +80,7 @@
     id: String,
     address: std::net::SocketAddr,
     authority: Authority,
+    grant: Option<Grant>,
 }
 
 impl Beside {
@@ -321,10 +322,8 @@
                 token: state.token,
                 until,
             },
+            grant: lease.map(|until| state.runs.grant(until, now)),
         };
-        if let Some(until) = lease {
-            state.runs.granted(until, now);
-        }
         Some(order)
     }
 
@@ -338,7 +337,34 @@
         let uri = format!("http://{}{}", order.address, head.uri);
         head.uri = uri.parse().expect("an address and a path make a URI");
         let request = http::Request::from_parts(head, Full::new(body));
-        self.client.send(request, time).await
+        let answer = self.client.send(request, time).await;
+        let reached = !matches!(answer, Err(client::Error::Connect(_)));
+        let mut state = self.state();
+        if let Some(grant) = order.grant {
+            state.runs.granted(grant, reached);
+        }
+        self.heeded(&mut state, order, answer.as_ref().err());
+        drop(state);
+        answer
+    }
+
+    /// Takes in whether an order was answered.
+    fn heeded(&self, state: &mut State, order: &Order, error: Option<&client::Error>) {
+        let known = state.upstream.as_mut();
+        let Some(known) = known.filter(|known| known.incarnation().id == order.id) else {
+            return;
+        };
+        let open = known.is_open(Instant::now());
+        known.answered(error.is_none());
+        match (open, known.is_open(Instant::now()), error) {
+            (true, false, Some(error)) => {
+                log::warn!("upstream {}: takes no orders: {error}", order.id);
+            }
+            (false, true, _) => log::info!("upstream {}: takes orders again", order.id),
+            _ => return,
+        }
+        state.admit(Instant::now());
+        self.room.notify_one();
     }
 
     /// Takes in an answer's clock; whether another life of the upstream answered.
@@ -458,7 +484,7 @@
                 return self::begun(&beside, &run, Started::Unknown);
             }
             Err(client::Error::Connect(error)) => {
-                log::warn!("{run}: no connection to the upstream: {error}");
+                log::info!("{run}: no connection to the upstream: {error}");
                 let refusal = Started::Refused(Refusal::NoAnswer);
                 return self::begun(&beside, &run, refusal);
             }
@@ -499,7 +525,7 @@
         Ok(Err(order::Error::Replaced)) => beside.replace(&mut beside.state(), &order),
         // It is sent again for as long as the run is there.
         Ok(Err(error)) => log::warn!("{run}: stop: {error}"),
-        Err(error) => log::warn!("{run}: stop not answered: {error}"),
+        Err(error) => log::debug!("{run}: stop not answered: {error}"),
     }
     beside.look.notify_one();
 }
@@ -530,10 +556,8 @@
         let answer = beside.send_order(&order, request, wait + ANSWER).await;
         let found = match answer {
             Ok(answer) => beside.looked(&order, number, seen, &answer),
-            Err(error) => {
-                log::warn!("upstream {}: look not answered: {error}", order.id);
-                false
-            }
+            // It was noted as the order's answer.
+            Err(_) => false,
         };
         beside.lapse();
         if !found {
--- a/crates/core/src/agent/lease/known.rs
+++ b/crates/core/src/agent/lease/known.rs
@@ -8,6 +8,10 @@
 /// Time without a report after which an upstream takes no new runs.
 const SILENT: Duration = Duration::from_secs(5);
 
+/// Orders in a row without an answer after which it takes no new runs until it
+/// answers or reports again.
+const UNANSWERED: u32 = 2;
+
 /// What a report changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum News {
@@ -26,6 +30,8 @@
     heard: Instant,
     /// It has said that it ends, or another one answered.
     gone: bool,
+    /// Orders in a row that were not answered.
+    unanswered: u32,
     clock: Duration,
     clock_at: Instant,
 }
@@ -37,6 +43,7 @@
             clock_at: now,
             heard: now,
             gone: false,
+            unanswered: 0,
             report,
         }
     }
@@ -52,6 +59,7 @@
                 return News::Old;
             }
             before.heard = now;
+            before.unanswered = 0;
             before.tick(report.clock, now);
             before.report = report;
             return News::Same;
@@ -71,7 +79,13 @@
     /// Whether it takes new runs.
     pub(super) fn is_open(&self, now: Instant) -> bool {
         let silent = now.saturating_duration_since(self.heard) > SILENT;
-        self.report.ready && !self.gone && !silent
+        let answers = self.unanswered < UNANSWERED;
+        self.report.ready && !self.gone && !silent && answers
+    }
+
+    /// Notes whether an order was answered.
+    pub(super) fn answered(&mut self, answered: bool) {
+        self.unanswered = if answered { 0 } else { self.unanswered + 1 };
     }
 
     /// Notes that it has ended, or is about to.
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -199,12 +199,12 @@
         link.map(|link| link.orders(lease_until_ms)).unwrap_or_default()
     }
 
-    pub(super) fn disconnected(&self, node: &Node) {
+    /// Takes in that there is no stream to an agent; whether there was one.
+    pub(super) fn disconnected(&self, node: &Node) -> bool {
         let mut state = self.state();
         state.rooms.reachable(node, false);
-        if let Some(link) = state.links.get_mut(node) {
-            link.connected = false;
-        }
+        let link = state.links.get_mut(node);
+        link.is_some_and(|link| std::mem::take(&mut link.connected))
     }
 
     /// Takes in what an agent reports; `first` on a new stream.
--- a/crates/core/src/entry/lease/follow.rs
+++ b/crates/core/src/entry/lease/follow.rs
@@ -1,6 +1,7 @@
 //! Keeps a stream to each agent that control lists.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,7 @@
 
 struct Followed {
     incarnation: Incarnation,
+    address: SocketAddr,
     listed_at: Instant,
     task: JoinHandle<()>,
 }
@@ -30,8 +32,10 @@
 pub(super) async fn agents(mut held: watch::Receiver<Arc<Held>>, dispatcher: Arc<Dispatcher>) {
     let mut followed: BTreeMap<Node, Followed> = BTreeMap::new();
     loop {
-        let present = held.borrow_and_update().present.clone();
-        for member in present.iter() {
+        let now = held.borrow_and_update().clone();
+        // After a restart of all, the view tells more than the leader has heard.
+        let views = now.window.members().values();
+        for member in now.present.iter().chain(views) {
             follow(&mut followed, member, &dispatcher);
         }
         followed.retain(|node, agent| {
@@ -59,7 +63,12 @@
 
 fn follow(followed: &mut BTreeMap<Node, Followed>, member: &Member, dispatcher: &Arc<Dispatcher>) {
     let known = followed.get_mut(&member.node);
-    if let Some(agent) = known.filter(|agent| agent.incarnation >= member.incarnation) {
+    // Another incarnation at the same address shows on the stream itself.
+    let same = |agent: &&mut Followed| {
+        agent.address == member.address || agent.incarnation >= member.incarnation
+    };
+    if let Some(agent) = known.filter(same) {
+        agent.incarnation = agent.incarnation.max(member.incarnation);
         agent.listed_at = Instant::now();
         return;
     }
@@ -72,6 +81,7 @@
     dispatcher.know(member);
     let agent = Followed {
         incarnation: member.incarnation,
+        address,
         listed_at: Instant::now(),
         task: tokio::spawn(peer::run(dispatcher.clone(), node, address)),
     };
--- a/crates/core/src/entry/lease/front.rs
+++ b/crates/core/src/entry/lease/front.rs
@@ -135,7 +135,13 @@
             need: job.need,
             estimate: job.estimate,
         };
-        answer(self.dispatch(submission, deadline).await)
+        let name = submission.queue.name.clone();
+        let outcome = self.dispatch(submission, deadline).await;
+        if outcome != Outcome::Completed {
+            let took = arrived.elapsed();
+            log::info!("job {id} of {name}: {outcome:?} after {took:?}");
+        }
+        answer(outcome)
     }
 
     async fn dispatch(&self, submission: Submission, deadline: Instant) -> Outcome {
--- a/crates/core/src/entry/lease/peer.rs
+++ b/crates/core/src/entry/lease/peer.rs
@@ -22,17 +22,22 @@
 const IDLE: Duration = Duration::from_millis(500);
 /// Time without an answer after which a stream counts as lost.
 const SILENT: Duration = Duration::from_millis(600);
-const PAUSE: Duration = Duration::from_millis(100);
+/// Pause before the next stream, doubled each time that none can be opened.
+const PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
 const ORDERS: usize = 64;
 
 /// Keeps a stream to an agent for as long as the process runs.
 pub(super) async fn run(dispatcher: Arc<Dispatcher>, node: Node, address: SocketAddr) {
+    let mut pause = PAUSE;
     loop {
-        if let Err(status) = stream(&dispatcher, &node, address).await {
-            log::info!("agent {node}: stream lost: {}", status.message());
+        let lost = stream(&dispatcher, &node, address).await;
+        if dispatcher.disconnected(&node) {
+            log::info!("agent {node}: stream lost: {}", lost.message());
+            pause = PAUSE;
         }
-        dispatcher.disconnected(&node);
-        tokio::time::sleep(PAUSE).await;
+        tokio::time::sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
     }
 }
 
@@ -53,11 +58,19 @@
     }
 }
 
-async fn stream(
+/// Serves one stream to its end, which it returns.
+async fn stream(dispatcher: &Dispatcher, node: &Node, address: SocketAddr) -> tonic::Status {
+    match open(dispatcher, node, address).await {
+        Ok((sender, reports)) => exchange(dispatcher, node, &sender, reports).await,
+        Err(status) => status,
+    }
+}
+
+async fn open(
     dispatcher: &Dispatcher,
     node: &Node,
     address: SocketAddr,
-) -> Result<(), tonic::Status> {
+) -> Result<(mpsc::Sender<Orders>, Streaming<Reports>), tonic::Status> {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .expect("a socket address makes a valid URI")
         .tcp_nodelay(true)
@@ -68,8 +81,11 @@
     let (sender, receiver) = mpsc::channel(ORDERS);
     let first = dispatcher.first_orders(node);
     let _ = sender.try_send(first);
-    let call = AgentClient::new(channel).lease(ReceiverStream::new(receiver)).await?;
-    exchange(dispatcher, node, &sender, call.into_inner()).await
+    let mut client = AgentClient::new(channel);
+    let call = client.lease(ReceiverStream::new(receiver));
+    let call = tokio::time::timeout(SILENT, call).await;
+    let call = call.map_err(|_| tonic::Status::unavailable("no answer in time"))??;
+    Ok((sender, call.into_inner()))
 }
 
 async fn exchange(
@@ -77,7 +93,7 @@
     node: &Node,
     sender: &mpsc::Sender<Orders>,
     mut reports: Streaming<Reports>,
-) -> Result<(), tonic::Status> {
+) -> tonic::Status {
     let wake = dispatcher.wake(node);
     let mut clock = Clock {
         told: None,
@@ -89,7 +105,11 @@
         let silent = clock.asked.map(|at| at + SILENT);
         tokio::select! {
             report = reports.message() => {
-                let report = report?.ok_or_else(|| tonic::Status::unavailable("closed"))?;
+                let report = match report {
+                    Ok(Some(report)) => report,
+                    Ok(None) => return tonic::Status::unavailable("closed"),
+                    Err(status) => return status,
+                };
                 let first = clock.told.is_none();
                 clock.told = Some((Duration::from_millis(report.clock_ms), Instant::now()));
                 clock.asked = None;
@@ -100,11 +120,11 @@
             }
             () = wake.notified(), if clock.told.is_some() => {}
             () = until(Some(ordered + period)), if clock.told.is_some() => {}
-            () = until(silent) => return Err(tonic::Status::unavailable("no answer in time")),
+            () = until(silent) => return tonic::Status::unavailable("no answer in time"),
         }
         let orders = dispatcher.orders(node, clock.lease());
         if sender.try_send(orders).is_err() {
-            return Err(tonic::Status::unavailable("orders are not taken"));
+            return tonic::Status::unavailable("orders are not taken");
         }
         ordered = Instant::now();
         clock.asked = clock.asked.or(Some(ordered));
--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -21,7 +21,12 @@
 pub(crate) use lines::log_changes;
 
 const PERIOD: Duration = Duration::from_millis(1000);
-const RETRY: Duration = Duration::from_millis(200);
+const RETRY: Duration = Duration::from_millis(75);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time between two renewals until then.
+const UNSETTLED: Duration = Duration::from_millis(200);
+/// Time without a change of the roster after which the usual period is enough.
+const SETTLED: Duration = Duration::from_millis(1500);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
 /// Longest time for which a node may act on a view after the next was accepted.
@@ -55,6 +60,7 @@
     announce: Arc<A>,
     peers: Peers,
     period: Duration,
+    changed_at: Instant,
     held: watch::Sender<Arc<Held>>,
 }
 
@@ -70,6 +76,7 @@
             announce,
             peers: Peers::new(control),
             period: PERIOD,
+            changed_at: Instant::now(),
             held: watch::Sender::new(Arc::default()),
         }
     }
@@ -89,7 +96,8 @@
     pub(crate) async fn run(mut self, mut stop: watch::Receiver<bool>) {
         loop {
             let pause = match self.renew().await {
-                true => self.period,
+                true if self.is_settled() => self.period,
+                true => UNSETTLED,
                 false => RETRY,
             };
             tokio::select! {
@@ -99,8 +107,14 @@
         }
     }
 
+    /// Whether what is held has been the same for a while: after a restart of
+    /// many, the leader hears of them one after the other.
+    fn is_settled(&self) -> bool {
+        self.changed_at.elapsed() > SETTLED
+    }
+
     async fn renew(&mut self) -> bool {
-        let Some(mut client) = self.peers.client(CALL_TIMEOUT) else {
+        let Some(mut client) = self.peers.client(CONNECT_TIMEOUT) else {
             return false;
         };
         let known = self.held.borrow().clone();
@@ -130,6 +144,9 @@
         self.peers.learn(&reply.control);
         match known.renewed(sent, Instant::now(), reply) {
             Ok(held) => {
+                if held.roster != known.roster {
+                    self.changed_at = Instant::now();
+                }
                 self.held.send_replace(Arc::new(held));
                 true
             }
