--- a/crates/claim/src/run/ledger.rs
+++ b/crates/claim/src/run/ledger.rs
@@ -30,7 +30,8 @@
 
     pub(super) fn fate(&self, run: &Run) -> Option<Fate> {
         let mut ends = self.0.iter().rev();
-        ends.find(|(_, ended, _)| ended == run).map(|(.., fate)| *fate)
+        ends.find(|(_, ended, _)| ended == run)
+            .map(|(.., fate)| *fate)
     }
 
     /// Whether this run, or a later one of its task, has ended here.
--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -18,10 +18,7 @@
     Running { after: u64 },
     /// The start got no answer. It can't begin any more once a stop was
     /// answered, which looks after the given one follow, or after `until`.
-    Unsure {
-        until: Duration,
-        after: Option<u64>,
-    },
+    Unsure { until: Duration, after: Option<u64> },
 }
 
 /// One run that is at the upstream, or may be.
@@ -70,7 +67,7 @@
         let done = f64::from(percent.saturating_sub(self.percent)) / 100.0;
         let took = now.saturating_sub(self.found_at).as_secs_f64();
         let known = self.estimate != Duration::MAX;
-        let step = known.then(|| (done * self.estimate.as_secs_f64(), took));
+        let step = known.then_some((done * self.estimate.as_secs_f64(), took));
         self.percent = percent;
         self.found_at = now;
         if matches!(self.phase, Phase::Unsure { .. }) {
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -231,13 +231,7 @@
         Ok(())
     }
 
-    fn admit(
-        &self,
-        owner: &Owner,
-        run: &Run,
-        need: Need,
-        now: Duration,
-    ) -> Result<(), Refusal> {
+    fn admit(&self, owner: &Owner, run: &Run, need: Need, now: Duration) -> Result<(), Refusal> {
         if !self.open {
             return Err(Refusal::Closed);
         }
@@ -267,7 +261,9 @@
     /// than the longest lease of an owner that has something there.
     pub fn lease(&self, now: Duration) -> Option<Duration> {
         let owners = self.live.values().filter(|live| !live.stop);
-        let until = owners.filter_map(|live| self.leases.get(&live.owner)).max()?;
+        let until = owners
+            .filter_map(|live| self.leases.get(&live.owner))
+            .max()?;
         let until = (*until).min(now + LEASE);
         (until > now).then_some(until)
     }
@@ -398,7 +394,11 @@
         }
         self.pace.observe(work, time, now);
         let missing = self.missing(running, look, now);
-        ends.extend(missing.into_iter().filter_map(|(run, fate)| self.end(&run, fate, now)));
+        ends.extend(
+            missing
+                .into_iter()
+                .filter_map(|(run, fate)| self.end(&run, fate, now)),
+        );
         ends
     }
 
@@ -481,7 +481,8 @@
         self.ended.push(run.clone(), fate, now);
         if !self.live.values().any(|other| other.owner == live.owner) {
             let over = |until: &Duration| *until <= now;
-            self.leases.retain(|owner, until| *owner != live.owner || !over(until));
+            self.leases
+                .retain(|owner, until| *owner != live.owner || !over(until));
         }
         Some(End {
             owner: live.owner,
--- /dev/null
+++ b/crates/claim/tests/run.rs
@@ -0,0 +1,331 @@
+//! Runs under leases, event by event and under random schedules.
+
+use std::time::Duration;
+
+use gentian_claim::run::{
+    surely_gone, End, Fate, Listed, Owner, Refusal, Run, Running, Runs, Started, LEASE,
+};
+use gentian_wire::id::Incarnation;
+use gentian_wire::need::Need;
+use test_case::test_case;
+
+const TASK: Need = Need {
+    cpu: 3_000,
+    memory: 64,
+    accelerators: 0,
+};
+const ROOM: Need = Need {
+    cpu: 10_000,
+    memory: 1_000,
+    accelerators: 0,
+};
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn owner(name: &str) -> Owner {
+    Owner {
+        entry: name.parse().expect("a valid name"),
+        incarnation: Incarnation(1),
+    }
+}
+
+fn run(task: &str, number: u64) -> Run {
+    Run {
+        task: task.into(),
+        number,
+    }
+}
+
+/// An open upstream, with a lease of entry `a` until `LEASE`.
+fn runs() -> Runs {
+    let mut runs = Runs::default();
+    runs.upstream(ROOM, true);
+    runs.renew(&owner("a"), LEASE, ms(0));
+    runs
+}
+
+/// The same with the run `t` 1 there.
+fn running() -> Runs {
+    let mut runs = runs();
+    runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
+        .expect("room");
+    let grant = runs.grant(LEASE, ms(0));
+    runs.granted(grant, true);
+    assert_eq!(None, runs.started(&run("t", 1), Started::Running, ms(1)));
+    runs
+}
+
+fn found(task: &str, number: u64, percent: u32) -> Running {
+    Running {
+        run: run(task, number),
+        percent,
+    }
+}
+
+fn listed(number: u64, task: &str, fate: Fate) -> Listed {
+    Listed {
+        number,
+        run: run(task, 1),
+        fate,
+    }
+}
+
+fn fates(ends: &[End]) -> Vec<Fate> {
+    ends.iter().map(|end| end.fate).collect()
+}
+
+#[test_case(Fate::Done; "done")]
+#[test_case(Fate::Failed; "failed")]
+#[test_case(Fate::Lost; "lapsed")]
+fn an_end_is_told_once(fate: Fate) {
+    let mut runs = running();
+    let look = runs.look();
+    let ends = runs.looked(look, &[], &[listed(1, "t", fate)], ms(50));
+    assert_eq!(vec![fate], fates(&ends));
+    assert_eq!(1, runs.seen());
+    let look = runs.look();
+    assert!(runs
+        .looked(look, &[], &[listed(1, "t", fate)], ms(60))
+        .is_empty());
+}
+
+#[test]
+fn room_is_kept_until_an_end_is_listed() {
+    let mut runs = running();
+    for task in ["u", "v"] {
+        runs.order(&owner("a"), &run(task, 1), TASK, ms(1))
+            .expect("room");
+    }
+    let full = Err(Refusal::Full);
+    assert_eq!(full, runs.order(&owner("a"), &run("w", 1), TASK, ms(2)));
+    runs.stop(&owner("a"), &run("t", 1));
+    assert_eq!(vec![run("t", 1)], runs.due_stops(ms(3)));
+    assert_eq!(full, runs.order(&owner("a"), &run("w", 1), TASK, ms(4)));
+    let look = runs.look();
+    runs.looked(look, &[], &[listed(1, "t", Fate::Stopped)], ms(5));
+    assert_eq!(Ok(()), runs.order(&owner("a"), &run("w", 1), TASK, ms(6)));
+}
+
+#[test_case(false, true, Refusal::Closed; "of a closed upstream")]
+#[test_case(true, false, Refusal::Expired; "without a lease")]
+fn a_start_is_refused(open: bool, lease: bool, refusal: Refusal) {
+    let mut runs = Runs::default();
+    runs.upstream(ROOM, open);
+    if lease {
+        runs.renew(&owner("a"), LEASE, ms(0));
+    }
+    assert_eq!(
+        Err(refusal),
+        runs.order(&owner("a"), &run("t", 1), TASK, ms(1))
+    );
+}
+
+#[test]
+fn an_order_that_comes_after_its_lease_does_nothing() {
+    let mut runs = runs();
+    let late = LEASE + ms(1);
+    // A lease that was to end before now is no lease.
+    runs.renew(&owner("a"), LEASE, late);
+    let refused = runs.order(&owner("a"), &run("t", 1), TASK, late);
+    assert_eq!(Err(Refusal::Expired), refused);
+}
+
+#[test]
+fn a_task_runs_once_at_a_time_and_never_again_under_an_old_number() {
+    let mut runs = running();
+    let old = Err(Refusal::OldRun);
+    runs.renew(&owner("b"), LEASE, ms(1));
+    assert_eq!(old, runs.order(&owner("b"), &run("t", 2), TASK, ms(1)));
+    let look = runs.look();
+    runs.looked(look, &[], &[listed(1, "t", Fate::Failed)], ms(50));
+    assert_eq!(old, runs.order(&owner("b"), &run("t", 1), TASK, ms(51)));
+    assert_eq!(Ok(()), runs.order(&owner("b"), &run("t", 2), TASK, ms(51)));
+}
+
+#[test]
+fn the_upstreams_lease_ends_with_that_of_the_last_owner() {
+    let mut runs = running();
+    assert_eq!(Some(LEASE), runs.lease(ms(100)));
+    runs.renew(&owner("a"), ms(300) + LEASE, ms(300));
+    assert_eq!(Some(ms(300) + LEASE), runs.lease(ms(300)));
+    assert_eq!(None, runs.lease(ms(300) + LEASE));
+    assert_eq!(vec![run("t", 1)], runs.due_stops(ms(300) + LEASE));
+}
+
+#[test]
+fn an_owner_can_not_take_a_longer_lease() {
+    let mut runs = running();
+    runs.renew(&owner("a"), ms(60_000), ms(10));
+    assert_eq!(vec![run("t", 1)], runs.due_stops(ms(10) + LEASE));
+}
+
+#[test]
+fn a_start_without_an_answer_that_runs_is_found() {
+    let mut runs = runs();
+    runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
+        .expect("room");
+    assert_eq!(None, runs.started(&run("t", 1), Started::Unknown, ms(200)));
+    // It is stopped, since it could begin late.
+    assert_eq!(vec![run("t", 1)], runs.due_stops(ms(200)));
+    let look = runs.look();
+    assert!(runs
+        .looked(look, &[found("t", 1, 10)], &[], ms(210))
+        .is_empty());
+    let look = runs.look();
+    let ends = runs.looked(look, &[], &[listed(1, "t", Fate::Done)], ms(260));
+    assert_eq!(vec![Fate::Done], fates(&ends));
+}
+
+#[test]
+fn a_start_without_an_answer_never_ran_once_its_stop_was_answered() {
+    let mut runs = runs();
+    runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
+        .expect("room");
+    let grant = runs.grant(LEASE, ms(0));
+    runs.granted(grant, true);
+    runs.started(&run("t", 1), Started::Unknown, ms(200));
+    let before = runs.look();
+    assert!(
+        runs.looked(before, &[], &[], ms(201)).is_empty(),
+        "it may begin yet"
+    );
+    runs.due_stops(ms(202));
+    runs.stopped(&run("t", 1));
+    let after = runs.look();
+    let ends = runs.looked(after, &[], &[], ms(210));
+    assert_eq!(vec![Fate::Refused(Refusal::NoAnswer)], fates(&ends));
+}
+
+#[test]
+fn a_start_without_an_answer_never_ran_once_its_lease_is_over() {
+    let mut runs = runs();
+    runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
+        .expect("room");
+    let grant = runs.grant(LEASE, ms(0));
+    runs.granted(grant, true);
+    runs.started(&run("t", 1), Started::Unknown, ms(200));
+    let look = runs.look();
+    let ends = runs.looked(look, &[], &[], surely_gone());
+    assert_eq!(vec![Fate::Refused(Refusal::NoAnswer)], fates(&ends));
+}
+
+#[test]
+fn a_look_that_was_sent_before_the_start_proves_nothing() {
+    let mut runs = runs();
+    runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
+        .expect("room");
+    let early = runs.look();
+    runs.started(&run("t", 1), Started::Running, ms(2));
+    assert!(runs.looked(early, &[], &[], ms(3)).is_empty());
+    let later = runs.look();
+    assert_eq!(
+        vec![Fate::Lost],
+        fates(&runs.looked(later, &[], &[], ms(4)))
+    );
+}
+
+#[test]
+fn what_nobody_ordered_is_stopped() {
+    let mut runs = running();
+    let look = runs.look();
+    runs.looked(look, &[found("t", 1, 1), found("stray", 7, 1)], &[], ms(50));
+    assert_eq!(vec![run("stray", 7)], runs.due_stops(ms(51)));
+}
+
+/// On trouble-1 of the first measured rounds an upstream crashed, and orders
+/// that could not even connect kept extending the time until its runs lapse.
+#[test]
+fn an_order_that_reaches_nobody_extends_no_lease() {
+    let mut runs = running();
+    let mut now = ms(0);
+    while now < surely_gone() {
+        now += ms(40);
+        runs.renew(&owner("a"), now + LEASE, now);
+        let grant = runs.grant(now + LEASE, now);
+        runs.granted(grant, false);
+        if !runs.lapse(now).is_empty() {
+            return;
+        }
+    }
+    panic!("runs of an upstream that is gone never lapse");
+}
+
+#[test]
+fn nothing_lapses_while_a_lease_may_be_on_its_way() {
+    let mut runs = running();
+    let late = ms(400);
+    let grant = runs.grant(late + LEASE, late);
+    assert!(runs.lapse(ms(800)).is_empty());
+    runs.granted(grant, true);
+    assert!(runs.lapse(ms(800)).is_empty());
+    assert_eq!(vec![Fate::Lost], fates(&runs.lapse(late + surely_gone())));
+}
+
+#[test]
+fn another_life_of_the_upstream_has_nothing_of_before() {
+    let mut runs = running();
+    let look = runs.look();
+    runs.looked(
+        look,
+        &[found("t", 1, 5)],
+        &[listed(9, "u", Fate::Done)],
+        ms(10),
+    );
+    assert_eq!(9, runs.seen());
+    assert_eq!(vec![Fate::Lost], fates(&runs.replaced(ms(20))));
+    assert_eq!(0, runs.seen());
+    assert!(runs.is_empty());
+}
+
+#[test]
+fn a_new_stream_hears_what_the_last_one_missed() {
+    let mut runs = running();
+    runs.order(&owner("a"), &run("u", 1), TASK, ms(1))
+        .expect("room");
+    runs.started(&run("u", 1), Started::Running, ms(2));
+    let look = runs.look();
+    runs.looked(
+        look,
+        &[found("u", 1, 1)],
+        &[listed(1, "t", Fate::Done)],
+        ms(50),
+    );
+    let known = [run("t", 1), run("u", 1), run("never", 1)];
+    let told = runs.resume(&owner("a"), &known, ms(60));
+    assert_eq!(vec![Fate::Done, Fate::Lost], fates(&told));
+    assert!(runs.due_stops(ms(61)).is_empty());
+}
+
+#[test]
+fn what_an_entry_no_longer_knows_is_stopped() {
+    let mut runs = running();
+    assert!(runs.resume(&owner("a"), &[], ms(10)).is_empty());
+    assert_eq!(vec![run("t", 1)], runs.due_stops(ms(11)));
+}
+
+/// An upstream that slows sixfold shows within half a second, and one that
+/// hangs as well, by the progress of what runs.
+#[test_case(1, 0.8..1.3; "as usual")]
+#[test_case(6, 4.0..8.0; "six times slower")]
+#[test_case(1_000, 10.0..21.0; "hung")]
+fn the_pace_shows_in_the_progress(slowness: u64, expected: std::ops::Range<f64>) {
+    let mut runs = runs();
+    let tasks = ["t", "u", "v"];
+    for task in tasks {
+        runs.order(&owner("a"), &run(task, 1), TASK, ms(0))
+            .expect("room");
+        runs.expect(&run(task, 1), ms(1_000));
+        runs.started(&run(task, 1), Started::Running, ms(0));
+    }
+    for step in 1..=5 {
+        let now = ms(100 * step);
+        let percent = u32::try_from(10 * step / slowness).expect("a percentage");
+        let running = tasks.map(|task| found(task, 1, percent));
+        let look = runs.look();
+        runs.looked(look, &running, &[], now);
+    }
+    let pace = runs.pace().expect("enough was seen");
+    assert!(expected.contains(&pace), "pace {pace}");
+}
--- a/crates/config/src/document/check.rs
+++ b/crates/config/src/document/check.rs
@@ -120,7 +120,10 @@
         let known = |service| document.services.contains_key(service);
         if !queue.service.as_ref().is_some_and(known) {
             let allowed = "a service named under services";
-            let named = queue.service.as_ref().map_or("", |service| service.as_str());
+            let named = queue
+                .service
+                .as_ref()
+                .map_or("", |service| service.as_str());
             self.report(&format!("{at}.service"), named, allowed.to_owned());
         }
         self.range(&format!("{at}.attempts"), queue.attempts, 1..=u32::MAX);
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -1,6 +1,8 @@
 //! Reading and checking of documents.
 
 use gentian_config::document::Document;
+use gentian_config::patch::Patch;
+use gentian_wire::id::Version;
 use serde_json::{json, Value};
 use test_case::test_case;
 
@@ -50,3 +52,54 @@
     );
     assert_eq!(admits, admitted);
 }
+
+/// A document with one service and queues at the given places.
+fn queues(places: &[(&str, &str)]) -> Value {
+    let mut queues = serde_json::Map::new();
+    for (index, (host, prefix)) in places.iter().enumerate() {
+        let queue =
+            json!({ "name": index.to_string(), "host": host, "prefix": prefix, "service": "desk" });
+        queues.insert(index.to_string(), queue);
+    }
+    json!({ "services": { "desk": {} }, "queues": queues })
+}
+
+#[test_case("a.example", "/x/y/1", Some("1"); "the longest prefix")]
+#[test_case("A.Example", "/x/z", Some("0"); "in any case of the host")]
+#[test_case("b.example", "/x/y/1", Some("2"); "of the named host")]
+#[test_case("a.example", "/y", None; "no prefix fits")]
+#[test_case("c.example", "/x/", None; "no host fits")]
+fn a_request_belongs_to_the_queue_of(host: &str, path: &str, expected: Option<&str>) {
+    let places = [
+        ("a.example", "/x/"),
+        ("a.example", "/x/y/"),
+        ("b.example", "/x/"),
+    ];
+    let document = Document::read(&queues(&places)).expect("a valid document");
+    let found = document.queue(host, path).map(|queue| queue.name.as_str());
+    assert_eq!(expected, found);
+}
+
+#[test_case(json!({ "queues": { "q": { "service": "none" } } }), "queues.q.service"; "an unknown service")]
+#[test_case(queues(&[("a", "/"), ("a", "/")]), "queues.1"; "the same place twice")]
+#[test_case(queues(&[("a", "x")]), "queues.0.prefix"; "a prefix without a slash")]
+fn a_queue_is_refused_with(document: Value, path: &str) {
+    let problems = Document::read(&document).expect_err("an invalid document");
+    let paths: Vec<_> = problems
+        .iter()
+        .map(|problem| problem.path.as_str())
+        .collect();
+    assert_eq!(vec![path], paths);
+}
+
+#[test_case(json!({}), json!({ "a": 1 }); "a new field")]
+#[test_case(json!({ "a": 1, "b": { "c": 2, "d": 3 } }), json!({ "b": { "c": 4 } }); "fields that change and go")]
+#[test_case(json!({ "a": [1] }), json!({ "a": [1, 2] }); "a list")]
+#[test_case(json!({ "a": 1 }), json!({ "a": 1 }); "nothing")]
+fn a_patch_leads_from_one_document_to_another(from: Value, to: Value) {
+    let id = "00000000-0000-0000-0000-000000000001"
+        .parse()
+        .expect("an id");
+    let patch = Patch::between(id, Version(0), "test", &from, &to);
+    assert_eq!(to, patch.apply(&from));
+}
--- a/crates/core/src/agent/lease/beside.rs
+++ b/crates/core/src/agent/lease/beside.rs
@@ -225,7 +225,9 @@
             return false;
         }
         state.admit(Instant::now());
-        state.runs.renew(owner, stream::time(orders.lease_until_ms), now);
+        state
+            .runs
+            .renew(owner, stream::time(orders.lease_until_ms), now);
         for run in &orders.stops {
             state.runs.stop(owner, &stream::run(run));
         }
@@ -596,7 +598,11 @@
         let now = self.now();
         let mut state = self.state();
         if list.unreadable > 0 {
-            log::warn!("upstream {}: {} entries unreadable", order.id, list.unreadable);
+            log::warn!(
+                "upstream {}: {} entries unreadable",
+                order.id,
+                list.unreadable
+            );
         }
         if self.tick(&mut state, order, list.clock) {
             self.replace(&mut state, order);
--- a/crates/core/src/agent/lease/mod.rs
+++ b/crates/core/src/agent/lease/mod.rs
@@ -68,11 +68,7 @@
 }
 
 /// Takes no new runs from the stop on, and tells when all have ended.
-async fn leave(
-    mut stop: watch::Receiver<bool>,
-    beside: Arc<Beside>,
-    drained: watch::Sender<bool>,
-) {
+async fn leave(mut stop: watch::Receiver<bool>, beside: Arc<Beside>, drained: watch::Sender<bool>) {
     // A closed channel means that the process stops as well.
     let _ = stop.wait_for(|stop| *stop).await;
     beside.leave();
--- a/crates/core/src/agent/lease/stream.rs
+++ b/crates/core/src/agent/lease/stream.rs
@@ -66,9 +66,10 @@
 }
 
 fn owner(orders: &Orders) -> Result<Owner, Status> {
-    let entry: id::Node = orders.entry.parse().map_err(|error: id::Error| {
-        Status::invalid_argument(format!("entry: {error}"))
-    })?;
+    let entry: id::Node = orders
+        .entry
+        .parse()
+        .map_err(|error: id::Error| Status::invalid_argument(format!("entry: {error}")))?;
     Ok(Owner {
         entry,
         incarnation: Incarnation(orders.incarnation),
@@ -76,7 +77,9 @@
 }
 
 fn unsupported<T>() -> Result<T, Status> {
-    Err(Status::unimplemented("this agent runs tasks under leases only"))
+    Err(Status::unimplemented(
+        "this agent runs tasks under leases only",
+    ))
 }
 
 #[tonic::async_trait]
--- a/crates/core/src/agent/service.rs
+++ b/crates/core/src/agent/service.rs
@@ -218,7 +218,9 @@
         &self,
         _: Request<Streaming<Orders>>,
     ) -> Result<Response<Self::LeaseStream>, Status> {
-        Err(Status::unimplemented("this agent runs no tasks under leases"))
+        Err(Status::unimplemented(
+            "this agent runs no tasks under leases",
+        ))
     }
 
     async fn start(&self, request: Request<StartRequest>) -> Result<Response<StartReply>, Status> {
--- a/crates/core/src/control/release.rs
+++ b/crates/core/src/control/release.rs
@@ -107,7 +107,10 @@
             document.and_then(|document| document.release.clone())
         });
         match release.ok_or_else(|| self.not_leader())? {
-            Some(release) => Ok(serve::respond("application/json", Bytes::from(release.body))),
+            Some(release) => Ok(serve::respond(
+                "application/json",
+                Bytes::from(release.body),
+            )),
             None => Err(Problem::busy("there is no configuration yet")),
         }
     }
--- a/crates/core/src/control/replica/heal.rs
+++ b/crates/core/src/control/replica/heal.rs
@@ -97,7 +97,9 @@
             self.healer().lead(now);
         }
         let status = self.status();
-        let due = self.healer().due(&status.members, status.id, &status.heard, now);
+        let due = self
+            .healer()
+            .due(&status.members, status.id, &status.heard, now);
         let Some(change) = due else {
             return;
         };
--- a/crates/core/src/control/replica/log.rs
+++ b/crates/core/src/control/replica/log.rs
@@ -8,7 +8,11 @@
 impl Log for Handle {
     fn members(&self) -> Vec<String> {
         let members = self.status().members;
-        members.peers().iter().map(|peer| peer.address.clone()).collect()
+        members
+            .peers()
+            .iter()
+            .map(|peer| peer.address.clone())
+            .collect()
     }
 
     fn join(&self, member: Member, address: String) -> bool {
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -15,8 +15,8 @@
 use gentian::member::member::{self, Member};
 use gentian::member::share::{Ask, Borrower};
 use gentian::member::state::{Command, Reply};
-use gentian::quorum::id;
 use gentian::member::view::Event;
+use gentian::quorum::id;
 use gentian::wire::control::control_server::Control;
 use gentian::wire::control::{
     self as messages, JoinReply, JoinRequest, LendReply, LendRequest, RenewReply, RenewRequest,
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -148,7 +148,8 @@
     pub(super) fn waiting(&self, queue: &str) -> u64 {
         let state = self.state();
         let jobs = state.jobs.values().filter(|job| !job.begun);
-        jobs.filter(|job| job.submission.queue.name == queue).count() as u64
+        jobs.filter(|job| job.submission.queue.name == queue)
+            .count() as u64
     }
 
     /// Knows an agent from now on.
@@ -173,30 +174,42 @@
     }
 
     pub(super) fn is_connected(&self, node: &Node) -> bool {
-        self.state().links.get(node).is_some_and(|link| link.connected)
+        self.state()
+            .links
+            .get(node)
+            .is_some_and(|link| link.connected)
     }
 
     pub(super) fn has_runs(&self, node: &Node) -> bool {
         let state = self.state();
-        state.links.get(node).is_some_and(|link| !link.live.is_empty())
+        state
+            .links
+            .get(node)
+            .is_some_and(|link| !link.live.is_empty())
     }
 
     /// What tells that there are orders for an agent.
     pub(super) fn wake(&self, node: &Node) -> Arc<Notify> {
         let state = self.state();
-        state.links.get(node).map(|link| link.wake.clone()).unwrap_or_default()
+        state
+            .links
+            .get(node)
+            .map(|link| link.wake.clone())
+            .unwrap_or_default()
     }
 
     pub(super) fn first_orders(&self, node: &Node) -> Orders {
         let mut state = self.state();
         let link = state.links.get_mut(node);
-        link.map(|link| link.first(&self.entry, self.incarnation)).unwrap_or_default()
+        link.map(|link| link.first(&self.entry, self.incarnation))
+            .unwrap_or_default()
     }
 
     pub(super) fn orders(&self, node: &Node, lease_until_ms: u64) -> Orders {
         let mut state = self.state();
         let link = state.links.get_mut(node);
-        link.map(|link| link.orders(lease_until_ms)).unwrap_or_default()
+        link.map(|link| link.orders(lease_until_ms))
+            .unwrap_or_default()
     }
 
     /// Takes in that there is no stream to an agent; whether there was one.
@@ -259,7 +272,9 @@
     fn objective(&self, submission: &Submission) -> Objective {
         let queue = &submission.queue;
         Objective {
-            work: self.expected(queue.name.as_str()).unwrap_or(submission.estimate),
+            work: self
+                .expected(queue.name.as_str())
+                .unwrap_or(submission.estimate),
             stretch: queue.stretch,
             target: queue.target(),
         }
@@ -302,7 +317,10 @@
     }
 
     fn enqueue(&mut self, service: &Service, rank: Rank, work: f64) {
-        self.lines.entry(service.clone()).or_default().put(rank, work);
+        self.lines
+            .entry(service.clone())
+            .or_default()
+            .put(rank, work);
     }
 
     fn dequeue(&mut self, service: &Service, rank: &Rank) {
@@ -339,13 +357,19 @@
     /// Begins one task of a job where there is room.
     fn begin(&mut self, service: &Service, number: u64, index: usize) -> bool {
         let expected = self.expected(&self.jobs[&number].submission.queue.name);
-        let job = self.jobs.get_mut(&number).expect("only jobs in progress wait");
+        let job = self
+            .jobs
+            .get_mut(&number)
+            .expect("only jobs in progress wait");
         let need = job.submission.need;
         let task = &mut job.tasks[index];
         let Some(node) = self.rooms.place(service, need, &task.avoid) else {
             return false;
         };
-        let link = self.links.get_mut(&node).expect("rooms are of agents that are known");
+        let link = self
+            .links
+            .get_mut(&node)
+            .expect("rooms are of agents that are known");
         task.number += 1;
         let run = Run {
             task: task.name.clone(),
@@ -508,7 +532,9 @@
             return;
         }
         let percent = progress.percent;
-        log::info!("{run}: moves from {node}, {percent} % after {elapsed:?}, {slowness:.1} times slow");
+        log::info!(
+            "{run}: moves from {node}, {percent} % after {elapsed:?}, {slowness:.1} times slow"
+        );
         let ending = Ending::Overdue { elapsed, expected };
         self.rooms.ended(node, ending, now, &mut self.rng);
         if let Some(job) = self.jobs.get_mut(&placed.job) {
--- a/crates/core/src/entry/lease/follow.rs
+++ b/crates/core/src/entry/lease/follow.rs
@@ -77,7 +77,10 @@
         dispatcher.disconnected(&member.node);
     }
     let (node, address) = (member.node.clone(), member.address);
-    log::info!("agent {node}: listed at {address}, incarnation {}", member.incarnation);
+    log::info!(
+        "agent {node}: listed at {address}, incarnation {}",
+        member.incarnation
+    );
     dispatcher.know(member);
     let agent = Followed {
         incarnation: member.incarnation,
--- a/crates/core/src/entry/lease/front.rs
+++ b/crates/core/src/entry/lease/front.rs
@@ -89,9 +89,9 @@
             return self.ready();
         }
         let head = Head::read(request.headers());
-        let held = self.known().ok_or_else(|| {
-            Problem::busy("there is no configuration").retry_after(RETURN)
-        })?;
+        let held = self
+            .known()
+            .ok_or_else(|| Problem::busy("there is no configuration").retry_after(RETURN))?;
         let queue = held.document.queue(&head.host, &path);
         let queue = queue.ok_or_else(|| Problem::new(404, "not found", "no such queue"))?;
         match Call::read(request.method(), &path[queue.prefix.len()..]) {
@@ -127,7 +127,6 @@
         // How long the caller waits goes before what the queue allows.
         let deadline = arrived + head.deadline.unwrap_or(queue.timeout());
         let submission = Submission {
-            id: id.to_owned(),
             queue,
             service,
             spec: Bytes::from(job.spec),
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -1,7 +1,7 @@
 //! Jobs in progress.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use gentian::claim::run::Run;
@@ -14,8 +14,6 @@
 /// A job as it was handed in.
 #[derive(Debug)]
 pub(super) struct Submission {
-    /// The caller's id of the job.
-    pub(super) id: String,
     pub(super) queue: Queue,
     pub(super) service: Service,
     pub(super) spec: Bytes,
@@ -74,7 +72,6 @@
     pub(super) submission: Submission,
     pub(super) objective: Objective,
     pub(super) rank: Rank,
-    pub(super) arrived: Instant,
     pub(super) tasks: Vec<Task>,
     /// Tasks that wait for room, by their index.
     pub(super) waiting: VecDeque<usize>,
@@ -103,7 +100,6 @@
         Job {
             objective,
             rank,
-            arrived: Instant::now(),
             waiting: (0..tasks.len()).collect(),
             left: tasks.len(),
             tasks,
--- a/crates/core/src/entry/lease/link.rs
+++ b/crates/core/src/entry/lease/link.rs
@@ -66,9 +66,10 @@
     ) {
         let message = wire(run);
         // Starts of one job come one after the other.
-        let same = self.starts.last_mut().filter(|batch| {
-            batch.spec.as_ptr() == spec.as_ptr() && batch.spec.len() == spec.len()
-        });
+        let same = self
+            .starts
+            .last_mut()
+            .filter(|batch| batch.spec.as_ptr() == spec.as_ptr() && batch.spec.len() == spec.len());
         match same {
             Some(batch) => batch.runs.push(message),
             None => self.starts.push(Batch {
@@ -124,7 +125,9 @@
             return;
         }
         let gone = self.gone_at();
-        let others = self.live.extract_if(|_, placed| placed.incarnation != incarnation);
+        let others = self
+            .live
+            .extract_if(|_, placed| placed.incarnation != incarnation);
         let orphans = others.map(|(run, placed)| (run, (gone, placed)));
         self.orphans.extend(orphans);
         self.incarnation = incarnation;
--- a/crates/core/src/entry/lease/peer.rs
+++ b/crates/core/src/entry/lease/peer.rs
@@ -101,7 +101,11 @@
     };
     let mut ordered = Instant::now();
     loop {
-        let period = if dispatcher.has_runs(node) { RENEWAL } else { IDLE };
+        let period = if dispatcher.has_runs(node) {
+            RENEWAL
+        } else {
+            IDLE
+        };
         let silent = clock.asked.map(|at| at + SILENT);
         tokio::select! {
             report = reports.message() => {
--- a/crates/core/src/metrics/runs.rs
+++ b/crates/core/src/metrics/runs.rs
@@ -28,7 +28,10 @@
     pub(crate) fn new() -> Runs {
         let registry = Registry::new();
         let counters = |name, help, label| {
-            register(&registry, IntCounterVec::new(Opts::new(name, help), &[label]))
+            register(
+                &registry,
+                IntCounterVec::new(Opts::new(name, help), &[label]),
+            )
         };
         let histogram = |name, help, buckets: &[f64]| {
             let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -73,7 +73,12 @@
     let hangups = signal(SignalKind::hangup())?;
     let (control, told) = watch::channel(settings.control.clone());
     let roles = Roles::bind(settings, told).await?;
-    tokio::spawn(reload::follow(path.to_owned(), settings.clone(), hangups, control));
+    tokio::spawn(reload::follow(
+        path.to_owned(),
+        settings.clone(),
+        hangups,
+        control,
+    ));
     let name = &settings.name;
     log::info!("process {name} runs");
     let (stop, stopped) = watch::channel(false);
--- a/crates/member/examples/traffic.rs
+++ b/crates/member/examples/traffic.rs
@@ -83,6 +83,7 @@
         known_version: 2_700,
         known_view: known.0,
         leaving: false,
+        known_roster: 0,
     }
 }
 
--- a/crates/quorum/src/heal.rs
+++ b/crates/quorum/src/heal.rs
@@ -44,7 +44,8 @@
     /// Takes in that an instance wants to join.
     pub fn ask(&mut self, member: Member, address: String, now: Duration) {
         self.asked.insert(member, (address, now));
-        self.asked.retain(|_, (_, at)| now.saturating_sub(*at) < ASKED);
+        self.asked
+            .retain(|_, (_, at)| now.saturating_sub(*at) < ASKED);
     }
 
     /// The change to begin now, where `heard` tells when a member was heard last.
@@ -57,7 +58,10 @@
     ) -> Option<Change> {
         let silent = |peer: &&Peer| {
             let id = peer.id();
-            let last = id.and_then(|id| heard.get(&id)).copied().unwrap_or_default();
+            let last = id
+                .and_then(|id| heard.get(&id))
+                .copied()
+                .unwrap_or_default();
             let asked = id.and_then(|id| self.asked.get(&id));
             let asked = asked.map_or(Duration::ZERO, |(_, at)| *at);
             let since = now.saturating_sub(last.max(asked).max(self.leads_since));
@@ -83,7 +87,9 @@
     /// What ends a change that waits for a learner that is gone.
     fn unblock(&self, learner: &Peer, silent: bool, now: Duration) -> Option<Change> {
         let old = learner.id()?;
-        let emptied = self.fresh(now).find(|(id, a)| *id != old && **a == learner.address);
+        let emptied = self
+            .fresh(now)
+            .find(|(id, a)| *id != old && **a == learner.address);
         match emptied {
             Some((id, address)) => Some(Change::Replace {
                 old,
@@ -103,8 +109,14 @@
     ) -> impl Iterator<Item = (Member, &'a String)> {
         let foreign = move |(id, _): &(Member, &String)| members.get(*id).is_none();
         let known = move |address: &String| members.peers().iter().any(|p| p.address == *address);
-        let emptied = self.fresh(now).filter(foreign).filter(move |(_, a)| known(a));
-        let new = self.fresh(now).filter(foreign).filter(move |(_, a)| !known(a));
+        let emptied = self
+            .fresh(now)
+            .filter(foreign)
+            .filter(move |(_, a)| known(a));
+        let new = self
+            .fresh(now)
+            .filter(foreign)
+            .filter(move |(_, a)| !known(a));
         emptied.chain(new)
     }
 
--- a/crates/route/src/room/mod.rs
+++ b/crates/route/src/room/mod.rs
@@ -19,8 +19,8 @@
 use crate::eject::{Detector, Ending, Settings};
 use crate::view::Standing;
 
-pub use peer::Told;
 use peer::Peer;
+pub use peer::Told;
 
 /// How much of an upstream's room its pace is worth: an upstream that works
 /// half as fast counts as if this share of it were taken.
@@ -159,7 +159,9 @@
         let Some(peer) = self.peers.get(node) else {
             return 1.0;
         };
-        let others = self.of(&peer.told.service).filter(|(other, _)| *other != node);
+        let others = self
+            .of(&peer.told.service)
+            .filter(|(other, _)| *other != node);
         let mut paces: Vec<f64> = others.map(|(_, peer)| peer.pace).collect();
         if paces.is_empty() {
             return 1.0;
--- /dev/null
+++ b/crates/route/tests/room.rs
@@ -0,0 +1,183 @@
+//! Placing by room, and replays of the loads that it answers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use gentian_route::eject::Ending;
+use gentian_route::room::{is_worth_moving, Rooms, Told};
+use gentian_wire::id::{Incarnation, Node, Service};
+use gentian_wire::need::Need;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use test_case::test_case;
+
+const TASK: Need = Need {
+    cpu: 3_100,
+    memory: 64,
+    accelerators: 0,
+};
+
+fn service() -> Service {
+    "desk".parse().expect("a valid name")
+}
+
+fn node(index: usize) -> Node {
+    format!("agent-{index}").parse().expect("a valid name")
+}
+
+fn told(cores: u32) -> Told {
+    Told {
+        service: service(),
+        capacity: Need {
+            cpu: cores * 1_000,
+            memory: 65_536,
+            accelerators: 0,
+        },
+        others: Need::default(),
+        open: true,
+        pace: None,
+    }
+}
+
+/// Upstreams with the given numbers of cores.
+fn rooms(cores: &[u32]) -> Rooms {
+    let mut rooms = Rooms::new();
+    for (index, cores) in cores.iter().enumerate() {
+        rooms.told(&node(index), Incarnation(1), true, told(*cores));
+    }
+    rooms
+}
+
+fn place(rooms: &mut Rooms, count: usize) -> BTreeMap<Node, usize> {
+    let mut placed = BTreeMap::new();
+    for _ in 0..count {
+        match rooms.place(&service(), TASK, &[]) {
+            Some(node) => *placed.entry(node).or_default() += 1,
+            None => break,
+        }
+    }
+    placed
+}
+
+#[test]
+fn a_job_spreads_over_upstreams_in_proportion_to_their_room() {
+    let mut rooms = rooms(&[32, 32, 48]);
+    let placed = place(&mut rooms, 7);
+    assert_eq!(vec![2, 2, 3], placed.into_values().collect::<Vec<_>>());
+}
+
+#[test]
+fn no_upstream_takes_more_than_fits() {
+    let mut rooms = rooms(&[32, 32, 48]);
+    let placed = place(&mut rooms, 1_000);
+    assert_eq!(vec![10, 10, 15], placed.into_values().collect::<Vec<_>>());
+    rooms.release(&node(1), TASK);
+    assert_eq!(Some(node(1)), rooms.place(&service(), TASK, &[]));
+    assert_eq!(None, rooms.place(&service(), TASK, &[]));
+}
+
+#[test]
+fn what_other_entries_take_counts() {
+    let mut rooms = rooms(&[32, 32]);
+    let mut busy = told(32);
+    busy.others.cpu = 30_000;
+    rooms.told(&node(0), Incarnation(1), true, busy);
+    assert_eq!(
+        vec![10],
+        place(&mut rooms, 100).into_values().collect::<Vec<_>>()
+    );
+}
+
+#[test_case(|rooms| rooms.reachable(&node(0), false); "one that can't be reached")]
+#[test_case(|rooms| rooms.remove(&node(0)); "one that is gone")]
+#[test_case(|rooms| {
+    let closed = Told { open: false, ..told(32) };
+    rooms.told(&node(0), Incarnation(1), true, closed);
+}; "one that leaves")]
+fn nothing_goes_to(change: fn(&mut Rooms)) {
+    let mut rooms = rooms(&[32, 32]);
+    change(&mut rooms);
+    assert_eq!(
+        vec![node(1)],
+        place(&mut rooms, 5).into_keys().collect::<Vec<_>>()
+    );
+}
+
+#[test]
+fn a_task_that_failed_somewhere_goes_elsewhere_if_it_can() {
+    let mut rooms = rooms(&[96, 32]);
+    assert_eq!(Some(node(1)), rooms.place(&service(), TASK, &[node(0)]));
+    rooms.reachable(&node(1), false);
+    assert_eq!(Some(node(0)), rooms.place(&service(), TASK, &[node(0)]));
+}
+
+#[test]
+fn a_task_that_no_upstream_could_hold_is_recognised() {
+    let rooms = rooms(&[32, 48]);
+    let need = |cpu| Need { cpu, ..TASK };
+    assert_eq!(Some(true), rooms.could_ever_fit(&service(), need(48_000)));
+    assert_eq!(Some(false), rooms.could_ever_fit(&service(), need(48_001)));
+    let unknown = "other".parse().expect("a valid name");
+    assert_eq!(None, rooms.could_ever_fit(&unknown, TASK));
+}
+
+/// One of four upstreams slows sixfold under steady load: as soon as its agent
+/// tells, new tasks go elsewhere while there is room.
+#[test]
+fn a_slow_upstream_takes_work_last() {
+    let mut rooms = rooms(&[32; 4]);
+    let slow = Told {
+        pace: Some(6.0),
+        ..told(32)
+    };
+    rooms.told(&node(0), Incarnation(1), true, slow);
+    assert!(!place(&mut rooms, 30).contains_key(&node(0)));
+    assert_eq!(Some(&10), place(&mut rooms, 100).get(&node(0)));
+    assert!(rooms.slowness(&node(0)) > 5.0);
+}
+
+/// One of four upstreams fails all that it is given, at once, and would so be
+/// the one with the most room.
+#[test]
+fn an_upstream_that_fails_all_is_ejected_and_returns_on_trial() {
+    let mut rooms = rooms(&[32; 4]);
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut failed = 0;
+    let mut now = Duration::ZERO;
+    for _ in 0..200 {
+        now += Duration::from_millis(5);
+        let Some(taken) = rooms.place(&service(), TASK, &[]) else {
+            continue;
+        };
+        let ending = match taken == node(0) {
+            true => Ending::Bad,
+            false => Ending::Good {
+                run: Duration::from_millis(100),
+                expected: None,
+            },
+        };
+        failed += usize::from(taken == node(0));
+        rooms.ended(&taken, ending, now, &mut rng);
+        rooms.release(&taken, TASK);
+    }
+    assert!(
+        failed <= 10,
+        "{failed} tasks went to an upstream that fails all"
+    );
+    assert_eq!(Some(node(0)), rooms.readmit(now + Duration::from_secs(10)));
+    assert_eq!(
+        Some(&1),
+        place(&mut rooms, 100).get(&node(0)),
+        "one task on trial"
+    );
+}
+
+#[test_case(1_350, 37, 1.0, false; "a run that is long by itself")]
+#[test_case(1_350, 37, 1.3, false; "a long run on a somewhat slower upstream")]
+#[test_case(300, 8, 6.0, true; "a run on an upstream that has slowed sixfold")]
+#[test_case(300, 95, 6.0, false; "one that is nearly done there")]
+#[test_case(200, 0, 20.0, true; "a run on a hung upstream")]
+fn a_run_is_worth_moving(elapsed: u64, percent: u32, slowness: f64, expected: bool) {
+    let elapsed = Duration::from_millis(elapsed);
+    assert_eq!(expected, is_worth_moving(elapsed, percent, slowness));
+}
