Structured logs, metrics of jobs and runs, and explain

JSON lines through tracing (bounded, lossy, counted), a request's id at every hop, what went wrong always told, one request in 16 whole.

--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -86,7 +86,7 @@
 }
 
 /// Why a run was not begun.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::VariantNames)]
 #[strum(serialize_all = "snake_case")]
 pub enum Refusal {
     /// There is no room for it.
--- a/crates/core/src/agent/lease/beside.rs
+++ b/crates/core/src/agent/lease/beside.rs
@@ -17,6 +17,7 @@
 use super::known::{Known, News};
 use super::stream::{self, Sender};
 use crate::client::{self, Client};
+use crate::logging::is_sampled;
 use crate::metrics;
 use crate::renew::Announce;
 
@@ -243,7 +244,9 @@
                     }
                     Err(refusal) => {
                         self.metrics.refused(refusal);
-                        refused.push(refusal_of(owner, run, refusal));
+                        let end = refusal_of(owner, run, refusal);
+                        tell_end(&end);
+                        refused.push(end);
                     }
                 }
             }
@@ -269,6 +272,7 @@
         let mut by_owner: BTreeMap<Owner, Vec<End>> = BTreeMap::new();
         for end in ends {
             self.metrics.ended(&end);
+            tell_end(&end);
             by_owner.entry(end.owner.clone()).or_default().push(end);
         }
         for (owner, ends) in by_owner {
@@ -474,6 +478,18 @@
                 match begun {
                     Begun::Known(started) => {
                         drop(state);
+                        let request = order::job(&run.task);
+                        if is_sampled(request) {
+                            tracing::info!(
+                                event = "started",
+                                request,
+                                run = %run,
+                                upstream = order.id,
+                                token = order.authority.token,
+                                answer = ?started,
+                                took_ms = asked.elapsed().as_millis() as u64,
+                            );
+                        }
                         return self::begun(&beside, &run, started);
                     }
                     Begun::Fenced => beside.fence(&mut state, order.authority.token),
@@ -692,6 +708,22 @@
     (steps.exp2() * 100.0) as u32
 }
 
+/// Tells how a run has ended, where it is not one of many that went well.
+fn tell_end(end: &End) {
+    let request = order::job(&end.run.task);
+    if end.fate == Fate::Done && !is_sampled(request) {
+        return;
+    }
+    tracing::info!(
+        event = "ended",
+        request,
+        run = %end.run,
+        entry = %end.owner.entry,
+        fate = ?end.fate,
+        ran_ms = end.ran.as_millis() as u64,
+    );
+}
+
 fn refusal_of(owner: &Owner, run: Run, refusal: Refusal) -> End {
     End {
         owner: owner.clone(),
--- a/crates/core/src/args/mod.rs
+++ b/crates/core/src/args/mod.rs
@@ -7,6 +7,7 @@
 mod check;
 mod config;
 mod error;
+mod explain;
 mod load;
 mod local;
 mod members;
@@ -63,6 +64,8 @@
     Members(members::Command),
     /// Sends load to entries and measures what their callers see
     Load(load::Args),
+    /// Shows the log lines of one request, in their order
+    Explain(explain::Args),
     /// Runs an upstream that sleeps as asked and echoes what it gets
     ExampleUpstream(upstream::Args),
 }
@@ -87,6 +90,7 @@
             Command::Report(args) => args.run(),
             Command::Members(command) => command.run(),
             Command::Load(args) => args.run(),
+            Command::Explain(args) => args.run(),
             Command::ExampleUpstream(args) => args.run(),
         }
     }
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -22,6 +22,9 @@
 use rand::SeedableRng;
 use tokio::sync::{oneshot, Notify};
 
+use crate::logging::is_sampled;
+use crate::metrics;
+
 use super::job::{Cause, Job, Outcome, Submission};
 use super::link::{Link, Placed};
 
@@ -44,6 +47,7 @@
     data_center: id::DataCenter,
     origin: Instant,
     state: Mutex<State>,
+    metrics: Arc<metrics::Jobs>,
 }
 
 /// A caller's place at a job.
@@ -61,6 +65,7 @@
 
 #[derive(Debug)]
 struct State {
+    metrics: Arc<metrics::Jobs>,
     rooms: Rooms,
     lines: BTreeMap<Service, Line>,
     jobs: HashMap<u64, Job>,
@@ -79,12 +84,15 @@
 
 impl Dispatcher {
     pub(super) fn new(node: &control::Node, data_center: id::DataCenter) -> Dispatcher {
+        let metrics = Arc::new(metrics::Jobs::new());
         Dispatcher {
             entry: node.name.parse().expect("a node's name was checked"),
             incarnation: Incarnation(node.incarnation),
             data_center,
             origin: Instant::now(),
+            metrics: metrics.clone(),
             state: Mutex::new(State {
+                metrics,
                 rooms: Rooms::new(),
                 lines: BTreeMap::new(),
                 jobs: HashMap::new(),
@@ -134,6 +142,9 @@
             arrival: caller,
         };
         if let Some(outcome) = state.judge(&submission, &objective, &rank) {
+            if let Outcome::Refused(after, cause) = outcome {
+                state.tell_refusal(&submission, cause, after, Duration::ZERO);
+            }
             // The receiver is in the ticket.
             let _ = sender.send(outcome);
             return ticket;
@@ -153,6 +164,7 @@
         };
         let (service, rank) = (job.submission.service.clone(), job.rank);
         let after = state.come_back(&service, &rank);
+        state.tell_refused(number, cause, after);
         state.finish(number, Outcome::Refused(after, cause));
         state.readmit(now);
         true
@@ -183,6 +195,13 @@
         state.links.is_empty() || state.rooms.any_reachable()
     }
 
+    /// The metrics, and how many jobs wait with nothing begun.
+    pub(super) fn metrics(&self) -> (&metrics::Jobs, usize) {
+        let state = self.state();
+        let waiting = state.jobs.values().filter(|job| !job.begun).count();
+        (&self.metrics, waiting)
+    }
+
     /// Jobs of a queue that wait with nothing begun.
     pub(super) fn waiting(&self, queue: &str) -> u64 {
         let state = self.state();
@@ -196,7 +215,7 @@
         let near = member.data_center == self.data_center;
         let mut state = self.state();
         let link = state.links.entry(member.node.clone());
-        link.or_insert_with(|| Link::new(near));
+        link.or_insert_with(|| Link::new(member.node.clone(), near));
     }
 
     /// Forgets an agent; what may run there is lost.
@@ -267,6 +286,7 @@
         let Some(link) = state.links.get_mut(node) else {
             return;
         };
+        link.told_at = Instant::now();
         if first {
             link.answered_by(incarnation);
             link.connected = true;
@@ -349,6 +369,36 @@
         f64::from(self.rooms.own_part(service).cpu) / 1e3
     }
 
+    fn tell_refused(&self, number: u64, cause: Cause, after: Duration) {
+        if let Some(job) = self.jobs.get(&number) {
+            self.tell_refusal(&job.submission, cause, after, job.arrived.elapsed());
+        }
+    }
+
+    /// Tells why a job was refused, with what decided it.
+    fn tell_refusal(
+        &self,
+        submission: &Submission,
+        cause: Cause,
+        after: Duration,
+        waited: Duration,
+    ) {
+        self.metrics.refused(&cause.to_string());
+        let line = self.lines.get(&submission.service);
+        tracing::info!(
+            event = "refused",
+            request = %submission.id,
+            queue = submission.queue.name,
+            cause = %cause,
+            retry_after_ms = after.as_millis() as u64,
+            waited_ms = waited.as_millis() as u64,
+            tasks = submission.tasks.len(),
+            cpu = submission.need.cpu,
+            jobs_in_line = line.map_or(0, Line::len),
+            own_cores = self.cores(&submission.service),
+        );
+    }
+
     fn come_back(&mut self, service: &Service, rank: &Rank) -> Duration {
         let cores = self.cores(service);
         let line = self.lines.get(service);
@@ -427,7 +477,20 @@
             incarnation: link.incarnation,
         };
         link.start(&run, placed, service, &job.submission.spec, expected);
+        if is_sampled(&job.submission.id) {
+            tracing::info!(
+                event = "ordered",
+                request = %job.submission.id,
+                run = %run,
+                agent = %link.node,
+                expected_ms = expected.as_millis() as u64,
+                told_ms_ago = link.told_at.elapsed().as_millis() as u64,
+            );
+        }
         job.waiting.pop_front();
+        if !job.begun {
+            self.metrics.waited(job.arrived.elapsed());
+        }
         job.begun = true;
         true
     }
@@ -473,6 +536,21 @@
         let Some(job) = self.jobs.get(&placed.job) else {
             return self.ended_late(&placed);
         };
+        if end.fate() != Fate::Done {
+            self.metrics.returned(end.fate().as_str_name());
+        }
+        if end.fate() != Fate::Done || is_sampled(&placed.id) {
+            tracing::info!(
+                event = "run_over",
+                request = %placed.id,
+                run = %run,
+                agent = %node,
+                fate = end.fate().as_str_name(),
+                refusal = end.refusal().as_str_name(),
+                ran_ms = end.run_ms,
+                told_after_ms = placed.at.elapsed().as_millis() as u64,
+            );
+        }
         let queue = job.submission.queue.name.clone();
         let declared = job.submission.estimate.as_secs_f64();
         let ran = Duration::from_millis(end.run_ms.into());
@@ -539,6 +617,14 @@
     /// Takes in that a run is gone with its agent.
     fn lost(&mut self, node: &Node, run: &Run, placed: &Placed) {
         self.rooms.release(node, placed.need);
+        self.metrics.returned("FATE_SILENT");
+        tracing::warn!(
+            event = "run_given_up",
+            request = %placed.id,
+            run = %run,
+            agent = %node,
+            ordered_ms_ago = placed.at.elapsed().as_millis() as u64,
+        );
         if !self.jobs.contains_key(&placed.job) {
             return self.ended_late(placed);
         }
@@ -576,8 +662,16 @@
             return;
         }
         let percent = progress.percent;
-        log::info!(
-            "{run}: moves from {node}, {percent} % after {elapsed:?}, {slowness:.1} times slow"
+        tracing::info!(
+            event = "moved",
+            request = %placed.id,
+            run = %run,
+            agent = %node,
+            percent,
+            elapsed_ms = elapsed.as_millis() as u64,
+            expected_ms = expected.as_millis() as u64,
+            slowness,
+            stands,
         );
         let ending = Ending::Overdue { elapsed, expected };
         self.rooms.ended(node, ending, now, &mut self.rng);
--- a/crates/core/src/entry/lease/front.rs
+++ b/crates/core/src/entry/lease/front.rs
@@ -12,6 +12,8 @@
 
 use super::dispatcher::Dispatcher;
 use super::job::{Cause, Outcome, Submission};
+use crate::logging::is_sampled;
+use crate::metrics;
 use crate::renew::Held;
 use crate::serve::{self, Handler, Problem, Request, Response};
 
@@ -71,6 +73,16 @@
         (fresh && held.document.release.is_some()).then_some(held)
     }
 
+    fn metrics(&self) -> Response {
+        let held = self.held.borrow().clone();
+        let (metrics, waiting) = self.dispatcher.metrics();
+        metrics.page(metrics::Configured {
+            version: held.version,
+            age: held.age(Instant::now()).unwrap_or_default(),
+            waiting,
+        })
+    }
+
     fn ready(&self) -> Result<Response> {
         if *self.stopping.borrow() {
             return Err(Problem::busy("this entry stops"));
@@ -96,7 +108,7 @@
         let queue = held.document.queue(&head.host, &path);
         let queue = queue.ok_or_else(|| Problem::new(404, "not found", "no such queue"))?;
         match Call::read(request.method(), &path[queue.prefix.len()..]) {
-            Some(Call::Submit(id)) => self.submit(id, queue.clone(), &head, request).await,
+            Some(Call::Submit(id)) => self.submit(id, queue.clone(), &head, &held, request).await,
             // Jobs are answered when they end, so none is known by its id.
             Some(Call::State | Call::Cancel) => Err(Problem::new(410, "gone", "no such job")),
             Some(Call::Waiting) => Ok(serve::json(&Waiting {
@@ -111,6 +123,7 @@
         id: &str,
         queue: Queue,
         head: &Head,
+        held: &Held,
         request: Request,
     ) -> Result<Response> {
         let arrived = Instant::now();
@@ -136,11 +149,35 @@
             need: job.need,
             estimate: job.estimate,
         };
-        let name = submission.queue.name.clone();
+        let sampled = is_sampled(id);
+        let known = (held.version, held.age(arrived).unwrap_or_default());
+        if sampled {
+            tracing::info!(
+                event = "accepted",
+                request = id,
+                request_id = head.id,
+                queue = submission.queue.name,
+                tasks = submission.tasks.len(),
+                cpu = submission.need.cpu,
+                declared_ms = submission.estimate.as_millis() as u64,
+                deadline_ms = (deadline - arrived).as_millis() as u64,
+                version = known.0,
+                version_age_ms = known.1.as_millis() as u64,
+            );
+        }
         let outcome = self.dispatch(submission, deadline).await;
-        if outcome != Outcome::Completed {
-            let took = arrived.elapsed();
-            log::info!("job {id} of {name}: {outcome:?} after {took:?}");
+        let took = arrived.elapsed();
+        self.dispatcher.metrics().0.answered(outcome.name(), took);
+        if sampled || outcome != Outcome::Completed {
+            tracing::info!(
+                event = "answered",
+                request = id,
+                request_id = head.id,
+                outcome = outcome.name(),
+                took_ms = took.as_millis() as u64,
+                version = known.0,
+                version_age_ms = known.1.as_millis() as u64,
+            );
         }
         answer(outcome)
     }
@@ -186,6 +223,19 @@
     }
 }
 
+/// Answers the balancer and whoever reads the metrics, apart from callers.
+#[derive(Debug)]
+pub(super) struct Beside(pub(super) Arc<Front>);
+
+impl Handler for Beside {
+    async fn handle(&self, request: Request) -> Response {
+        match request.uri().path() {
+            "/metrics" => self.0.metrics(),
+            _ => self.0.handle(request).await,
+        }
+    }
+}
+
 impl Handler for Front {
     async fn handle(&self, request: Request) -> Response {
         let result = self.route(request).await;
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use gentian::claim::run::Run;
@@ -38,8 +38,20 @@
     GivenUp,
 }
 
+impl Outcome {
+    /// The outcome's name in metrics and lines.
+    pub(super) fn name(self) -> &'static str {
+        match self {
+            Outcome::Completed => "completed",
+            Outcome::Failed => "failed",
+            Outcome::Refused(..) => "refused",
+            Outcome::GivenUp => "given_up",
+        }
+    }
+}
+
 /// Why a job was refused.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::VariantNames)]
 #[strum(serialize_all = "snake_case")]
 pub(super) enum Cause {
     /// No upstream of its service takes work.
@@ -81,6 +93,7 @@
     pub(super) left: usize,
     /// Whether a start of any task was ordered.
     pub(super) begun: bool,
+    pub(super) arrived: Instant,
     /// Those who wait for the outcome.
     pub(super) callers: BTreeMap<u64, oneshot::Sender<Outcome>>,
 }
@@ -103,6 +116,7 @@
             left: tasks.len(),
             tasks,
             begun: false,
+            arrived: Instant::now(),
             callers: BTreeMap::new(),
             submission,
         }
--- a/crates/core/src/entry/lease/link.rs
+++ b/crates/core/src/entry/lease/link.rs
@@ -31,7 +31,11 @@
 /// What there is between this entry and one agent.
 #[derive(Debug)]
 pub(super) struct Link {
+    /// The agent.
+    pub(super) node: Node,
     pub(super) near: bool,
+    /// When the agent last told anything.
+    pub(super) told_at: Instant,
     pub(super) connected: bool,
     pub(super) incarnation: Incarnation,
     pub(super) wake: Arc<Notify>,
@@ -43,9 +47,11 @@
 }
 
 impl Link {
-    pub(super) fn new(near: bool) -> Link {
+    pub(super) fn new(node: Node, near: bool) -> Link {
         Link {
+            node,
             near,
+            told_at: Instant::now(),
             connected: false,
             incarnation: Incarnation(0),
             wake: Arc::default(),
--- a/crates/core/src/entry/lease/mod.rs
+++ b/crates/core/src/entry/lease/mod.rs
@@ -22,6 +22,10 @@
 use crate::serve::Server;
 
 use dispatcher::Dispatcher;
+use strum::VariantNames;
+
+/// Why jobs are refused, by the names in metrics and lines.
+pub(crate) const CAUSES: &[&str] = job::Cause::VARIANTS;
 
 /// Time between two renewals, which bounds how late a change comes into force.
 const RENEWAL: Duration = Duration::from_millis(500);
@@ -54,7 +58,9 @@
     let requests = http.serve(front.clone(), closed);
     let readiness = async {
         if let Some(server) = ready {
-            server.serve(front, end.clone()).await;
+            server
+                .serve(Arc::new(front::Beside(front)), end.clone())
+                .await;
         }
     };
     let renewing = tokio::spawn(renewal.run(end.clone()));
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -16,6 +16,8 @@
 use gentian::wire::{control, id};
 use tokio::sync::watch;
 
+pub(crate) use lease::CAUSES;
+
 use crate::renew::{self, Held};
 use crate::run::{self, Error, Result};
 use crate::serve::Server;
@@ -73,6 +75,11 @@
         Ok(self.http.address()?)
     }
 
+    pub(crate) fn ready(&self) -> Result<Option<SocketAddr>> {
+        let ready = self.ready.as_ref().map(Server::address);
+        Ok(ready.transpose()?)
+    }
+
     /// Longest time from the stop to the end of what is in progress.
     pub(crate) fn drain_timeout(&self) -> Duration {
         self.section.drain_timeout
--- a/crates/core/src/local/mod.rs
+++ b/crates/core/src/local/mod.rs
@@ -74,7 +74,7 @@
 /// it stops after the example.
 pub(crate) fn run(places: &Places, once: bool) -> Result<()> {
     let settings = settings(places)?;
-    logging::start(&settings.log).map_err(run::Error::Log)?;
+    let _log = logging::start(&settings.log).map_err(run::Error::Log)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
--- /dev/null
+++ b/crates/core/src/metrics/jobs.rs
@@ -0,0 +1,134 @@
+//! Metrics of an entry for jobs whose tasks run under leases.
+
+use std::time::Duration;
+
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+
+use super::{page, register};
+use crate::serve::Response;
+
+/// Upper bounds of the buckets for whole jobs, in seconds.
+const TOOK_BUCKETS: [f64; 9] = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8];
+/// Upper bounds of the buckets for waits, in seconds.
+const WAIT_BUCKETS: [f64; 8] = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5];
+
+/// Why jobs are refused.
+const CAUSES: &[&str] = crate::entry::CAUSES;
+
+/// Metrics of one entry for jobs whose tasks run under leases.
+#[derive(Debug)]
+pub(crate) struct Jobs {
+    registry: Registry,
+    answers: IntCounterVec,
+    refusals: IntCounterVec,
+    moves: IntCounterVec,
+    took: Histogram,
+    wait: Histogram,
+    waiting: IntGauge,
+    version: IntGauge,
+    age: IntGauge,
+}
+
+/// What an entry knows of the configuration.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Configured {
+    /// Version in force.
+    pub(crate) version: u64,
+    /// Time since control confirmed it.
+    pub(crate) age: Duration,
+    /// Jobs that wait with nothing begun.
+    pub(crate) waiting: usize,
+}
+
+impl Jobs {
+    pub(crate) fn new() -> Jobs {
+        let registry = Registry::new();
+        let counters = |name, help, label| {
+            register(
+                &registry,
+                IntCounterVec::new(Opts::new(name, help), &[label]),
+            )
+        };
+        let histogram = |name, help, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            register(&registry, Histogram::with_opts(options))
+        };
+        let refusals = counters(
+            "gentian_job_refusals_total",
+            "Jobs of which nothing has run, by why they were refused",
+            "cause",
+        );
+        let moves = counters(
+            "gentian_task_returns_total",
+            "Tasks that had to begin again, by what became of the run",
+            "fate",
+        );
+        // None is absent before its first.
+        for cause in CAUSES {
+            refusals.with_label_values(&[*cause]);
+        }
+        for fate in ["failed", "stopped", "lost", "refused", "silent"] {
+            moves.with_label_values(&[fate]);
+        }
+        let gauge = |name, help| register(&registry, IntGauge::new(name, help));
+        Jobs {
+            answers: counters("gentian_jobs_total", "Jobs answered, by outcome", "outcome"),
+            refusals,
+            moves,
+            took: histogram(
+                "gentian_job_seconds",
+                "Time from a job's arrival to its answer, where all was done",
+                &TOOK_BUCKETS,
+            ),
+            wait: histogram(
+                "gentian_job_wait_seconds",
+                "Time from a job's arrival to the start of its first task",
+                &WAIT_BUCKETS,
+            ),
+            waiting: gauge("gentian_jobs_waiting", "Jobs of which nothing has begun"),
+            version: gauge(
+                "gentian_job_config_version",
+                "Configuration version in force",
+            ),
+            age: gauge(
+                "gentian_job_config_age_ms",
+                "Milliseconds since control confirmed the configuration in force",
+            ),
+            registry,
+        }
+    }
+
+    /// Counts an answered job.
+    pub(crate) fn answered(&self, outcome: &str, took: Duration) {
+        self.answers.with_label_values(&[outcome]).inc();
+        if outcome == "completed" {
+            self.took.observe(took.as_secs_f64());
+        }
+    }
+
+    /// Counts a job of which nothing has run.
+    pub(crate) fn refused(&self, cause: &str) {
+        self.refusals.with_label_values(&[cause]).inc();
+    }
+
+    /// Counts a task that has to begin again.
+    pub(crate) fn returned(&self, fate: &str) {
+        let fate = fate.trim_start_matches("FATE_").to_ascii_lowercase();
+        self.moves.with_label_values(&[fate.as_str()]).inc();
+    }
+
+    /// Notes how long a job waited until something of it began.
+    pub(crate) fn waited(&self, time: Duration) {
+        self.wait.observe(time.as_secs_f64());
+    }
+
+    /// The page at `/metrics`.
+    pub(crate) fn page(&self, known: Configured) -> Response {
+        let number = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.version.set(number(known.version));
+        self.age
+            .set(i64::try_from(known.age.as_millis()).unwrap_or(i64::MAX));
+        self.waiting.set(number(known.waiting as u64));
+        page(&self.registry)
+    }
+}
--- a/crates/core/src/metrics/mod.rs
+++ b/crates/core/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 mod agent;
 mod control;
 mod entry;
+mod jobs;
 mod runs;
 
 use bytes::Bytes;
@@ -18,8 +19,10 @@
 pub(crate) use agent::Agent;
 pub(crate) use control::{Control, Known};
 pub(crate) use entry::Entry;
+pub(crate) use jobs::{Configured, Jobs};
 pub(crate) use runs::Runs;
 
+use crate::logging;
 use crate::renew::Held;
 use crate::serve::{respond, Response};
 
@@ -137,9 +140,18 @@
     collector
 }
 
+/// Name of the counter of dropped log lines, with its help.
+const DROPPED: &str = "\
+# HELP gentian_log_lines_dropped_total Log lines that were not written, since too many waited
+# TYPE gentian_log_lines_dropped_total counter
+gentian_log_lines_dropped_total ";
+
 /// The page at `/metrics`.
 fn page(registry: &Registry) -> Response {
     let text = TextEncoder::new().encode_to_string(&registry.gather());
     let text = text.expect("gathered metrics are consistent");
+    // The log is the process's, not a role's, so it is in no role's registry.
+    let dropped = logging::dropped();
+    let text = format!("{text}{DROPPED}{dropped}\n");
     respond(prometheus::TEXT_FORMAT, Bytes::from(text))
 }
--- a/crates/core/src/metrics/runs.rs
+++ b/crates/core/src/metrics/runs.rs
@@ -5,6 +5,8 @@
 use gentian_claim::run::{End, Fate, Refusal};
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry};
 
+use strum::VariantNames;
+
 use super::{page, register};
 use crate::serve::Response;
 
@@ -37,17 +39,26 @@
             let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
             register(&registry, Histogram::with_opts(options))
         };
+        let ends = counters(
+            "gentian_run_ends_total",
+            "Runs at the upstream that ended, by what became of them",
+            "fate",
+        );
+        let refusals = counters(
+            "gentian_run_refusals_total",
+            "Starts that were refused, by reason; none of them ran",
+            "reason",
+        );
+        // None is absent before its first.
+        for fate in ["done", "failed", "stopped", "lost"] {
+            ends.with_label_values(&[fate]);
+        }
+        for reason in Refusal::VARIANTS {
+            refusals.with_label_values(&[*reason]);
+        }
         Runs {
-            ends: counters(
-                "gentian_run_ends_total",
-                "Runs at the upstream that ended, by what became of them",
-                "fate",
-            ),
-            refusals: counters(
-                "gentian_run_refusals_total",
-                "Starts that were refused, by reason; none of them ran",
-                "reason",
-            ),
+            ends,
+            refusals,
             unreadable: register(
                 &registry,
                 IntCounter::new(
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -59,7 +59,8 @@
 /// Runs until the process is told to stop and all roles have finished.
 /// `path` is the settings file, which is read again when it changes.
 pub(crate) fn run(settings: &Settings, path: &Path) -> Result<()> {
-    logging::start(&settings.log)?;
+    // Dropped last, so that the last lines are written.
+    let _log = logging::start(&settings.log)?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .thread_name("traffic")
@@ -73,6 +74,7 @@
     let hangups = signal(SignalKind::hangup())?;
     let (control, told) = watch::channel(settings.control.clone());
     let roles = Roles::bind(settings, told).await?;
+    tokio::spawn(logging::tell_dropped());
     tokio::spawn(reload::follow(
         path.to_owned(),
         settings.clone(),
@@ -132,6 +134,9 @@
         if let Some(section) = &settings.entry {
             let role = entry::Role::bind(settings, section, seeds).await?;
             println!("listening entry-http {}", role.http()?);
+            if let Some(ready) = role.ready()? {
+                println!("listening entry-ready {ready}");
+            }
             roles.entry = Some(role);
         }
         Ok(roles)
--- a/crates/core/src/settings/check.rs
+++ b/crates/core/src/settings/check.rs
@@ -17,6 +17,7 @@
 const PATH: &str = "a path such as \"/var/lib/gentiancove\"";
 const FLAG: &str = "true or false";
 const DIALECTS: &str = "one of native, platform";
+const FORMATS: &str = "one of text, json";
 const LEVELS: &str = "one of off, error, warn, info, debug, trace";
 /// Leaves room for the role, which sets apart the nodes of one process.
 const LONGEST_SHARED_NAME: usize = 56;
@@ -25,6 +26,7 @@
 
 const BODY_BYTES: RangeInclusive<u64> = 1 << 10..=64 << 20;
 const CONNECTIONS: RangeInclusive<u64> = 1..=100_000;
+const SAMPLES: RangeInclusive<u64> = 1..=1_000_000;
 const SLOTS: RangeInclusive<u64> = 1..=1024;
 const TIMEOUT: RangeInclusive<Duration> = Duration::from_millis(10)..=Duration::from_secs(300);
 
@@ -155,11 +157,15 @@
         self.unknown("log.", &typed.unknown, typed::Log::FIELDS);
         let default = Log::default();
         let level = self.optional("log.level", typed.level, default.level, LEVELS, level);
+        let format = self.optional("log.format", typed.format, default.format, FORMATS, parse);
+        let sample = self.count("log.sample", typed.sample, default.sample, SAMPLES);
         let file = self.optional("log.file", typed.file, default.file, PATH, |v| {
             path(v).map(Some)
         });
         Some(Log {
             level: level?,
+            format: format?,
+            sample: sample?,
             file: file?,
         })
     }
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -127,12 +127,33 @@
     pub(crate) tolerates: Option<u64>,
 }
 
+/// How log lines are written.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, strum::Display, strum::EnumString,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Format {
+    /// As text, to standard error unless a file is named.
+    #[default]
+    Text,
+    /// As one JSON object a line, to standard output unless a file is named.
+    Json,
+}
+
+/// One request in so many has lines for what went well with it.
+const SAMPLE: u64 = 16;
+
 /// Settings of the log.
 #[derive(Clone, Debug, Serialize)]
 pub(crate) struct Log {
     /// Least severe level that is written.
     #[serde(serialize_with = "write_level")]
     pub(crate) level: log::LevelFilter,
+    /// How lines are written.
+    pub(crate) format: Format,
+    /// One request in so many has lines for what went well with it.
+    pub(crate) sample: u64,
     /// File to append to; standard error where there is none.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) file: Option<PathBuf>,
@@ -142,6 +163,8 @@
     fn default() -> Log {
         Log {
             level: log::LevelFilter::Info,
+            format: Format::default(),
+            sample: SAMPLE,
             file: None,
         }
     }
--- a/crates/core/src/settings/typed.rs
+++ b/crates/core/src/settings/typed.rs
@@ -85,6 +85,8 @@
     /// The section `log`.
     Log {
         level: Value,
+        format: Value,
+        sample: Value,
         file: Value,
     }
 }
--- a/crates/core/src/upstream/mod.rs
+++ b/crates/core/src/upstream/mod.rs
@@ -183,7 +183,7 @@
 
 /// Runs an upstream until SIGTERM or SIGINT.
 pub(crate) fn run(builder: Builder) -> Result<()> {
-    logging::start(&Log::default())?;
+    let _log = logging::start(&Log::default())?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(WORKER_THREADS)
         .enable_all()
--- a/crates/core/tests/metrics.rs
+++ b/crates/core/tests/metrics.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeSet;
 
 use support::call;
+use support::platform::Platform;
 use support::system::{poll, System};
 
 const PAGE: &str = include_str!("../../../docs/OPERATIONS.md");
@@ -31,7 +32,9 @@
         &system.agent_addresses[0],
         &system.control_http,
     ];
-    let told = addresses.map(|address| get(address, "/metrics").1);
+    let mut told: Vec<_> = addresses.map(|address| get(address, "/metrics").1).into();
+    let platform = Platform::start(1, 1);
+    told.push(platform.metrics());
     let told = told.iter().flat_map(|metrics| metrics.lines());
     let told = told.filter_map(|line| line.strip_prefix("# HELP ")?.split(' ').next());
     let listed = PAGE
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -12,7 +12,7 @@
 use serde_json::{json, Value};
 
 use super::system::poll;
-use super::{call, Fake, Process, NO_ANSWER};
+use super::{call, output, text, Fake, Process, NO_ANSWER};
 
 /// The host that callers name; the client takes it from the address.
 const HOST: &str = "127.0.0.1";
@@ -202,10 +202,10 @@
 }
 
 impl Worker {
-    fn start(index: usize, control: &[String], seen: &Arc<Mutex<Seen>>) -> Worker {
+    fn start(index: usize, control: &[String], log: &Value, seen: &Arc<Mutex<Seen>>) -> Worker {
         let settings = json!({
             "name": format!("agent-{index}"), "data_center": "d", "rack": "r", "region": "x",
-            "control": control,
+            "control": control, "log": log,
             "agent": { "http": "127.0.0.1:0", "peer": "127.0.0.1:0", "dialect": "platform" },
         });
         let agent = run(&settings);
@@ -335,9 +335,11 @@
     pub(crate) workers: Vec<Worker>,
     pub(crate) seen: Arc<Mutex<Seen>>,
     entry_https: Vec<String>,
+    entry_ready: String,
     control_https: Vec<String>,
     control_settings: Vec<Value>,
     folders: Vec<tempfile::TempDir>,
+    logs: tempfile::TempDir,
 }
 
 impl Platform {
@@ -352,15 +354,17 @@
             workers: Vec::new(),
             seen: Arc::default(),
             entry_https: Vec::new(),
+            entry_ready: String::new(),
             control_https: (0..3).map(|i| format!("{}:{http}", host(i))).collect(),
             control_settings: Vec::new(),
             folders: Vec::new(),
+            logs: tempfile::tempdir().expect("temporary folder"),
         };
         for (index, seed) in seeds.iter().enumerate() {
             let folder = tempfile::tempdir().expect("temporary folder");
             let settings = json!({
                 "name": format!("control-{index}"), "data_center": "d", "rack": "r",
-                "region": "x", "control": seeds,
+                "region": "x", "control": seeds, "log": platform.log("control", index),
                 "controller": {
                     "http": platform.control_https[index], "peer": seed, "dialect": "platform",
                     "data": folder.path().join("control"), "found": true, "tolerates": 1,
@@ -371,17 +375,22 @@
             platform.folders.push(folder);
         }
         for index in 0..workers {
-            let worker = Worker::start(index, &seeds, &platform.seen);
+            let log = platform.log("agent", index);
+            let worker = Worker::start(index, &seeds, &log, &platform.seen);
             platform.workers.push(worker);
         }
         for index in 0..entries {
             let entry = run(&json!({
                 "name": format!("entry-{index}"), "data_center": "d", "rack": "r", "region": "x",
-                "control": seeds,
-                "entry": { "http": "127.0.0.1:0", "dialect": "platform", "drain_timeout": "6s" },
+                "control": seeds, "log": platform.log("entry", index),
+                "entry": {
+                    "http": "127.0.0.1:0", "ready": "127.0.0.1:0", "dialect": "platform",
+                    "drain_timeout": "6s",
+                },
             }));
             let address = entry.listening("entry-http").to_string();
             platform.entry_https.push(address);
+            platform.entry_ready = entry.listening("entry-ready").to_string();
             platform.entries.push(entry);
         }
         platform.put(2, 1_500);
@@ -389,6 +398,42 @@
         platform
     }
 
+    /// Where a process writes its log, of every request.
+    fn log(&self, role: &str, index: usize) -> Value {
+        let path = self.logs.path().join(format!("{role}-{index}.log"));
+        json!({ "format": "json", "sample": 1, "file": path })
+    }
+
+    /// What the logs of all processes tell of a request, as on-call engineers
+    /// read it: its lines in their order, once one of them tells `event`.
+    pub(crate) fn explain(&self, id: &str, event: &str) -> Vec<Value> {
+        let files = std::fs::read_dir(self.logs.path()).expect("folder");
+        let files = files.map(|file| file.expect("file").path().display().to_string());
+        let files: Vec<String> = files.collect();
+        let mut args = vec!["explain", id];
+        args.extend(files.iter().map(String::as_str));
+        poll(|| {
+            let told = output(&args);
+            let lines = text(&told.stdout);
+            let lines = lines
+                .lines()
+                .filter_map(|line| serde_json::from_str(line).ok());
+            let lines: Vec<Value> = lines.collect();
+            lines
+                .iter()
+                .any(|line| line["event"] == event)
+                .then_some(lines)
+        })
+    }
+
+    /// The metrics of an agent and of an entry.
+    pub(crate) fn metrics(&self) -> String {
+        let addresses = [&self.workers[0].agent_http, &self.entry_ready];
+        let pages =
+            addresses.map(|address| call("GET", &format!("http://{address}/metrics"), &[], ""));
+        pages.map(|(_, page)| page).concat()
+    }
+
     /// Waits until an entry serves with all workers.
     pub(crate) fn wait_until_served(&self, entry: usize) {
         let enough = 10 * self.workers.len();
