Orders without an answer hold little up; an entry ends before the platform kills it

A lost look hid all ends for 300 ms, a lost start held one of four places for 200 ms; the median of all requests rose to 456 ms. Answers are awaited for 80 ms (starts, stops) and 40 ms beyond a look's wait of 60 ms; only looks count as a silent upstream. Also: the data folder's own name is synced.

--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -37,7 +37,7 @@
 pub const STOP_GRACE: Duration = Duration::from_millis(100);
 
 /// Time after which a stop that had no effect yet is sent again.
-const STOP_AGAIN: Duration = Duration::from_millis(150);
+const STOP_AGAIN: Duration = Duration::from_millis(100);
 
 /// After this time without an order, what an entry had running at an agent is
 /// gone, whatever has become of the agent: the entry's lease there, the
@@ -388,6 +388,8 @@
                     work += done;
                     time += took;
                 }
+                // A look may be overtaken by a later one that told the end.
+                None if self.ended.fate(&found.run).is_some() => {}
                 None if self.strays.contains(&found.run) => {}
                 None => self.strays.push(found.run.clone()),
             }
--- a/crates/claim/tests/run.rs
+++ b/crates/claim/tests/run.rs
@@ -226,6 +226,17 @@
     );
 }
 
+#[test]
+fn a_look_that_was_overtaken_stops_nothing() {
+    let mut runs = running();
+    let (early, later) = (runs.look(), runs.look());
+    runs.looked(later, &[], &[listed(1, "t", Fate::Done)], ms(50));
+    assert!(runs
+        .looked(early, &[found("t", 1, 99)], &[], ms(51))
+        .is_empty());
+    assert!(runs.due_stops(ms(52)).is_empty());
+}
+
 #[test]
 fn what_nobody_ordered_is_stopped() {
     let mut runs = running();
--- a/crates/core/src/agent/lease/beside.rs
+++ b/crates/core/src/agent/lease/beside.rs
@@ -22,9 +22,13 @@
 use crate::renew::Announce;
 
 /// How long a look waits for something to end.
-const LOOK_WAIT: Duration = Duration::from_millis(100);
-/// Longest time for an answer beyond what the order waits for.
-const ANSWER: Duration = Duration::from_millis(200);
+const LOOK_WAIT: Duration = Duration::from_millis(60);
+/// Longest time for an answer to a start or a stop. The upstream is on the same
+/// machine and answers at once, or not at all.
+const ANSWER: Duration = Duration::from_millis(80);
+/// Longest time for an answer to a look beyond its wait: for as long as one is
+/// lost, no end is seen.
+const LOOK_ANSWER: Duration = Duration::from_millis(40);
 /// Pause after a look that failed.
 const LOOK_PAUSE: Duration = Duration::from_millis(40);
 /// Pause between two looks while nothing runs, unless something is to be done.
@@ -350,12 +354,11 @@
         if let Some(grant) = order.grant {
             state.runs.granted(grant, reached);
         }
-        self.heeded(&mut state, order, answer.as_ref().err());
         drop(state);
         answer
     }
 
-    /// Takes in whether an order was answered.
+    /// Takes in whether a look was answered.
     fn heeded(&self, state: &mut State, order: &Order, error: Option<&client::Error>) {
         let known = state.upstream.as_mut();
         let Some(known) = known.filter(|known| known.incarnation().id == order.id) else {
@@ -572,10 +575,10 @@
             continue;
         };
         let request = order::look(&order.id, seen, wait, order.authority);
-        let answer = beside.send_order(&order, request, wait + ANSWER).await;
+        let answer = beside.send_order(&order, request, wait + LOOK_ANSWER).await;
+        beside.heeded(&mut beside.state(), &order, answer.as_ref().err());
         let found = match answer {
             Ok(answer) => beside.looked(&order, number, seen, &answer),
-            // It was noted as the order's answer.
             Err(_) => false,
         };
         beside.lapse();
--- a/crates/core/src/agent/lease/known.rs
+++ b/crates/core/src/agent/lease/known.rs
@@ -8,7 +8,7 @@
 /// Time without a report after which an upstream takes no new runs.
 const SILENT: Duration = Duration::from_secs(5);
 
-/// Orders in a row without an answer after which it gets neither runs nor a
+/// Looks in a row without an answer after which it gets neither runs nor a
 /// lease until it answers or reports again.
 const UNANSWERED: u32 = 2;
 
@@ -30,7 +30,7 @@
     heard: Instant,
     /// It has said that it ends, or another one answered.
     gone: bool,
-    /// Orders in a row that were not answered.
+    /// Looks in a row that were not answered.
     unanswered: u32,
     clock: Duration,
     clock_at: Instant,
@@ -82,12 +82,12 @@
         self.report.ready && !self.gone && !silent && self.answers()
     }
 
-    /// Notes whether an order was answered.
+    /// Notes whether a look was answered.
     pub(super) fn answered(&mut self, answered: bool) {
         self.unanswered = if answered { 0 } else { self.unanswered + 1 };
     }
 
-    /// Whether its last orders were answered, or none was given yet.
+    /// Whether one of the last looks was answered, or none was taken yet.
     pub(super) fn answers(&self) -> bool {
         self.unanswered < UNANSWERED
     }
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -23,6 +23,9 @@
 use crate::serve::Server;
 use crate::settings::{Dialect, Entry, Settings};
 
+/// Time that is left to end the process by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+
 /// Connections of the balancer that may be open at once.
 const READY_CONNECTIONS: usize = 64;
 
@@ -82,7 +85,11 @@
 
     /// Longest time from the stop to the end of what is in progress.
     pub(crate) fn drain_timeout(&self) -> Duration {
-        self.section.drain_timeout
+        match self.section.dialect {
+            Dialect::Native => self.section.drain_timeout,
+            // The platform kills what is left at that time.
+            Dialect::Platform => self.section.drain_timeout.saturating_sub(STOP_MARGIN),
+        }
     }
 
     /// Serves until `stop` turns true and the requests in progress have ended.
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -17,6 +17,7 @@
 /// The host that callers name; the client takes it from the address.
 const HOST: &str = "127.0.0.1";
 const HEARTBEAT: Duration = Duration::from_millis(200);
+const LATE: Duration = Duration::from_secs(2);
 const TICK: Duration = Duration::from_millis(5);
 const CORES: u64 = 32_000;
 
@@ -31,6 +32,8 @@
     Hangs,
     /// Nothing is answered, and nothing runs any more.
     Dead,
+    /// Each eighth order gets no answer and is carried out two seconds later.
+    Late,
 }
 
 /// One run at a worker.
@@ -67,6 +70,7 @@
     ended: Vec<(u64, String, u64, &'static str)>,
     ends: u64,
     beats: u64,
+    orders: u64,
     seen: Arc<Mutex<Seen>>,
 }
 
@@ -224,6 +228,7 @@
             ended: Vec::new(),
             ends: 0,
             beats: 0,
+            orders: 0,
             seen: seen.clone(),
         }));
         let served = state.clone();
@@ -284,6 +289,11 @@
     let body: Value = serde_json::from_str(body).expect("JSON");
     let wait = Duration::from_millis(body["wait-ms"].as_u64().unwrap_or(0));
     let start = Instant::now();
+    if is_held_up(state) {
+        thread::sleep(LATE);
+        state.lock().expect("lock").answer(path, &body);
+        return (NO_ANSWER, String::new());
+    }
     loop {
         let mut state = state.lock().expect("lock");
         if state.mood == Mood::Dead {
@@ -301,6 +311,13 @@
     }
 }
 
+/// Whether an order is carried out late and not answered.
+fn is_held_up(state: &Mutex<State>) -> bool {
+    let mut state = state.lock().expect("lock");
+    state.orders += 1;
+    state.mood == Mood::Late && state.orders.is_multiple_of(8)
+}
+
 fn beat(state: &Mutex<State>, agent: &str, address: &str) {
     loop {
         let (id, body) = {
--- a/crates/quorum/src/store/disk.rs
+++ b/crates/quorum/src/store/disk.rs
@@ -57,6 +57,11 @@
     pub fn new(path: impl Into<PathBuf>) -> io::Result<Self> {
         let path = path.into();
         fs::create_dir_all(&path)?;
+        // What is synced in a folder is lost with the folder's own name.
+        let parent = path.canonicalize()?.parent().map(fs::File::open);
+        if let Some(parent) = parent {
+            parent?.sync_all()?;
+        }
         Ok(Self { path, lock: None })
     }
 }
