--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -14,6 +14,7 @@
 mod ledger;
 mod live;
 mod pace;
+mod wire;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
--- a/crates/core/src/agent/lease/beside.rs
+++ b/crates/core/src/agent/lease/beside.rs
@@ -201,7 +201,7 @@
             told: None,
         };
         state.streams.insert(owner.clone(), stream);
-        let known: Vec<Run> = first.known.iter().map(stream::run).collect();
+        let known: Vec<Run> = first.known.iter().map(Run::from).collect();
         let ends = state.runs.resume(owner, &known, now);
         log::info!(
             "entry {} incarnation {}: stream opened, {} runs known, {} of them over",
@@ -234,13 +234,13 @@
             .runs
             .renew(owner, stream::time(orders.lease_until_ms), now);
         for run in &orders.stops {
-            state.runs.stop(owner, &stream::run(run));
+            state.runs.stop(owner, &Run::from(run));
         }
         let mut refused = Vec::new();
         for batch in orders.starts {
             let need = Need::from(batch.need.unwrap_or_default());
             let estimate = stream::time(batch.estimate_ms.into());
-            for run in batch.runs.iter().map(stream::run) {
+            for run in batch.runs.iter().map(Run::from) {
                 match state.runs.order(owner, &run, need, now) {
                     Ok(()) => {
                         state.runs.expect(&run, estimate);
@@ -669,7 +669,7 @@
         let mut by_owner: BTreeMap<Owner, Vec<agent::Progress>> = BTreeMap::new();
         for (owner, run, percent) in state.runs.slow(now) {
             let progress = agent::Progress {
-                run: Some(wire_run(run)),
+                run: Some(run.into()),
                 percent,
             };
             by_owner.entry(owner.clone()).or_default().push(progress);
@@ -736,13 +736,6 @@
     }
 }
 
-fn wire_run(run: &Run) -> agent::Run {
-    agent::Run {
-        task: run.task.to_string(),
-        run: run.number,
-    }
-}
-
 fn end(end: &End) -> agent::End {
     let (fate, refusal) = match end.fate {
         Fate::Done => (agent::Fate::Done, agent::Refusal::Unspecified),
@@ -752,7 +745,7 @@
         Fate::Refused(refusal) => (agent::Fate::Refused, wire_refusal(refusal)),
     };
     agent::End {
-        run: Some(wire_run(&end.run)),
+        run: Some((&end.run).into()),
         fate: fate.into(),
         refusal: refusal.into(),
         run_ms: u32::try_from(end.ran.as_millis()).unwrap_or(u32::MAX),
--- a/crates/core/src/agent/lease/stream.rs
+++ b/crates/core/src/agent/lease/stream.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gentian::claim::run::{Owner, Run};
+use gentian::claim::run::Owner;
 use gentian::wire::agent::agent_server::Agent;
 use gentian::wire::agent::{
     AskReply, AskRequest, CancelReply, CancelRequest, ClaimReply, ClaimRequest, Orders, Reports,
     StartReply, StartRequest,
 };
+use gentian::wire::id;
 use gentian::wire::id::Incarnation;
-use gentian::wire::{agent, id};
 use tokio::sync::mpsc;
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
@@ -54,13 +54,6 @@
     beside.leave_stream(&owner, number);
 }
 
-pub(super) fn run(message: &agent::Run) -> Run {
-    Run {
-        task: message.task.as_str().into(),
-        number: message.run,
-    }
-}
-
 pub(super) fn time(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -15,9 +15,9 @@
 use gentian::route::room::{is_worth_moving, Rooms, Told};
 use gentian::route::runtime;
 use gentian::wire::agent::{End, Fate, Orders, Progress, Refusal, Reports, Room};
+use gentian::wire::control;
 use gentian::wire::id::{self, Incarnation, Node, Service};
 use gentian::wire::need::Need;
-use gentian::wire::{agent, control};
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use tokio::sync::{oneshot, Notify};
@@ -525,7 +525,7 @@
     }
 
     fn ended(&mut self, node: &Node, end: End, now: Duration) {
-        let Some(run) = end.run.as_ref().map(run) else {
+        let Some(run) = end.run.as_ref().map(Run::from) else {
             return;
         };
         let link = self.links.get_mut(node);
@@ -637,7 +637,7 @@
 
     /// Moves a run that stands still, or goes much slower than elsewhere.
     fn progressed(&mut self, node: &Node, progress: Progress, now: Duration) {
-        let Some(run) = progress.run.as_ref().map(run) else {
+        let Some(run) = progress.run.as_ref().map(Run::from) else {
             return;
         };
         let link = self.links.get_mut(node);
@@ -744,10 +744,3 @@
         }
     }
 }
-
-fn run(message: &agent::Run) -> Run {
-    Run {
-        task: message.task.as_str().into(),
-        number: message.run,
-    }
-}
--- a/crates/core/src/entry/lease/link.rs
+++ b/crates/core/src/entry/lease/link.rs
@@ -72,7 +72,7 @@
         spec: &Bytes,
         estimate: Duration,
     ) {
-        let message = wire(run);
+        let message = agent::Run::from(run);
         // Starts of one job come one after the other.
         let same = self
             .starts
@@ -107,7 +107,10 @@
         Orders {
             lease_until_ms,
             starts: std::mem::take(&mut self.starts),
-            stops: std::mem::take(&mut self.stops).iter().map(wire).collect(),
+            stops: std::mem::take(&mut self.stops)
+                .iter()
+                .map(agent::Run::from)
+                .collect(),
             ..Orders::default()
         }
     }
@@ -121,7 +124,7 @@
         Orders {
             entry: entry.to_string(),
             incarnation: incarnation.0,
-            known: self.live.keys().map(wire).collect(),
+            known: self.live.keys().map(agent::Run::from).collect(),
             ..Orders::default()
         }
     }
@@ -165,10 +168,3 @@
         gone
     }
 }
-
-fn wire(run: &Run) -> agent::Run {
-    agent::Run {
-        task: run.task.to_string(),
-        run: run.number,
-    }
-}
--- a/crates/core/src/metrics/jobs.rs
+++ b/crates/core/src/metrics/jobs.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{Histogram, IntCounterVec, IntGauge, Registry};
 
-use super::{page, register};
+use super::{counters, histogram, page, register};
 use crate::serve::Response;
 
 /// Upper bounds of the buckets for whole jobs, in seconds.
@@ -43,44 +43,37 @@
 impl Jobs {
     pub(crate) fn new() -> Jobs {
         let registry = Registry::new();
-        let counters = |name, help, label| {
-            register(
-                &registry,
-                IntCounterVec::new(Opts::new(name, help), &[label]),
-            )
-        };
-        let histogram = |name, help, buckets: &[f64]| {
-            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
-            register(&registry, Histogram::with_opts(options))
-        };
-        let refusals = counters(
-            "gentian_job_refusals_total",
-            "Jobs of which nothing has run, by why they were refused",
-            "cause",
-        );
-        let moves = counters(
-            "gentian_task_returns_total",
-            "Tasks that had to begin again, by what became of the run",
-            "fate",
-        );
-        // None is absent before its first.
-        for cause in CAUSES {
-            refusals.with_label_values(&[*cause]);
-        }
-        for fate in ["failed", "stopped", "lost", "refused", "silent"] {
-            moves.with_label_values(&[fate]);
-        }
         let gauge = |name, help| register(&registry, IntGauge::new(name, help));
         Jobs {
-            answers: counters("gentian_jobs_total", "Jobs answered, by outcome", "outcome"),
-            refusals,
-            moves,
+            answers: counters(
+                &registry,
+                "gentian_jobs_total",
+                "Jobs answered, by outcome",
+                "outcome",
+                &["completed", "failed", "refused", "given_up"],
+            ),
+            refusals: counters(
+                &registry,
+                "gentian_job_refusals_total",
+                "Jobs of which nothing has run, by why they were refused",
+                "cause",
+                CAUSES,
+            ),
+            moves: counters(
+                &registry,
+                "gentian_task_returns_total",
+                "Tasks that had to begin again, by what became of the run",
+                "fate",
+                &["failed", "stopped", "lost", "refused", "silent"],
+            ),
             took: histogram(
+                &registry,
                 "gentian_job_seconds",
                 "Time from a job's arrival to its answer, where all was done",
                 &TOOK_BUCKETS,
             ),
             wait: histogram(
+                &registry,
                 "gentian_job_wait_seconds",
                 "Time from a job's arrival to the start of its first task",
                 &WAIT_BUCKETS,
--- a/crates/core/src/metrics/mod.rs
+++ b/crates/core/src/metrics/mod.rs
@@ -13,7 +13,9 @@
 use bytes::Bytes;
 use gentian_wire::outcome::Outcome;
 use prometheus::core::Collector;
-use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
 use strum::VariantNames;
 
 pub(crate) use agent::Agent;
@@ -130,6 +132,31 @@
     counter
 }
 
+/// Makes a family of counters, one for each value of `label` that is known
+/// beforehand, so that none is absent before its first, and more as they come.
+fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    label: &str,
+    values: &[&str],
+) -> IntCounterVec {
+    let counters = register(
+        registry,
+        IntCounterVec::new(Opts::new(name, help), &[label]),
+    );
+    for value in values {
+        counters.with_label_values(&[*value]);
+    }
+    counters
+}
+
+/// Makes a histogram with the given upper bounds.
+fn histogram(registry: &Registry, name: &str, help: &str, bounds: &[f64]) -> Histogram {
+    let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+    register(registry, Histogram::with_opts(options))
+}
+
 fn register<C: Collector + Clone + 'static>(
     registry: &Registry,
     collector: prometheus::Result<C>,
--- a/crates/core/src/metrics/runs.rs
+++ b/crates/core/src/metrics/runs.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use gentian_claim::run::{End, Fate, Refusal};
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry};
+use prometheus::{Histogram, IntCounter, IntCounterVec, Registry};
 
 use strum::VariantNames;
 
-use super::{page, register};
+use super::{counters, histogram, page, register};
 use crate::serve::Response;
 
 /// Upper bounds of the buckets for starts, in seconds.
@@ -29,49 +29,34 @@
 impl Runs {
     pub(crate) fn new() -> Runs {
         let registry = Registry::new();
-        let counters = |name, help, label| {
-            register(
-                &registry,
-                IntCounterVec::new(Opts::new(name, help), &[label]),
-            )
-        };
-        let histogram = |name, help, buckets: &[f64]| {
-            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
-            register(&registry, Histogram::with_opts(options))
-        };
-        let ends = counters(
-            "gentian_run_ends_total",
-            "Runs at the upstream that ended, by what became of them",
-            "fate",
+        let unreadable = IntCounter::new(
+            "gentian_upstream_reports_unreadable_total",
+            "Reports of the upstream that can't be read",
         );
-        let refusals = counters(
-            "gentian_run_refusals_total",
-            "Starts that were refused, by reason; none of them ran",
-            "reason",
-        );
-        // None is absent before its first.
-        for fate in ["done", "failed", "stopped", "lost"] {
-            ends.with_label_values(&[fate]);
-        }
-        for reason in Refusal::VARIANTS {
-            refusals.with_label_values(&[*reason]);
-        }
         Runs {
-            ends,
-            refusals,
-            unreadable: register(
+            ends: counters(
+                &registry,
+                "gentian_run_ends_total",
+                "Runs at the upstream that ended, by what became of them",
+                "fate",
+                &["done", "failed", "stopped", "lost"],
+            ),
+            refusals: counters(
                 &registry,
-                IntCounter::new(
-                    "gentian_upstream_reports_unreadable_total",
-                    "Reports of the upstream that can't be read",
-                ),
+                "gentian_run_refusals_total",
+                "Starts that were refused, by reason; none of them ran",
+                "reason",
+                Refusal::VARIANTS,
             ),
+            unreadable: register(&registry, unreadable),
             start: histogram(
+                &registry,
                 "gentian_run_start_seconds",
                 "Time from the order of a start to the upstream's answer",
                 &START_BUCKETS,
             ),
             run: histogram(
+                &registry,
                 "gentian_run_seconds",
                 "Time from the start of a run to its end, where it was done",
                 &RUN_BUCKETS,
