--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
+use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -362,6 +363,15 @@
 impl Platform {
     /// Starts everything, puts a configuration, and waits until it serves.
     pub(crate) fn start(workers: usize, entries: usize) -> Platform {
+        Platform::with_entry_log(workers, entries, None)
+    }
+
+    /// The same, where the entries write their logs to `entry_log`.
+    pub(crate) fn with_entry_log(
+        workers: usize,
+        entries: usize,
+        entry_log: Option<&Path>,
+    ) -> Platform {
         let [http, peer] = free_ports();
         let host = |index: usize| format!("127.0.1.{}", index + 1);
         let seeds: Vec<String> = (0..3).map(|i| format!("{}:{peer}", host(i))).collect();
@@ -397,9 +407,13 @@
             platform.workers.push(worker);
         }
         for index in 0..entries {
+            let mut log = platform.log("entry", index);
+            if let Some(path) = entry_log {
+                log["file"] = json!(path);
+            }
             let entry = run(&json!({
                 "name": format!("entry-{index}"), "data_center": "d", "rack": "r", "region": "x",
-                "control": seeds, "log": platform.log("entry", index),
+                "control": seeds, "log": log,
                 "entry": {
                     "http": "127.0.0.1:0", "ready": "127.0.0.1:0", "dialect": "platform",
                     "drain_timeout": "6s",
@@ -443,11 +457,15 @@
         })
     }
 
+    /// Where an entry tells its metrics.
+    pub(crate) fn entry_metrics(&self) -> String {
+        format!("http://{}/metrics", self.entry_ready)
+    }
+
     /// The metrics of an agent and of an entry.
     pub(crate) fn metrics(&self) -> String {
-        let addresses = [&self.workers[0].agent_http, &self.entry_ready];
-        let pages =
-            addresses.map(|address| call("GET", &format!("http://{address}/metrics"), &[], ""));
+        let agent = format!("http://{}/metrics", self.workers[0].agent_http);
+        let pages = [agent, self.entry_metrics()].map(|url| call("GET", &url, &[], ""));
         pages.map(|(_, page)| page).concat()
     }
 
