--- a/crates/core/tests/explain.rs
+++ b/crates/core/tests/explain.rs
@@ -53,7 +53,8 @@
 fn a_request_that_was_late_behind_a_hung_worker() {
     let platform = Platform::start(2, 1);
     platform.workers[0].set(Mood::Hangs);
-    assert_eq!(200, platform.submit(0, ID, 8, 400).0);
+    // More than one worker holds, so that some of it meets the hung one.
+    assert_eq!(200, platform.submit(0, ID, 16, 400).0);
     let lines = platform.explain(ID, "answered");
     let moved = find(&lines, "moved");
     assert_eq!("agent-0", moved["agent"]);
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -473,7 +473,8 @@
     pub(crate) fn wait_until_served(&self, entry: usize) {
         let enough = 10 * self.workers.len();
         poll(|| {
-            let (status, _) = self.submit(entry, "00000000000000aa", enough, 30);
+            // Long enough for the stand-in's ticks not to look like a slow worker.
+            let (status, _) = self.submit(entry, "00000000000000aa", enough, 200);
             (status == 200).then_some(())
         });
     }
