--- a/crates/core/src/metrics/mod.rs
+++ b/crates/core/src/metrics/mod.rs
@@ -124,12 +124,7 @@
 
 /// Makes a counter for each outcome, so that none is absent before its first.
 fn by_outcome(registry: &Registry, name: &str, help: &str) -> IntCounterVec {
-    let counter = IntCounterVec::new(Opts::new(name, help), &["outcome"]);
-    let counter = register(registry, counter);
-    for outcome in Outcome::VARIANTS {
-        counter.with_label_values(&[*outcome]);
-    }
-    counter
+    counters(registry, name, help, "outcome", Outcome::VARIANTS)
 }
 
 /// Makes a family of counters, one for each value of `label` that is known
