renew: a named leader is asked at once, and a dead instance costs less time

Change: a named leader is asked at once (once per hint), other retries after 50 ms, time for a connection 75 ms at first and doubled up to 600.

--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -21,8 +21,12 @@
 pub(crate) use lines::log_changes;
 
 const PERIOD: Duration = Duration::from_millis(1000);
-const RETRY: Duration = Duration::from_millis(75);
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+const RETRY: Duration = Duration::from_millis(50);
+/// Time for a connection at first, doubled with each call that fails: among
+/// instances that are down, the next one is soon asked, and a far one is reached
+/// all the same.
+const SHORTEST_CONNECT: Duration = Duration::from_millis(75);
+const LONGEST_CONNECT: Duration = Duration::from_millis(600);
 /// Time between two renewals until then.
 const UNSETTLED: Duration = Duration::from_millis(200);
 /// Time without a change of the roster after which the usual period is enough.
@@ -53,12 +57,22 @@
     }
 }
 
+/// What came of one call for a renewal.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Renewal {
+    Granted,
+    /// Not granted by an instance that named another one to ask.
+    Elsewhere,
+    Failed,
+}
+
 /// The loop that keeps a lease.
 #[derive(Debug)]
 pub(crate) struct Loop<A> {
     node: Node,
     announce: Arc<A>,
     peers: Peers,
+    connect: Duration,
     period: Duration,
     changed_at: Instant,
     held: watch::Sender<Arc<Held>>,
@@ -75,6 +89,7 @@
             node,
             announce,
             peers: Peers::new(control),
+            connect: SHORTEST_CONNECT,
             period: PERIOD,
             changed_at: Instant::now(),
             held: watch::Sender::new(Arc::default()),
@@ -96,9 +111,10 @@
     pub(crate) async fn run(mut self, mut stop: watch::Receiver<bool>) {
         loop {
             let pause = match self.renew().await {
-                true if self.is_settled() => self.period,
-                true => UNSETTLED,
-                false => RETRY,
+                Renewal::Granted if self.is_settled() => self.period,
+                Renewal::Granted => UNSETTLED,
+                Renewal::Elsewhere => Duration::ZERO,
+                Renewal::Failed => RETRY,
             };
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
@@ -113,9 +129,9 @@
         self.changed_at.elapsed() > SETTLED
     }
 
-    async fn renew(&mut self) -> bool {
-        let Some(mut client) = self.peers.client(CONNECT_TIMEOUT) else {
-            return false;
+    async fn renew(&mut self) -> Renewal {
+        let Some(mut client) = self.peers.client(self.connect) else {
+            return Renewal::Failed;
         };
         let known = self.held.borrow().clone();
         let request = RenewRequest {
@@ -131,15 +147,18 @@
             Ok(Ok(reply)) => self.answered(&known, sent, reply.get_ref()),
             Ok(Err(_)) | Err(_) => {
                 self.peers.turn();
-                false
+                self.connect = (self.connect * 2).min(LONGEST_CONNECT);
+                Renewal::Failed
             }
         }
     }
 
-    fn answered(&mut self, known: &Held, sent: Instant, reply: &RenewReply) -> bool {
+    fn answered(&mut self, known: &Held, sent: Instant, reply: &RenewReply) -> Renewal {
         if !reply.granted {
-            self.peers.follow(&reply.leader_address);
-            return false;
+            return match self.peers.follow(&reply.leader_address) {
+                true => Renewal::Elsewhere,
+                false => Renewal::Failed,
+            };
         }
         self.peers.learn(&reply.control);
         match known.renewed(sent, Instant::now(), reply) {
@@ -148,12 +167,13 @@
                     self.changed_at = Instant::now();
                 }
                 self.held.send_replace(Arc::new(held));
-                true
+                self.connect = SHORTEST_CONNECT;
+                Renewal::Granted
             }
             Err(error) => {
                 log::warn!("a renewal is not taken: {error}");
                 self.peers.turn();
-                false
+                Renewal::Failed
             }
         }
     }
--- a/crates/core/src/renew/peers.rs
+++ b/crates/core/src/renew/peers.rs
@@ -61,10 +61,14 @@
         Some(*all[index])
     }
 
-    /// Asks the leader that an instance named, or else another instance.
-    pub(crate) fn follow(&mut self, leader: &str) {
+    /// Asks the leader that an instance named, or else another instance; whether
+    /// there is a new one to ask. A leader that was asked on such a hint and
+    /// names another is not believed, so that hints can't go round in circles.
+    pub(crate) fn follow(&mut self, leader: &str) -> bool {
+        let hinted = self.leader.is_some();
         self.turn();
         self.leader = leader.parse().ok();
+        self.leader.is_some() && !hinted
     }
 }
 
