Jobs of several steps, labels, racks, limits a worker, a job's state and its cancel

Ruled out: queues a label apart from the line (a job that only some upstreams will do for is passed over instead, so that it holds nobody up). Change: a job has steps with needs, wishes and predecessors; rooms place by label, near the data while there is room there, and never beyond the limit; runs away from their data teach nothing of the upstream's pace. State and cancel are told for jobs in progress at the entry that is asked. Tests: route (labels, racks under a rush for one, barred), platform (messages), two through the real binary.

--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -12,7 +12,7 @@
 use gentian::limit::line::{Line, Objective, Rank};
 use gentian::member::member::Member;
 use gentian::route::eject::Ending;
-use gentian::route::room::{is_worth_moving, Rooms, Told};
+use gentian::route::room::{is_worth_moving, Ask, Rooms, Told};
 use gentian::route::runtime;
 use gentian::wire::agent::{End, Fate, Orders, Progress, Refusal, Reports, Room};
 use gentian::wire::control;
@@ -189,6 +189,26 @@
         }
     }
 
+    /// Whether something has begun of the job in progress under an id, if there
+    /// is one.
+    pub(super) fn has_begun(&self, id: &str) -> Option<bool> {
+        let state = self.state();
+        let job = state.ids.get(id).and_then(|number| state.jobs.get(number));
+        job.map(|job| job.begun)
+    }
+
+    /// Ends the job in progress under an id; whether there was one.
+    pub(super) fn cancel(&self, id: &str) -> bool {
+        let mut state = self.state();
+        let Some(number) = state.ids.get(id).copied() else {
+            return false;
+        };
+        tracing::info!(event = "cancelled", request = id);
+        state.finish(number, Outcome::Cancelled);
+        state.place_all();
+        true
+    }
+
     /// Whether a job could begin at all.
     pub(super) fn is_useful(&self) -> bool {
         let state = self.state();
@@ -331,18 +351,18 @@
     fn objective(&self, submission: &Submission) -> Objective {
         let queue = &submission.queue;
         Objective {
-            work: self.expected(submission),
+            work: self.expected(submission, submission.chain()),
             stretch: queue.stretch,
             target: queue.target(),
         }
     }
 
-    /// How long a task of a job will run: as declared, times what the tasks of
-    /// its queue have usually taken of that.
-    fn expected(&self, submission: &Submission) -> Duration {
+    /// How long tasks of a job will run that were declared to run so long: times
+    /// what the tasks of its queue have usually taken of that.
+    fn expected(&self, submission: &Submission, declared: Duration) -> Duration {
         let ratio = self.ratios.get(&submission.queue.name).quantile(0.5);
         let ratio = ratio.map_or(1.0, |ratio| ratio.as_secs_f64());
-        submission.estimate.mul_f64(ratio)
+        declared.mul_f64(ratio)
     }
 
     /// Refuses a job that surely can't be served in time.
@@ -353,11 +373,13 @@
         rank: &Rank,
     ) -> Option<Outcome> {
         let service = &submission.service;
-        if self.rooms.could_ever_fit(service, submission.need) == Some(false) {
-            return Some(Outcome::Refused(RETURN, Cause::TooLarge));
-        }
-        if !self.rooms.serves(service) {
-            return Some(Outcome::Refused(RETURN, Cause::NoUpstream));
+        for step in &submission.steps {
+            if self.rooms.could_ever_fit(service, step.need) == Some(false) {
+                return Some(Outcome::Refused(RETURN, Cause::TooLarge));
+            }
+            if !self.rooms.serves(service, &step.wish) {
+                return Some(Outcome::Refused(RETURN, Cause::NoUpstream));
+            }
         }
         let line = self.lines.get(service)?;
         let wait = line.wait(rank, self.cores(service));
@@ -392,8 +414,8 @@
             cause = %cause,
             retry_after_ms = after.as_millis() as u64,
             waited_ms = waited.as_millis() as u64,
-            tasks = submission.tasks.len(),
-            cpu = submission.need.cpu,
+            tasks = submission.tasks(),
+            cpu = submission.cpu(),
             jobs_in_line = line.map_or(0, Line::len),
             own_cores = self.cores(&submission.service),
         );
@@ -427,35 +449,56 @@
         }
     }
 
-    /// Begins what waits, in its order, until the next has no room.
+    /// Begins what waits, in its order, until the next has no room. A job that
+    /// only some upstreams will do for doesn't hold up those behind it.
     fn place(&mut self, service: &Service) {
+        let mut passed: Option<Rank> = None;
         loop {
-            let next = self.lines.get(service).and_then(|line| line.iter().next());
-            let Some(rank) = next.copied() else {
+            let line = self.lines.get(service);
+            let Some(rank) = line.and_then(|line| line.next(passed.as_ref())).copied() else {
                 return;
             };
             let number = rank.arrival;
-            while let Some(index) = self.jobs[&number].waiting.front().copied() {
+            let blocked = loop {
+                let Some(index) = self.jobs[&number].waiting.front().copied() else {
+                    break None;
+                };
                 if !self.begin(service, number, index) {
-                    return self.requeue(number);
+                    break Some(index);
                 }
+            };
+            let Some(index) = blocked else {
+                self.dequeue(service, &rank);
+                continue;
+            };
+            self.requeue(number);
+            if !self.jobs[&number].step_of(index).wish.is_picky() {
+                return;
             }
-            self.dequeue(service, &rank);
+            passed = Some(rank);
         }
     }
 
     /// Begins one task of a job where there is room.
     fn begin(&mut self, service: &Service, number: u64, index: usize) -> bool {
-        let expected = self.expected(&self.jobs[&number].submission);
+        let job = &self.jobs[&number];
+        let step = job.step_of(index);
+        let (need, expected) = (step.need, self.expected(&job.submission, step.estimate));
+        let ask = Ask {
+            need,
+            wish: &step.wish,
+            avoid: &job.tasks[index].avoid,
+            barred: &job.barred(index),
+        };
+        let Some(node) = self.rooms.place(service, &ask) else {
+            return false;
+        };
+        let away = !self.rooms.is_near(&node, &step.wish);
         let job = self
             .jobs
             .get_mut(&number)
             .expect("only jobs in progress wait");
-        let need = job.submission.need;
         let task = &mut job.tasks[index];
-        let Some(node) = self.rooms.place(service, need, &task.avoid) else {
-            return false;
-        };
         let link = self
             .links
             .get_mut(&node)
@@ -471,6 +514,7 @@
             id: job.submission.id.clone(),
             index,
             need,
+            away,
             at: Instant::now(),
             progress: (0, Instant::now()),
             stopped: false,
@@ -520,6 +564,7 @@
             others: Need::from(room.others.unwrap_or_default()),
             open: room.open,
             pace: (room.pace_percent > 0).then(|| f64::from(room.pace_percent) / 100.0),
+            labels: room.labels,
         };
         self.rooms.told(node, incarnation, near, told);
     }
@@ -552,10 +597,13 @@
             );
         }
         let queue = job.submission.queue.name.clone();
-        let declared = job.submission.estimate.as_secs_f64();
+        let declared = job.step_of(placed.index).estimate;
         let ran = Duration::from_millis(end.run_ms.into());
-        let expected = Some(self.expected(&job.submission));
+        let expected = Some(self.expected(&job.submission, declared));
+        let declared = declared.as_secs_f64();
         let ending = match end.fate() {
+            // Away from its data a task takes longer at a sound upstream too.
+            Fate::Done if placed.away => None,
             Fate::Done => Some(Ending::Good { run: ran, expected }),
             Fate::Failed => Some(Ending::Bad),
             Fate::Refused => match end.refusal() {
@@ -570,7 +618,7 @@
                 log::warn!("agent {node}: is {standing} after {run}: {ending:?}");
             }
         }
-        if end.fate() == Fate::Done && declared > 0.0 {
+        if end.fate() == Fate::Done && declared > 0.0 && !placed.away {
             let ratio = ran.as_secs_f64() / declared;
             self.ratios.observe(queue, Duration::from_secs_f64(ratio));
         }
@@ -591,9 +639,11 @@
         task.moving = false;
         match end.fate() {
             Fate::Done => {
-                job.left -= 1;
-                if job.left == 0 {
-                    self.finish(placed.job, Outcome::Completed);
+                job.done(placed.index);
+                match (job.is_done(), job.waiting.is_empty()) {
+                    (true, _) => self.finish(placed.job, Outcome::Completed),
+                    (false, false) => self.requeue(placed.job),
+                    (false, true) => {}
                 }
                 return;
             }
@@ -652,12 +702,13 @@
         let Some(job) = self.jobs.get(&placed.job) else {
             return;
         };
-        let expected = self.expected(&job.submission);
+        let expected = self.expected(&job.submission, job.step_of(placed.index).estimate);
         let elapsed = placed.at.elapsed();
         let task = &job.tasks[placed.index];
         let fixed = task.moving || task.avoid.len() >= MOVES;
         let slowness = self.rooms.slowness(node);
-        let moves = stands || is_worth_moving(elapsed, progress.percent, slowness);
+        let slow = !placed.away && is_worth_moving(elapsed, progress.percent, slowness);
+        let moves = stands || slow;
         if fixed || !moves {
             return;
         }
--- a/crates/core/src/entry/lease/front.rs
+++ b/crates/core/src/entry/lease/front.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use super::dispatcher::Dispatcher;
-use super::job::{Cause, Outcome, Submission};
+use super::job::{Cause, Outcome, Step, Submission};
 use crate::logging::is_sampled;
 use crate::metrics;
 use crate::renew::Held;
@@ -109,8 +109,15 @@
         let queue = queue.ok_or_else(|| Problem::new(404, "not found", "no such queue"))?;
         match Call::read(request.method(), &path[queue.prefix.len()..]) {
             Some(Call::Submit(id)) => self.submit(id, queue.clone(), &head, &held, request).await,
-            // Jobs are answered when they end, so none is known by its id.
-            Some(Call::State | Call::Cancel) => Err(Problem::new(410, "gone", "no such job")),
+            Some(Call::State(id)) => match self.dispatcher.has_begun(id) {
+                Some(true) => Ok(serve::json(&State::RUNNING)),
+                Some(false) => Ok(serve::json(&State::QUEUED)),
+                None => Err(unknown()),
+            },
+            Some(Call::Cancel(id)) => match self.dispatcher.cancel(id) {
+                true => Ok(serve::json(&State::CANCELLED)),
+                false => Err(unknown()),
+            },
             Some(Call::Waiting) => Ok(serve::json(&Waiting {
                 waiting: self.dispatcher.waiting(&queue.name),
             })),
@@ -145,9 +152,7 @@
             queue,
             service,
             spec: Bytes::from(job.spec),
-            tasks: job.tasks,
-            need: job.need,
-            estimate: job.estimate,
+            steps: job.steps.into_iter().map(step).collect(),
         };
         let sampled = is_sampled(id);
         let known = (held.version, held.age(arrived).unwrap_or_default());
@@ -157,9 +162,9 @@
                 request = id,
                 request_id = head.id,
                 queue = submission.queue.name,
-                tasks = submission.tasks.len(),
-                cpu = submission.need.cpu,
-                declared_ms = submission.estimate.as_millis() as u64,
+                tasks = submission.tasks(),
+                cpu = submission.cpu(),
+                declared_ms = submission.chain().as_millis() as u64,
                 deadline_ms = (deadline - arrived).as_millis() as u64,
                 version = known.0,
                 version_age_ms = known.1.as_millis() as u64,
@@ -208,8 +213,24 @@
     }
 }
 
+fn step(step: caller::Step) -> Step {
+    Step {
+        tasks: step.tasks,
+        need: step.need,
+        wish: step.wish,
+        estimate: step.estimate,
+        after: step.after,
+    }
+}
+
+/// A job that has been answered is not known any more.
+fn unknown() -> Problem {
+    Problem::new(410, "gone", "no such job")
+}
+
 fn answer(outcome: Outcome) -> Result<Response> {
     match outcome {
+        Outcome::Cancelled => Ok(serve::json(&State::CANCELLED)),
         Outcome::Completed => Ok(serve::json(&State::COMPLETED)),
         Outcome::Failed => Ok(serve::json(&State::FAILED)),
         Outcome::Refused(after, cause) => {
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -9,7 +9,7 @@
 use gentian::config::document::Queue;
 use gentian::limit::line::{Objective, Rank};
 use gentian::wire::id::{Node, Service};
-use gentian::wire::need::Need;
+use gentian::wire::need::{Need, Wish};
 use tokio::sync::oneshot;
 
 /// A job as it was handed in.
@@ -20,9 +20,42 @@
     pub(super) queue: Queue,
     pub(super) service: Service,
     pub(super) spec: Bytes,
+    pub(super) steps: Vec<Step>,
+}
+
+impl Submission {
+    /// Number of all tasks.
+    pub(super) fn tasks(&self) -> usize {
+        self.steps.iter().map(|step| step.tasks.len()).sum()
+    }
+
+    /// The largest processor that a task takes, in thousandths of a core.
+    pub(super) fn cpu(&self) -> u32 {
+        let cpu = self.steps.iter().map(|step| step.need.cpu);
+        cpu.max().unwrap_or(0)
+    }
+
+    /// The longest chain of declared run times.
+    pub(super) fn chain(&self) -> Duration {
+        let mut until: Vec<Duration> = Vec::new();
+        for step in &self.steps {
+            let from = step.after.iter().map(|on| until[*on]).max();
+            until.push(from.unwrap_or_default() + step.estimate);
+        }
+        until.into_iter().max().unwrap_or_default()
+    }
+}
+
+/// Tasks of a job that are alike.
+#[derive(Debug)]
+pub(super) struct Step {
     pub(super) tasks: Vec<String>,
     pub(super) need: Need,
+    pub(super) wish: Wish,
+    /// How long a task of it was declared to run.
     pub(super) estimate: Duration,
+    /// Numbers of earlier steps that must be done before.
+    pub(super) after: Vec<usize>,
 }
 
 /// What became of a job.
@@ -36,6 +69,8 @@
     Refused(Duration, Cause),
     /// It was given up after something of it had run.
     GivenUp,
+    /// Its caller has cancelled it.
+    Cancelled,
 }
 
 impl Outcome {
@@ -46,6 +81,7 @@
             Outcome::Failed => "failed",
             Outcome::Refused(..) => "refused",
             Outcome::GivenUp => "given_up",
+            Outcome::Cancelled => "cancelled",
         }
     }
 }
@@ -70,6 +106,8 @@
 #[derive(Debug)]
 pub(super) struct Task {
     pub(super) name: Arc<str>,
+    /// Number of its step.
+    pub(super) step: usize,
     /// Number of its last start.
     pub(super) number: u64,
     pub(super) failures: u32,
@@ -88,9 +126,10 @@
     pub(super) objective: Objective,
     pub(super) rank: Rank,
     pub(super) tasks: Vec<Task>,
-    /// Tasks that wait for room, by their index.
+    /// Tasks whose turn has come and that wait for room, by their index.
     pub(super) waiting: VecDeque<usize>,
-    pub(super) left: usize,
+    /// Tasks of each step that are not done.
+    pub(super) left: Vec<usize>,
     /// Whether a start of any task was ordered.
     pub(super) begun: bool,
     pub(super) arrived: Instant,
@@ -100,31 +139,109 @@
 
 impl Job {
     pub(super) fn new(submission: Submission, objective: Objective, rank: Rank) -> Job {
-        let task = |name: &String| Task {
+        let steps = submission.steps.iter().enumerate();
+        let tasks =
+            steps.flat_map(|(step, tasks)| tasks.tasks.iter().map(move |name| (step, name)));
+        let tasks = tasks.map(|(step, name)| Task {
             name: name.as_str().into(),
+            step,
             number: 0,
             failures: 0,
             at: None,
             avoid: Vec::new(),
             moving: false,
-        };
-        let tasks: Vec<Task> = submission.tasks.iter().map(task).collect();
-        Job {
+        });
+        let mut job = Job {
             objective,
             rank,
-            waiting: (0..tasks.len()).collect(),
-            left: tasks.len(),
-            tasks,
+            waiting: VecDeque::new(),
+            left: submission
+                .steps
+                .iter()
+                .map(|step| step.tasks.len())
+                .collect(),
+            tasks: tasks.collect(),
             begun: false,
             arrived: Instant::now(),
             callers: BTreeMap::new(),
             submission,
+        };
+        for step in 0..job.left.len() {
+            if job.is_due(step) {
+                job.queue(step);
+            }
+        }
+        job
+    }
+
+    /// Whether all steps that a step follows are done.
+    fn is_due(&self, step: usize) -> bool {
+        let after = &self.submission.steps[step].after;
+        after
+            .iter()
+            .all(|on| self.left[*on] == 0 && self.is_due(*on))
+    }
+
+    fn queue(&mut self, step: usize) {
+        let tasks = self.tasks.iter().enumerate();
+        let own = tasks.filter(|(_, task)| task.step == step);
+        self.waiting.extend(own.map(|(index, _)| index));
+    }
+
+    /// Notes that a task is done, after which the turn of others may have come.
+    pub(super) fn done(&mut self, index: usize) {
+        let step = self.tasks[index].step;
+        self.left[step] -= 1;
+        if self.left[step] > 0 {
+            return;
+        }
+        for next in step + 1..self.left.len() {
+            // A step without tasks passes the turn on.
+            let waits = self.left[next] > 0 && self.is_untouched(next);
+            if waits && self.is_due(next) {
+                self.queue(next);
+            }
+        }
+    }
+
+    /// Whether no task of a step was ever in line.
+    fn is_untouched(&self, step: usize) -> bool {
+        let mut tasks = self.tasks.iter().enumerate();
+        !tasks.any(|(index, task)| {
+            task.step == step && (task.number > 0 || self.waiting.contains(&index))
+        })
+    }
+
+    pub(super) fn is_done(&self) -> bool {
+        self.left.iter().all(|left| *left == 0)
+    }
+
+    /// The step of a task.
+    pub(super) fn step_of(&self, index: usize) -> &Step {
+        &self.submission.steps[self.tasks[index].step]
+    }
+
+    /// Upstreams that have as many tasks of a task's step as they may.
+    pub(super) fn barred(&self, index: usize) -> Vec<Node> {
+        let Some(most) = self.step_of(index).wish.most else {
+            return Vec::new();
+        };
+        let mut there: BTreeMap<&Node, u32> = BTreeMap::new();
+        let step = self.tasks[index].step;
+        let tasks = self.tasks.iter().filter(|task| task.step == step);
+        for (node, _) in tasks.filter_map(|task| task.at.as_ref()) {
+            *there.entry(node).or_default() += 1;
         }
+        let full = there.into_iter().filter(|(_, tasks)| *tasks >= most);
+        full.map(|(node, _)| node.clone()).collect()
     }
 
-    /// Work that is still to begin, in core-seconds.
+    /// Work that waits for room, in core-seconds.
     pub(super) fn work(&self) -> f64 {
-        let cores = f64::from(self.submission.need.cpu) / 1e3;
-        self.waiting.len() as f64 * cores * self.objective.work.as_secs_f64()
+        let chain = self.submission.chain().as_secs_f64();
+        let usual = self.objective.work.as_secs_f64() / chain.max(1e-3);
+        let steps = self.waiting.iter().map(|index| self.step_of(*index));
+        let work = steps.map(|step| f64::from(step.need.cpu) / 1e3 * step.estimate.as_secs_f64());
+        work.sum::<f64>() * usual
     }
 }
--- a/crates/core/src/entry/lease/link.rs
+++ b/crates/core/src/entry/lease/link.rs
@@ -19,6 +19,8 @@
     pub(super) id: Arc<str>,
     pub(super) index: usize,
     pub(super) need: Need,
+    /// It is elsewhere than its data.
+    pub(super) away: bool,
     pub(super) at: Instant,
     /// How far it was told to be, and since when.
     pub(super) progress: (u32, Instant),
--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -306,3 +306,50 @@
     platform.entries[0].terminate();
     assert!(platform.entries[0].wait().success());
 }
+
+#[test]
+fn steps_run_in_their_order_where_they_ask_to() {
+    let platform = Platform::start(3, 1);
+    let steps = json!([
+        { "count": 2, "cpu": 3_000, "mem-mb": 64, "estimate-ms": 400, "requires": "b" },
+        {
+            "count": 3, "cpu": 3_000, "mem-mb": 64, "estimate-ms": 400,
+            "depends-on": [0], "anti-affinity": 1,
+        },
+        {
+            "count": 2, "cpu": 3_000, "mem-mb": 64, "estimate-ms": 400,
+            "depends-on": [1], "affinity": "r2",
+        },
+    ]);
+    let job = platform.spawn_steps(0, "0000000000000001", 400, steps);
+    let running = |step: usize| {
+        let prefix = format!("0000000000000001.0.{step}.");
+        let workers = platform.workers.iter();
+        workers.map(|worker| worker.running_of(&prefix)).collect()
+    };
+    let expected = [vec![0, 2, 0], vec![1, 1, 1], vec![0, 0, 2]];
+    for (step, expected) in expected.into_iter().enumerate() {
+        poll(|| (running(step) == expected).then_some(()));
+        for other in (0..3).filter(|other| *other != step) {
+            let there: Vec<usize> = running(other);
+            assert_eq!(vec![0; 3], there, "step {other} beside step {step}");
+        }
+    }
+    assert_eq!((200, COMPLETED.to_owned()), job.join().expect("an answer"));
+    assert_once(&platform);
+}
+
+#[test]
+fn a_job_in_progress_tells_its_state_and_can_be_cancelled() {
+    let platform = Platform::start(1, 1);
+    let job = platform.spawn_submit(0, "0000000000000001", 3, 4_000);
+    poll(|| (platform.running() == 3).then_some(()));
+    let path = "/q/0000000000000001";
+    let state = |state: &str| (200, format!(r#"{{"state":"{state}"}}"#));
+    assert_eq!(state("running"), platform.call(0, "GET", path, ""));
+    assert_eq!(state("cancelled"), platform.call(0, "DELETE", path, ""));
+    assert_eq!(state("cancelled"), job.join().expect("an answer"));
+    poll(|| (platform.running() == 0).then_some(()));
+    assert_eq!(3, ends(&platform, "stopped"));
+    assert_eq!(410, platform.call(0, "GET", path, "").0);
+}
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -60,6 +60,8 @@
 #[derive(Debug)]
 struct State {
     id: String,
+    /// Its kind, a or b by turns, and its rack, one for each worker.
+    labels: [String; 2],
     born: u64,
     origin: Instant,
     ticked: Instant,
@@ -218,6 +220,7 @@
         let agent_peer = agent.listening("agent-peer").to_string();
         let state = Arc::new(Mutex::new(State {
             id: format!("i-{index}"),
+            labels: [["a", "b"][index % 2].to_owned(), format!("r{index}")],
             born: 1_000,
             origin: Instant::now(),
             ticked: Instant::now(),
@@ -266,6 +269,13 @@
         self.state.lock().expect("lock").ready = false;
     }
 
+    /// Tasks of a job that run here now.
+    pub(crate) fn running_of(&self, prefix: &str) -> usize {
+        let state = self.state.lock().expect("lock");
+        let tasks = state.running.keys();
+        tasks.filter(|task| task.starts_with(prefix)).count()
+    }
+
     /// Tasks that run here now.
     pub(crate) fn running(&self) -> usize {
         self.state.lock().expect("lock").running.len()
@@ -327,7 +337,7 @@
             let body = json!({
                 "service": "desk", "address": address, "zone": "d", "version": "v1", "slots": 8,
                 "state": if state.ready { "ready" } else { "draining" }, "cold-remaining-ms": 0,
-                "capacity": { "cpu": CORES, "mem-mb": 65_536, "gpu": 0 }, "labels": ["a", "r1"],
+                "capacity": { "cpu": CORES, "mem-mb": 65_536, "gpu": 0 }, "labels": state.labels,
                 "clock-ms": millis(state.clock()), "seq": state.beats, "born": state.born,
             });
             (state.mood != Mood::Dead)
@@ -545,12 +555,21 @@
         id: &'static str,
         count: usize,
         millis: u64,
+    ) -> JoinHandle<(u16, String)> {
+        let step = json!({ "count": count, "cpu": 3_000, "mem-mb": 64, "estimate-ms": millis });
+        self.spawn_steps(entry, id, millis, json!([step]))
+    }
+
+    /// Hands a job of several steps in, whose tasks all take `millis`.
+    pub(crate) fn spawn_steps(
+        &self,
+        entry: usize,
+        id: &'static str,
+        millis: u64,
+        steps: Value,
     ) -> JoinHandle<(u16, String)> {
         let address = self.entry_https[entry].clone();
-        let job = json!({
-            "spec": millis.to_string(), "best-effort": true,
-            "steps": [{ "count": count, "cpu": 3_000, "mem-mb": 64, "estimate-ms": millis }],
-        });
+        let job = json!({ "spec": millis.to_string(), "best-effort": true, "steps": steps });
         let url = format!("http://{address}/q/{id}");
         thread::spawn(move || {
             let headers = [("deadline-ms", "10000")];
--- a/crates/limit/src/line.rs
+++ b/crates/limit/src/line.rs
@@ -8,6 +8,7 @@
 //! room is spent already.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 use std::time::Duration;
 
 /// Part of what a job may take in all that it may wait before it begins.
@@ -71,6 +72,13 @@
         self.waiting.keys()
     }
 
+    /// The job that goes next, or next after the one of that rank.
+    pub fn next(&self, after: Option<&Rank>) -> Option<&Rank> {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut rest = self.waiting.range((from, Bound::Unbounded));
+        rest.next().map(|(rank, _)| rank)
+    }
+
     /// Number of jobs that wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/crates/route/src/room/mod.rs
+++ b/crates/route/src/room/mod.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 use gentian_wire::id::{Incarnation, Node, Service};
-use gentian_wire::need::Need;
+use gentian_wire::need::{Need, Wish};
 use rand::Rng;
 
 use crate::eject::{Detector, Ending, Settings};
@@ -36,6 +36,22 @@
 /// Tasks that an upstream on trial may run at once.
 const TRIAL_TASKS: u32 = 1;
 
+/// Weight of being away from a task's data, as a share of an upstream.
+const AWAY_WEIGHT: f64 = 0.6;
+
+/// A task that wants room.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// What it takes.
+    pub need: Need,
+    /// What it asks of its upstream beside that.
+    pub wish: &'a Wish,
+    /// Upstreams to be taken only where no other has room.
+    pub avoid: &'a [Node],
+    /// Upstreams that must not be taken.
+    pub barred: &'a [Node],
+}
+
 /// The upstreams of all services, as one entry knows them.
 #[derive(Debug)]
 pub struct Rooms {
@@ -90,9 +106,16 @@
         there.fold(Need::default(), |sum, (_, peer)| sum.plus(peer.own_part()))
     }
 
-    /// Whether any upstream of a service takes work now.
-    pub fn serves(&self, service: &Service) -> bool {
-        self.of(service).any(|(_, peer)| peer.is_there())
+    /// Whether any upstream of a service takes such work now.
+    pub fn serves(&self, service: &Service, wish: &Wish) -> bool {
+        self.of(service)
+            .any(|(_, peer)| peer.is_there() && peer.told.suits(wish))
+    }
+
+    /// Whether an upstream is where a task would rather run.
+    pub fn is_near(&self, node: &Node, wish: &Wish) -> bool {
+        let peer = self.peers.get(node);
+        peer.is_some_and(|peer| peer.told.is_near(wish))
     }
 
     /// Whether any agent can be reached.
@@ -109,20 +132,27 @@
     }
 
     /// Chooses an upstream for one task and takes its room there.
-    ///
-    /// Those in `avoid` are taken only where no other has room.
-    pub fn place(&mut self, service: &Service, need: Need, avoid: &[Node]) -> Option<Node> {
+    pub fn place(&mut self, service: &Service, ask: &Ask<'_>) -> Option<Node> {
         // Where all that is left has been ejected, bad is better than none.
         let last_resort = !self.of(service).any(|(_, peer)| peer.is_open());
         let known = self.of(service);
-        let fitting = known.filter(|(_, peer)| peer.takes(need, last_resort));
+        let fitting = known.filter(|(node, peer)| {
+            let suits = peer.told.suits(ask.wish) && !ask.barred.contains(node);
+            suits && peer.takes(ask.need, last_resort)
+        });
         let ranked = fitting.map(|(node, peer)| {
-            let avoided = if avoid.contains(node) { 1.0 } else { 0.0 };
-            (avoided * AVOIDED + peer.rank(need), node)
+            let avoided = if ask.avoid.contains(node) {
+                AVOIDED
+            } else {
+                0.0
+            };
+            let near = peer.told.is_near(ask.wish);
+            let away = if near { 0.0 } else { AWAY_WEIGHT };
+            (avoided + away + peer.rank(ask.need), node)
         });
         let best = ranked.min_by(|a, b| a.0.total_cmp(&b.0))?;
         let node = best.1.clone();
-        self.peers.get_mut(&node)?.start(need);
+        self.peers.get_mut(&node)?.start(ask.need);
         Some(node)
     }
 
--- a/crates/route/src/room/peer.rs
+++ b/crates/route/src/room/peer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use gentian_wire::id::Service;
-use gentian_wire::need::Need;
+use gentian_wire::need::{Need, Wish};
 
 use super::{FAR_WEIGHT, PACE_WEIGHT, TRIAL_TASKS};
 use crate::view::Standing;
@@ -27,6 +27,26 @@
     pub open: bool,
     /// Time that runs take there over what was expected of them, where known.
     pub pace: Option<f64>,
+    /// What it is and where, in words that tasks may ask for.
+    pub labels: Vec<String>,
+}
+
+impl Told {
+    fn has(&self, label: &Option<String>) -> bool {
+        label
+            .as_ref()
+            .is_none_or(|label| self.labels.contains(label))
+    }
+
+    /// Whether it is one that a task may run at.
+    pub(super) fn suits(&self, wish: &Wish) -> bool {
+        self.has(&wish.label)
+    }
+
+    /// Whether it is where a task would rather run.
+    pub(super) fn is_near(&self, wish: &Wish) -> bool {
+        self.has(&wish.near)
+    }
 }
 
 /// One upstream, as an entry knows it.
@@ -51,6 +71,7 @@
                 others: Need::default(),
                 open: false,
                 pace: None,
+                labels: Vec::new(),
             },
             near: false,
             reachable: true,
--- a/crates/route/tests/room.rs
+++ b/crates/route/tests/room.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use gentian_route::eject::Ending;
-use gentian_route::room::{is_worth_moving, Rooms, Told};
+use gentian_route::room::{is_worth_moving, Ask, Rooms, Told};
 use gentian_wire::id::{Incarnation, Node, Service};
-use gentian_wire::need::Need;
+use gentian_wire::need::{Need, Wish};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use test_case::test_case;
@@ -36,9 +36,20 @@
         others: Need::default(),
         open: true,
         pace: None,
+        labels: Vec::new(),
     }
 }
 
+fn ask(rooms: &mut Rooms, wish: &Wish, avoid: &[Node]) -> Option<Node> {
+    let ask = Ask {
+        need: TASK,
+        wish,
+        avoid,
+        barred: &[],
+    };
+    rooms.place(&service(), &ask)
+}
+
 /// Upstreams with the given numbers of cores.
 fn rooms(cores: &[u32]) -> Rooms {
     let mut rooms = Rooms::new();
@@ -51,7 +62,7 @@
 fn place(rooms: &mut Rooms, count: usize) -> BTreeMap<Node, usize> {
     let mut placed = BTreeMap::new();
     for _ in 0..count {
-        match rooms.place(&service(), TASK, &[]) {
+        match ask(rooms, &Wish::default(), &[]) {
             Some(node) => *placed.entry(node).or_default() += 1,
             None => break,
         }
@@ -72,8 +83,8 @@
     let placed = place(&mut rooms, 1_000);
     assert_eq!(vec![10, 10, 15], placed.into_values().collect::<Vec<_>>());
     rooms.release(&node(1), TASK);
-    assert_eq!(Some(node(1)), rooms.place(&service(), TASK, &[]));
-    assert_eq!(None, rooms.place(&service(), TASK, &[]));
+    assert_eq!(Some(node(1)), ask(&mut rooms, &Wish::default(), &[]));
+    assert_eq!(None, ask(&mut rooms, &Wish::default(), &[]));
 }
 
 #[test]
@@ -106,9 +117,9 @@
 #[test]
 fn a_task_that_failed_somewhere_goes_elsewhere_if_it_can() {
     let mut rooms = rooms(&[96, 32]);
-    assert_eq!(Some(node(1)), rooms.place(&service(), TASK, &[node(0)]));
+    assert_eq!(Some(node(1)), ask(&mut rooms, &Wish::default(), &[node(0)]));
     rooms.reachable(&node(1), false);
-    assert_eq!(Some(node(0)), rooms.place(&service(), TASK, &[node(0)]));
+    assert_eq!(Some(node(0)), ask(&mut rooms, &Wish::default(), &[node(0)]));
 }
 
 #[test]
@@ -155,7 +166,7 @@
     let mut now = Duration::ZERO;
     for _ in 0..200 {
         now += Duration::from_millis(5);
-        let Some(taken) = rooms.place(&service(), TASK, &[]) else {
+        let Some(taken) = ask(&mut rooms, &Wish::default(), &[]) else {
             continue;
         };
         let ending = match taken == node(0) {
@@ -203,3 +214,74 @@
     let elapsed = Duration::from_millis(elapsed);
     assert_eq!(expected, is_worth_moving(elapsed, percent, slowness));
 }
+
+/// Five upstreams of rack r0 and five of rack r1, every second of kind b.
+fn racks() -> Rooms {
+    let mut rooms = Rooms::new();
+    for index in 0..10 {
+        let kind = if index % 2 == 0 { "a" } else { "b" };
+        let labels = vec![kind.to_owned(), format!("r{}", index / 5)];
+        let told = Told { labels, ..told(32) };
+        rooms.told(&node(index), Incarnation(1), true, told);
+    }
+    rooms
+}
+
+#[test]
+fn a_label_that_is_asked_for_is_never_missed() {
+    let mut rooms = racks();
+    let wish = Wish {
+        label: Some("b".to_owned()),
+        ..Wish::default()
+    };
+    let placed: Vec<Node> = std::iter::from_fn(|| ask(&mut rooms, &wish, &[])).collect();
+    assert_eq!(50, placed.len());
+    let kind_b: Vec<Node> = (0..10).filter(|index| index % 2 == 1).map(node).collect();
+    assert!(placed.iter().all(|node| kind_b.contains(node)));
+    let unknown = Wish {
+        label: Some("c".to_owned()),
+        ..Wish::default()
+    };
+    assert!(rooms.serves(&service(), &wish));
+    assert!(!rooms.serves(&service(), &unknown));
+    assert_eq!(None, ask(&mut rooms, &unknown, &[]));
+}
+
+/// Many jobs want the same rack at once, beside others that don't mind.
+#[test]
+fn tasks_run_near_their_data_while_there_is_room_and_away_rather_than_wait() {
+    let mut rooms = racks();
+    let near = Wish {
+        near: Some("r1".to_owned()),
+        ..Wish::default()
+    };
+    let rack: Vec<Node> = (5..10).map(node).collect();
+    for _ in 0..25 {
+        let placed = ask(&mut rooms, &near, &[]).expect("there is room");
+        assert!(rack.contains(&placed));
+        let other = ask(&mut rooms, &Wish::default(), &[]).expect("there is room");
+        assert!(
+            !rack.contains(&other),
+            "those that don't mind leave it free"
+        );
+    }
+    let rest: Vec<Node> = std::iter::from_fn(|| ask(&mut rooms, &near, &[])).collect();
+    assert_eq!(50, rest.len());
+}
+
+#[test]
+fn a_barred_upstream_is_never_taken() {
+    let mut rooms = rooms(&[32, 32]);
+    let wish = Wish::default();
+    let barred = [node(0)];
+    let ask = Ask {
+        need: TASK,
+        wish: &wish,
+        avoid: &[node(1)],
+        barred: &barred,
+    };
+    for _ in 0..10 {
+        assert_eq!(Some(node(1)), rooms.place(&service(), &ask));
+    }
+    assert_eq!(None, rooms.place(&service(), &ask));
+}
--- a/crates/wire/src/need.rs
+++ b/crates/wire/src/need.rs
@@ -56,6 +56,24 @@
     }
 }
 
+/// What a task asks of its upstream beside room.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Wish {
+    /// Label that the upstream must have.
+    pub label: Option<String>,
+    /// Label that the upstream had better have, as its data is there.
+    pub near: Option<String>,
+    /// How many tasks of one step may be at one upstream at once.
+    pub most: Option<u32>,
+}
+
+impl Wish {
+    /// Whether only some of the upstreams with room will do.
+    pub fn is_picky(&self) -> bool {
+        self.label.is_some() || self.most.is_some()
+    }
+}
+
 impl fmt::Display for Need {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Need {
