route: half of the upstreams may be ejected, and failing ones fill last beyond that

A third of the upstreams was out, which is all that was allowed; whatever else failed ended its tasks soonest, so it looked the emptiest and got the most. Change: half may be out; an upstream whose last runs failed and that can't be ejected fills last.

--- a/crates/route/src/eject/mod.rs
+++ b/crates/route/src/eject/mod.rs
@@ -129,6 +129,12 @@
         Some(node.clone())
     }
 
+    /// Whether an upstream's last requests failed, as many as may eject it.
+    pub fn is_suspect(&self, node: &Node) -> bool {
+        let record = self.records.get(node);
+        record.is_some_and(|record| record.is_suspect(&self.settings))
+    }
+
     /// Upstreams that are ejected or on trial.
     pub fn out(&self) -> usize {
         self.out
--- a/crates/route/src/eject/record.rs
+++ b/crates/route/src/eject/record.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// Whether its last requests failed, as many as may eject it.
+    pub(crate) fn is_suspect(&self, settings: &Settings) -> bool {
+        self.bad_in_a_row >= settings.failures
+    }
+
     /// Whether it is so much worse than the others, which fail the share
     /// `failing` and run at `pace`, that chance hardly explains it.
     pub(crate) fn is_outlier(&self, failing: f64, pace: f64, settings: &Settings) -> bool {
--- a/crates/route/src/room/mod.rs
+++ b/crates/route/src/room/mod.rs
@@ -26,6 +26,13 @@
 /// half as fast counts as if this share of it were taken.
 const PACE_WEIGHT: f64 = 0.5;
 
+/// Weight of having failed the last runs, in upstreams: where no more may be
+/// ejected, the others that fail all still fill last.
+const SUSPECT_WEIGHT: f64 = 10.0;
+
+/// Share of the upstreams that may be ejected or on trial at a time.
+const MOST_OUT: f64 = 0.5;
+
 /// Weight of being in another data centre, as a share of an upstream.
 const FAR_WEIGHT: f64 = 0.02;
 
@@ -180,7 +187,9 @@
             peer.observe(run, expected);
         }
         let detector = self.detectors.get_mut(&peer.told.service)?;
-        let standing = detector.observe(node, ending, now, rng)?;
+        let standing = detector.observe(node, ending, now, rng);
+        peer.suspect = detector.is_suspect(node);
+        let standing = standing?;
         peer.standing = standing;
         Some(standing)
     }
@@ -208,6 +217,7 @@
         let node = self.detectors.values_mut().find_map(|d| d.readmit(now))?;
         if let Some(peer) = self.peers.get_mut(&node) {
             peer.standing = Standing::Trial;
+            peer.suspect = false;
         }
         Some(node)
     }
@@ -244,5 +254,6 @@
     Settings::builder()
         .shortest(SHORTEST_OUT)
         .longest(LONGEST_OUT)
+        .most_out(MOST_OUT)
         .build()
 }
--- a/crates/route/src/room/peer.rs
+++ b/crates/route/src/room/peer.rs
@@ -5,7 +5,7 @@
 use gentian_wire::id::Service;
 use gentian_wire::need::{Need, Wish};
 
-use super::{FAR_WEIGHT, PACE_WEIGHT, TRIAL_TASKS};
+use super::{FAR_WEIGHT, PACE_WEIGHT, SUSPECT_WEIGHT, TRIAL_TASKS};
 use crate::view::Standing;
 
 /// Weight of the newest run in an upstream's pace.
@@ -56,6 +56,8 @@
     pub(super) near: bool,
     pub(super) reachable: bool,
     pub(super) standing: Standing,
+    /// Its last runs have failed, and it could not be ejected.
+    pub(super) suspect: bool,
     own: Need,
     tasks: u32,
     /// Run times over what was expected, once something has run.
@@ -76,6 +78,7 @@
             near: false,
             reachable: true,
             standing: Standing::Normal,
+            suspect: false,
             own: Need::default(),
             tasks: 0,
             pace: None,
@@ -113,7 +116,9 @@
     pub(super) fn rank(&self, need: Need) -> f64 {
         let load = self.taken().plus(need).share_of(self.told.capacity);
         let far = if self.near { 0.0 } else { FAR_WEIGHT };
-        load + PACE_WEIGHT * (self.pace.unwrap_or(1.0) - 1.0) + far
+        let slow = PACE_WEIGHT * (self.pace.unwrap_or(1.0) - 1.0);
+        let suspect = if self.suspect { SUSPECT_WEIGHT } else { 0.0 };
+        load + slow + far + suspect
     }
 
     pub(super) fn start(&mut self, need: Need) {
--- a/crates/route/tests/room.rs
+++ b/crates/route/tests/room.rs
@@ -7,7 +7,7 @@
 use gentian_route::room::{is_worth_moving, Ask, Rooms, Told};
 use gentian_wire::id::{Incarnation, Node, Service};
 use gentian_wire::need::{Need, Wish};
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use test_case::test_case;
 
@@ -285,3 +285,55 @@
     }
     assert_eq!(None, rooms.place(&service(), &ask));
 }
+
+/// Share of starts that fail over four seconds where `failing` of `upstreams`
+/// fail at once whatever they are given, at half of the room that is left.
+///
+/// On the day deploy/days/health.toml 12 and then more of 76 did: 13,943 of
+/// 122,301 runs failed, and each third job with them.
+fn failed_share(upstreams: usize, failing: usize) -> f64 {
+    const WORK: u64 = 120;
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut rooms = rooms(&vec![32; upstreams]);
+    let slots = told(32).capacity.cpu / TASK.cpu;
+    let mut ends: BTreeMap<u64, Vec<usize>> = BTreeMap::new();
+    let (mut sent, mut failed) = (0_u32, 0_u32);
+    for now in 0..4_000 {
+        let at = Duration::from_millis(now);
+        while rooms.readmit(at).is_some() {}
+        for index in ends.remove(&now).unwrap_or_default() {
+            rooms.release(&node(index), TASK);
+            let run = Duration::from_millis(WORK);
+            let expected = Some(run);
+            let ending = match index < failing {
+                true => Ending::Bad,
+                false => Ending::Good { run, expected },
+            };
+            rooms.ended(&node(index), ending, at, &mut rng);
+        }
+        let good = f64::from(slots) * (upstreams - failing) as f64;
+        let rate = 0.5 * good / WORK as f64;
+        let count = rate as usize + usize::from(rng.random_bool(rate.fract()));
+        for _ in 0..count {
+            let Some(chosen) = ask(&mut rooms, &Wish::default(), &[]) else {
+                break;
+            };
+            let index = (0..upstreams).find(|index| node(*index) == chosen);
+            let index = index.expect("known");
+            sent += 1;
+            failed += u32::from(index < failing);
+            let time = if index < failing { 3 } else { WORK };
+            ends.entry(now + time).or_default().push(index);
+        }
+    }
+    f64::from(failed) / f64::from(sent)
+}
+
+#[test_case(11, 2; "two of eleven")]
+#[test_case(62, 12; "twelve of 62")]
+#[test_case(62, 30; "thirty of 62")]
+fn upstreams_that_fail_all_get_little(upstreams: usize, failing: usize) {
+    let share = failed_share(upstreams, failing);
+    println!("{failing} of {upstreams}: {:.1} % fail", 100.0 * share);
+    assert!(share < 0.1, "{share}");
+}
