--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -179,15 +179,26 @@
     headers: &[(&str, &str)],
     body: &str,
 ) -> (StatusCode, String) {
+    try_call(method, url, headers, body, PATIENCE).expect("answer")
+}
+
+/// Sends a request and returns status and body, if a whole answer comes in time.
+pub(crate) fn try_call(
+    method: &str,
+    url: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+    patience: Duration,
+) -> std::io::Result<(StatusCode, String)> {
     let mut request = Request::builder().method(method).uri(url);
     for (name, value) in headers {
         request = request.header(*name, *value);
     }
     let request = request.body(Body::from(body.to_owned())).expect("request");
-    let client = oxhttp::Client::new().with_global_timeout(PATIENCE);
-    let answer = client.request(request).expect("answer");
+    let client = oxhttp::Client::new().with_global_timeout(patience);
+    let answer = client.request(request)?;
     let status = answer.status();
-    (status, answer.into_body().to_string().expect("body"))
+    Ok((status, answer.into_body().to_string()?))
 }
 
 /// An HTTP server that records requests as `METHOD PATH BODY` and answers each
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -55,6 +55,8 @@
     running: BTreeMap<String, u64>,
     /// Ends, by how they came about.
     pub(crate) ends: BTreeMap<&'static str, u64>,
+    /// Tasks that have ended done.
+    pub(crate) done: BTreeSet<String>,
 }
 
 #[derive(Debug)]
@@ -113,6 +115,9 @@
             .push((self.ends, task.to_owned(), run.number, how));
         let mut seen = self.seen.lock().expect("lock");
         *seen.ends.entry(how).or_default() += 1;
+        if how == "done" {
+            seen.done.insert(task.to_owned());
+        }
         *seen.running.entry(task.to_owned()).or_default() -= 1;
     }
 
@@ -264,6 +269,17 @@
         }
     }
 
+    /// Begins another life of the worker, which knows nothing of before.
+    pub(crate) fn revive(&self) {
+        let mut state = self.state.lock().expect("lock");
+        state.die();
+        state.born += 1;
+        state.origin = Instant::now();
+        (state.token, state.lease) = (0, Duration::ZERO);
+        (state.ends, state.beats) = (0, 0);
+        state.mood = Mood::Sound;
+    }
+
     /// Says that the worker leaves.
     pub(crate) fn drain(&self) {
         self.state.lock().expect("lock").ready = false;
@@ -366,6 +382,7 @@
     entry_ready: String,
     control_https: Vec<String>,
     control_settings: Vec<Value>,
+    entry_settings: Vec<Value>,
     folders: Vec<tempfile::TempDir>,
     logs: tempfile::TempDir,
 }
@@ -394,6 +411,7 @@
             entry_ready: String::new(),
             control_https: (0..3).map(|i| format!("{}:{http}", host(i))).collect(),
             control_settings: Vec::new(),
+            entry_settings: Vec::new(),
             folders: Vec::new(),
             logs: tempfile::tempdir().expect("temporary folder"),
         };
@@ -421,17 +439,21 @@
             if let Some(path) = entry_log {
                 log["file"] = json!(path);
             }
-            let entry = run(&json!({
+            let mut settings = json!({
                 "name": format!("entry-{index}"), "data_center": "d", "rack": "r", "region": "x",
                 "control": seeds, "log": log,
                 "entry": {
                     "http": "127.0.0.1:0", "ready": "127.0.0.1:0", "dialect": "platform",
                     "drain_timeout": "6s",
                 },
-            }));
+            });
+            let entry = run(&settings);
             let address = entry.listening("entry-http").to_string();
             platform.entry_https.push(address);
             platform.entry_ready = entry.listening("entry-ready").to_string();
+            settings["entry"]["http"] = json!(platform.entry_https[index]);
+            settings["entry"]["ready"] = json!(platform.entry_ready);
+            platform.entry_settings.push(settings);
             platform.entries.push(entry);
         }
         platform.put(2, 1_500);
@@ -501,26 +523,7 @@
 
     /// Calls a control instance and follows where it sends.
     pub(crate) fn control(&self, at: usize, method: &str, path: &str, body: &str) -> (u16, String) {
-        let mut url = format!("http://{}{path}", self.control_https[at]);
-        for _ in 0..3 {
-            let client = oxhttp::Client::new().with_global_timeout(Duration::from_secs(2));
-            let request = Request::builder().method(method).uri(&url);
-            let request = request.body(Body::from(body.to_owned())).expect("request");
-            let answer = match client.request(request) {
-                Ok(answer) => answer,
-                Err(error) => return (NO_ANSWER, error.to_string()),
-            };
-            let status = answer.status().as_u16();
-            let location = answer.headers().get("location").cloned();
-            match location {
-                Some(to) if status == 307 => url = to.to_str().expect("text").to_owned(),
-                _ => return (status, answer.into_body().to_string().unwrap_or_default()),
-            }
-        }
-        (
-            NO_ANSWER,
-            format!("too many redirections, the last to {url}"),
-        )
+        operate(&self.control_https[at], method, path, body)
     }
 
     /// The configuration that a control instance reads back, once one does.
@@ -532,7 +535,6 @@
             (status == 200).then(|| serde_json::from_str(&body).expect("JSON"))
         })
     }
-
     /// Hands a job of `count` tasks of `millis` in; status and body.
     pub(crate) fn submit(
         &self,
@@ -606,6 +608,30 @@
         self.workers.iter().map(Worker::running).sum()
     }
 
+    /// Kills an entry and starts it again at the same addresses.
+    pub(crate) fn restart_entry(&mut self, at: usize) {
+        self.entries[at].kill();
+        self.entries[at].wait();
+        self.entries[at] = run(&self.entry_settings[at]);
+    }
+
+    /// Kills a control instance and starts it again with its data.
+    pub(crate) fn restart_control(&mut self, at: usize) {
+        self.controls[at].kill();
+        self.controls[at].wait();
+        self.controls[at] = run(&self.control_settings[at]);
+    }
+
+    /// Where entries take calls.
+    pub(crate) fn entry_addresses(&self) -> Vec<String> {
+        self.entry_https.clone()
+    }
+
+    /// Where control instances take operators' calls.
+    pub(crate) fn control_addresses(&self) -> Vec<String> {
+        self.control_https.clone()
+    }
+
     /// Kills a control instance, deletes its data and starts it again.
     pub(crate) fn lose_disk(&mut self, at: usize) {
         self.controls[at].kill();
@@ -627,6 +653,30 @@
     }
 }
 
+/// Calls the control instance at an address and follows where it sends.
+pub(crate) fn operate(address: &str, method: &str, path: &str, body: &str) -> (u16, String) {
+    let mut url = format!("http://{address}{path}");
+    for _ in 0..3 {
+        let client = oxhttp::Client::new().with_global_timeout(Duration::from_secs(2));
+        let request = Request::builder().method(method).uri(&url);
+        let request = request.body(Body::from(body.to_owned())).expect("request");
+        let answer = match client.request(request) {
+            Ok(answer) => answer,
+            Err(error) => return (NO_ANSWER, error.to_string()),
+        };
+        let status = answer.status().as_u16();
+        let location = answer.headers().get("location").cloned();
+        match location {
+            Some(to) if status == 307 => url = to.to_str().expect("text").to_owned(),
+            _ => return (status, answer.into_body().to_string().unwrap_or_default()),
+        }
+    }
+    (
+        NO_ANSWER,
+        format!("too many redirections, the last to {url}"),
+    )
+}
+
 /// A whole configuration with one queue.
 pub(crate) fn config(version: u64, timeout: u64) -> Value {
     json!({
