--- a/crates/core/src/agent/lease/mod.rs
+++ b/crates/core/src/agent/lease/mod.rs
@@ -6,6 +6,7 @@
 //! [`gentian::claim::run`], here are the calls and the streams.
 
 mod beside;
+mod calls;
 mod http;
 mod known;
 mod stream;
@@ -56,7 +57,7 @@
     let local = http::Local::new(beside.clone(), metrics);
     let local = Arc::new(renew::Status::new("agent", renewal.held(), local));
     let http = http.serve(local, drain.clone());
-    let looking = tokio::spawn(beside::look(beside.clone()));
+    let looking = tokio::spawn(calls::look(beside.clone()));
     let telling = tokio::spawn(beside::tell(beside.clone()));
     let leaving = leave(stop, beside, drained);
     let (peer, (), (), ()) = tokio::join!(peer, http, renewal.run(drain), leaving);
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -141,6 +141,7 @@
     fn renewed(&self, request: &RenewRequest) -> Result<RenewReply, Status> {
         let announcement = announcement(request).map_err(malformed)?;
         let node = announcement.node.clone();
+        let is_entry = announcement.member.is_none();
         let before = self.log.leader();
         let Leader::Own { term } = before else {
             return Ok(elsewhere(before));
@@ -156,7 +157,9 @@
                 return Ok(RenewReply::default());
             }
             let mut reply = grant(&inner, request, now);
-            tell_present(&mut reply, table.alive(now), request.known_roster);
+            if is_entry {
+                tell_present(&mut reply, table.alive(now), request.known_roster);
+            }
             reply.control = self.log.members();
             (reply, table.due(now, &node, window))
         };
@@ -243,7 +246,7 @@
     reply
 }
 
-/// Tells the agents that renew now, unless the node knows of them.
+/// Tells an entry the agents that renew now, unless it knows of them.
 fn tell_present<'a>(
     reply: &mut RenewReply,
     alive: impl Iterator<Item = &'a Announcement>,
--- a/crates/core/src/entry/lease/front.rs
+++ b/crates/core/src/entry/lease/front.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use super::dispatcher::Dispatcher;
-use super::job::{Cause, Outcome, Step, Submission};
+use super::job::{Cause, Outcome, Submission};
 use crate::logging::is_sampled;
 use crate::metrics;
 use crate::renew::Held;
@@ -152,7 +152,7 @@
             queue,
             service,
             spec: Bytes::from(job.spec),
-            steps: job.steps.into_iter().map(step).collect(),
+            steps: job.steps,
         };
         let sampled = is_sampled(id);
         let known = (held.version, held.age(arrived).unwrap_or_default());
@@ -213,16 +213,6 @@
     }
 }
 
-fn step(step: caller::Step) -> Step {
-    Step {
-        tasks: step.tasks,
-        need: step.need,
-        wish: step.wish,
-        estimate: step.estimate,
-        after: step.after,
-    }
-}
-
 /// A job that has been answered is not known any more.
 fn unknown() -> Problem {
     Problem::new(410, "gone", "no such job")
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -9,7 +9,7 @@
 use gentian::config::document::Queue;
 use gentian::limit::line::{Objective, Rank};
 use gentian::wire::id::{Node, Service};
-use gentian::wire::need::{Need, Wish};
+use gentian_platform::caller::Step;
 use tokio::sync::oneshot;
 
 /// A job as it was handed in.
@@ -46,18 +46,6 @@
     }
 }
 
-/// Tasks of a job that are alike.
-#[derive(Debug)]
-pub(super) struct Step {
-    pub(super) tasks: Vec<String>,
-    pub(super) need: Need,
-    pub(super) wish: Wish,
-    /// How long a task of it was declared to run.
-    pub(super) estimate: Duration,
-    /// Numbers of earlier steps that must be done before.
-    pub(super) after: Vec<usize>,
-}
-
 /// What became of a job.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Outcome {
--- a/crates/core/src/entry/lease/mod.rs
+++ b/crates/core/src/entry/lease/mod.rs
@@ -11,6 +11,7 @@
 mod job;
 mod link;
 mod peer;
+mod state;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -5,6 +5,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use gentian::wire::control::control_client::ControlClient;
+use gentian::wire::control::{Node, RenewReply, RenewRequest, Role};
 use serde_json::json;
 use support::platform::{config, Mood, Platform};
 use support::system::poll;
@@ -353,3 +355,42 @@
     assert_eq!(3, ends(&platform, "stopped"));
     assert_eq!(410, platform.call(0, "GET", path, "").0);
 }
+
+/// A renewal of a new node by the control instance that leads.
+fn renewed(platform: &Platform, name: &str, role: Role) -> RenewReply {
+    let request = RenewRequest {
+        node: Some(Node {
+            name: name.to_owned(),
+            incarnation: 1,
+            role: role.into(),
+            address: "127.0.0.1:1".to_owned(),
+            data_center: "d".to_owned(),
+            rack: "r".to_owned(),
+            region: "x".to_owned(),
+        }),
+        ..RenewRequest::default()
+    };
+    let runtime = tokio::runtime::Runtime::new().expect("runtime");
+    runtime.block_on(async {
+        for peer in platform.control_peers() {
+            let client = ControlClient::connect(format!("http://{peer}")).await;
+            let reply = client.expect("connection").renew(request.clone()).await;
+            let reply = reply.expect("reply").into_inner();
+            if reply.granted {
+                return reply;
+            }
+        }
+        panic!("no instance leads")
+    })
+}
+
+/// In a sweep of 300 machines the leader sent 2.4 MB a second: the list of all
+/// agents, to each agent as well, which has no use for it.
+#[test]
+fn only_entries_are_told_which_agents_there_are() {
+    let platform = Platform::start(2, 1);
+    let told = renewed(&platform, "entry-9", Role::Entry);
+    assert_eq!(2, told.present.len());
+    let told = renewed(&platform, "agent-9", Role::Agent);
+    assert_eq!((0, 0), (told.roster, told.present.len()));
+}
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -627,6 +627,15 @@
         self.entry_https.clone()
     }
 
+    /// Where control instances take the calls of other processes.
+    pub(crate) fn control_peers(&self) -> Vec<String> {
+        let peers = self.control_settings.iter();
+        let peers = peers.map(|settings| settings["controller"]["peer"].as_str());
+        peers
+            .map(|peer| peer.expect("an address").to_owned())
+            .collect()
+    }
+
     /// Where control instances take operators' calls.
     pub(crate) fn control_addresses(&self) -> Vec<String> {
         self.control_https.clone()
--- /dev/null
+++ b/crates/route/benches/room.rs
@@ -0,0 +1,72 @@
+//! Time to place one task by room and to take its end in, at several numbers of
+//! upstreams.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use gentian_route::eject::Ending;
+use gentian_route::room::{Ask, Rooms, Told};
+use gentian_wire::id::{Incarnation, Node, Service};
+use gentian_wire::need::{Need, Wish};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+const TASK: Need = Need {
+    cpu: 3_100,
+    memory: 64,
+    accelerators: 0,
+};
+
+fn rooms(service: &Service, upstreams: usize) -> Rooms {
+    let mut rooms = Rooms::new();
+    for index in 0..upstreams {
+        let node: Node = format!("agent-{index}").parse().expect("a valid name");
+        let told = Told {
+            service: service.clone(),
+            capacity: Need {
+                cpu: 32_000,
+                memory: 65_536,
+                accelerators: 0,
+            },
+            others: Need::default(),
+            open: true,
+            pace: Some(1.0),
+            labels: vec!["a".to_owned(), format!("r{}", index / 10)],
+        };
+        rooms.told(&node, Incarnation(1), true, told);
+    }
+    rooms
+}
+
+fn place(criterion: &mut Criterion) {
+    let service: Service = "desk".parse().expect("a valid name");
+    let wish = Wish::default();
+    let ask = Ask {
+        need: TASK,
+        wish: &wish,
+        avoid: &[],
+        barred: &[],
+    };
+    let mut group = criterion.benchmark_group("place_by_room");
+    for upstreams in [11, 68, 300] {
+        let mut rooms = rooms(&service, upstreams);
+        let mut rng = Pcg64::seed_from_u64(1);
+        let ending = Ending::Good {
+            run: Duration::from_millis(60),
+            expected: Some(Duration::from_millis(60)),
+        };
+        group.bench_function(BenchmarkId::from_parameter(upstreams), |bencher| {
+            bencher.iter(|| {
+                let node = rooms.place(&service, &ask).expect("there is room");
+                rooms.release(&node, TASK);
+                rooms.ended(&node, ending, Duration::from_secs(1), &mut rng);
+                black_box(node)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, place);
+criterion_main!(benches);
