A start that the next life of a worker carries out is not given up as lost

Cause: a worker crashed and came back under its id; until its next heartbeat the agent ordered starts of it as of the last life, the new life carried them out, and its answer, which tells another birth, made the agent tell the entry that the run was lost. The entry began it elsewhere while it ran on; a look that found it was not believed either. Change: starts on their way and those without an answer outlive the replacement and are stopped at the new life; a run that was given up and is found is stopped.

--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -86,6 +86,13 @@
     Refused(Refusal),
 }
 
+impl Fate {
+    /// Whether the upstream has told this end itself.
+    fn is_told(self) -> bool {
+        matches!(self, Fate::Done | Fate::Failed | Fate::Stopped)
+    }
+}
+
 /// Why a run was not begun.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::VariantNames)]
 #[strum(serialize_all = "snake_case")]
@@ -390,7 +397,7 @@
                     time += took;
                 }
                 // A look may be overtaken by a later one that told the end.
-                None if self.ended.fate(&found.run).is_some() => {}
+                None if self.ended.fate(&found.run).is_some_and(Fate::is_told) => {}
                 None if self.strays.contains(&found.run) => {}
                 None => self.strays.push(found.run.clone()),
             }
@@ -445,14 +452,29 @@
         self.end_all(&gone, now)
     }
 
-    /// Ends all, since the upstream is another one now.
+    /// Ends what was there, since the upstream is another one now.
+    ///
+    /// Starts that got no answer yet may be carried out by the new one, where it
+    /// has the id of the last: they are told to stop there like all others of
+    /// which nothing is known.
     pub fn replaced(&mut self, now: Duration) -> Vec<End> {
         self.seen = 0;
         self.strays.clear();
         self.granted_until = Duration::ZERO;
         self.granting.clear();
         self.pace = Pace::default();
-        let gone: Vec<Run> = self.live.keys().cloned().collect();
+        let mut gone = Vec::new();
+        for (run, live) in &mut self.live {
+            match &mut live.phase {
+                Phase::Running { .. } => gone.push(run.clone()),
+                Phase::Starting => self.granted_until = now + surely_gone(),
+                Phase::Unsure { until, after } => {
+                    self.granted_until = now + surely_gone();
+                    (*until, *after) = (self.granted_until, None);
+                    live.stopped_at = None;
+                }
+            }
+        }
         self.end_all(&gone, now)
     }
 
--- a/crates/claim/tests/run.rs
+++ b/crates/claim/tests/run.rs
@@ -340,3 +340,62 @@
     let pace = runs.pace().expect("enough was seen");
     assert!(expected.contains(&pace), "pace {pace}");
 }
+
+/// Seed 53 of the soak: an upstream crashed and came back under its id, and a
+/// start that was on its way was carried out by its next life. It was told to be
+/// lost with the last one and ran twice.
+#[test]
+fn a_start_on_its_way_may_reach_the_next_life_of_the_upstream() {
+    let mut runs = runs();
+    runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
+        .expect("room");
+    let grant = runs.grant(LEASE, ms(0));
+    runs.granted(grant, true);
+    assert!(runs.replaced(ms(10)).is_empty(), "it may run there");
+    assert_eq!(None, runs.started(&run("t", 1), Started::Unknown, ms(11)));
+    assert!(runs.lapse(ms(12)).is_empty(), "its lease goes on there");
+    assert_eq!(vec![run("t", 1)], runs.due_stops(ms(13)));
+    let look = runs.look();
+    assert!(runs
+        .looked(look, &[found("t", 1, 5)], &[], ms(14))
+        .is_empty());
+    runs.stopped(&run("t", 1));
+    let look = runs.look();
+    assert_eq!(
+        vec![Fate::Lost],
+        fates(&runs.looked(look, &[], &[], ms(20)))
+    );
+}
+
+/// The same for one whose start had got no answer before.
+#[test]
+fn an_unsure_run_is_stopped_at_the_next_life_of_the_upstream() {
+    let mut runs = runs();
+    runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
+        .expect("room");
+    runs.started(&run("t", 1), Started::Unknown, ms(5));
+    assert_eq!(vec![run("t", 1)], runs.due_stops(ms(6)));
+    runs.stopped(&run("t", 1));
+    assert!(runs.replaced(ms(10)).is_empty());
+    assert_eq!(
+        vec![run("t", 1)],
+        runs.due_stops(ms(11)),
+        "once more, there"
+    );
+    let look = runs.look();
+    assert!(runs.looked(look, &[], &[], ms(12)).is_empty());
+    runs.stopped(&run("t", 1));
+    let look = runs.look();
+    let ends = runs.looked(look, &[], &[], ms(14));
+    assert_eq!(vec![Fate::Refused(Refusal::NoAnswer)], fates(&ends));
+}
+
+#[test]
+fn a_run_that_was_given_up_and_is_found_is_stopped() {
+    let mut runs = running();
+    let look = runs.look();
+    assert_eq!(vec![Fate::Lost], fates(&runs.looked(look, &[], &[], ms(5))));
+    let look = runs.look();
+    runs.looked(look, &[found("t", 1, 5)], &[], ms(10));
+    assert_eq!(vec![run("t", 1)], runs.due_stops(ms(11)));
+}
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -49,7 +49,10 @@
             Ok(Ok((clock, begun))) => {
                 let mut state = beside.state();
                 if clock.is_some_and(|clock| beside.tick(&mut state, &order, clock)) {
-                    return beside.replace(&mut state, &order);
+                    beside.replace(&mut state, &order);
+                    drop(state);
+                    // It may run at a life of the upstream that none has reported yet.
+                    return self::begun(&beside, &run, Started::Unknown);
                 }
                 match begun {
                     Begun::Known(started) => {
@@ -72,7 +75,8 @@
                 }
             }
             Ok(Err(order::Error::Replaced)) => {
-                return beside.replace(&mut beside.state(), &order);
+                beside.replace(&mut beside.state(), &order);
+                return self::begun(&beside, &run, Started::Refused(Refusal::Closed));
             }
             Ok(Err(error)) => {
                 log::warn!("{run}: {error}");
--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -394,3 +394,17 @@
     let told = renewed(&platform, "agent-9", Role::Agent);
     assert_eq!((0, 0), (told.roster, told.present.len()));
 }
+
+/// Seed 53 of the soak: a worker crashed and came back under its id, and what the
+/// agent ordered before it had heard of that ran there and elsewhere.
+#[test]
+fn a_worker_that_came_back_under_its_id_runs_nothing_twice() {
+    let platform = Platform::start(2, 1);
+    for round in 0..4 {
+        thread::sleep(Duration::from_millis(700));
+        platform.workers.iter().for_each(|worker| worker.revive());
+        let answer = platform.submit(0, &format!("{round:016x}"), 8, 300);
+        assert_eq!((200, COMPLETED.to_owned()), answer);
+    }
+    assert_once(&platform);
+}
