Steps are put in line in one pass

Cause: whether a step's turn has come was asked of all that it follows, and of what those follow: a job of 200 steps without tasks that each follow all others would have held the entry up for ever, under its lock. Found on reading. Change: one pass over the steps each time one of them is over. Also: the metric of jobs counts cancelled ones from zero.

--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -107,6 +107,17 @@
     pub(super) moving: bool,
 }
 
+/// When a step may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Turn {
+    /// Once those that it follows are over.
+    Later,
+    /// Its tasks are in line, or run.
+    Now,
+    /// All its tasks are done.
+    Over,
+}
+
 /// A job in progress.
 #[derive(Debug)]
 pub(super) struct Job {
@@ -117,7 +128,8 @@
     /// Tasks whose turn has come and that wait for room, by their index.
     pub(super) waiting: VecDeque<usize>,
     /// Tasks of each step that are not done.
-    pub(super) left: Vec<usize>,
+    left: Vec<usize>,
+    turns: Vec<Turn>,
     /// Whether a start of any task was ordered.
     pub(super) begun: bool,
     pub(super) arrived: Instant,
@@ -148,26 +160,33 @@
                 .iter()
                 .map(|step| step.tasks.len())
                 .collect(),
+            turns: vec![Turn::Later; submission.steps.len()],
             tasks: tasks.collect(),
             begun: false,
             arrived: Instant::now(),
             callers: BTreeMap::new(),
             submission,
         };
-        for step in 0..job.left.len() {
-            if job.is_due(step) {
-                job.queue(step);
-            }
-        }
+        job.queue_due();
         job
     }
 
-    /// Whether all steps that a step follows are done.
-    fn is_due(&self, step: usize) -> bool {
-        let after = &self.submission.steps[step].after;
-        after
-            .iter()
-            .all(|on| self.left[*on] == 0 && self.is_due(*on))
+    /// Puts the steps in line whose turn has come. What a step follows has lower
+    /// numbers, so one pass sees all, and a step without tasks passes the turn on.
+    fn queue_due(&mut self) {
+        for step in 0..self.turns.len() {
+            let after = &self.submission.steps[step].after;
+            let due = after.iter().all(|on| self.turns[*on] == Turn::Over);
+            self.turns[step] = match self.turns[step] {
+                Turn::Later if !due => continue,
+                Turn::Later if self.left[step] > 0 => {
+                    self.queue(step);
+                    Turn::Now
+                }
+                Turn::Now if self.left[step] > 0 => continue,
+                Turn::Later | Turn::Now | Turn::Over => Turn::Over,
+            };
+        }
     }
 
     fn queue(&mut self, step: usize) {
@@ -180,26 +199,11 @@
     pub(super) fn done(&mut self, index: usize) {
         let step = self.tasks[index].step;
         self.left[step] -= 1;
-        if self.left[step] > 0 {
-            return;
-        }
-        for next in step + 1..self.left.len() {
-            // A step without tasks passes the turn on.
-            let waits = self.left[next] > 0 && self.is_untouched(next);
-            if waits && self.is_due(next) {
-                self.queue(next);
-            }
+        if self.left[step] == 0 {
+            self.queue_due();
         }
     }
 
-    /// Whether no task of a step was ever in line.
-    fn is_untouched(&self, step: usize) -> bool {
-        let mut tasks = self.tasks.iter().enumerate();
-        !tasks.any(|(index, task)| {
-            task.step == step && (task.number > 0 || self.waiting.contains(&index))
-        })
-    }
-
     pub(super) fn is_done(&self) -> bool {
         self.left.iter().all(|left| *left == 0)
     }
--- a/crates/core/src/metrics/jobs.rs
+++ b/crates/core/src/metrics/jobs.rs
@@ -50,7 +50,7 @@
                 "gentian_jobs_total",
                 "Jobs answered, by outcome",
                 "outcome",
-                &["completed", "failed", "refused", "given_up"],
+                &["completed", "failed", "refused", "given_up", "cancelled"],
             ),
             refusals: counters(
                 &registry,
--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -360,6 +360,20 @@
     assert_once(&platform);
 }
 
+/// A job may name many steps without tasks that all follow one another.
+#[test]
+fn many_steps_that_follow_all_others_hold_nothing_up() {
+    let platform = Platform::start(1, 1);
+    let follows = |step: usize| json!({ "depends-on": (0..step).collect::<Vec<_>>() });
+    let mut steps: Vec<_> = (0..200).map(follows).collect();
+    steps.push(json!({
+        "count": 1, "cpu": 3_000, "mem-mb": 64, "estimate-ms": 20,
+        "depends-on": (0..200).collect::<Vec<_>>(),
+    }));
+    let job = platform.spawn_steps(0, "0000000000000001", 20, json!(steps));
+    assert_eq!((200, COMPLETED.to_owned()), job.join().expect("an answer"));
+}
+
 #[test]
 fn a_job_in_progress_tells_its_state_and_can_be_cancelled() {
     let platform = Platform::start(1, 1);
