--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use support::platform::{config, Mood, Platform};
 use support::system::poll;
+use support::{call, Process};
 use test_case::test_case;
 
 const COMPLETED: &str = r#"{"state":"completed"}"#;
@@ -389,6 +390,22 @@
     assert_eq!(410, platform.call(0, "GET", path, "").0);
 }
 
+#[test]
+fn other_seeds_are_taken_over_without_a_signal() {
+    let platform = Platform::start(1, 1);
+    let seeds = platform.further_entry();
+    let mut nobody = seeds.clone();
+    nobody["control"] = json!(["127.0.9.9:1"]);
+    let folder = tempfile::tempdir().expect("temporary folder");
+    let path = folder.path().join("settings.json");
+    std::fs::write(&path, nobody.to_string()).expect("settings");
+    let entry = Process::start(&["run", "--settings", path.to_str().expect("path")]);
+    let url = format!("http://{}/q/", entry.listening("entry-http"));
+    assert_eq!(503, call("GET", &url, &[], "").0.as_u16());
+    std::fs::write(&path, seeds.to_string()).expect("settings");
+    poll(|| (call("GET", &url, &[], "").0.as_u16() == 200).then_some(()));
+}
+
 /// A renewal of a new node by the control instance that leads.
 fn renewed(platform: &Platform, name: &str, role: Role) -> RenewReply {
     let request = RenewRequest {
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -615,6 +615,17 @@
         self.entries[at] = run(&self.entry_settings[at]);
     }
 
+    /// Settings of a further entry, at free ports.
+    pub(crate) fn further_entry(&self) -> Value {
+        let mut settings = self.entry_settings[0].clone();
+        settings["name"] = json!("entry-further");
+        settings["log"] = self.log("entry", self.entries.len());
+        for address in ["http", "ready"] {
+            settings["entry"][address] = json!("127.0.0.1:0");
+        }
+        settings
+    }
+
     /// Kills a control instance and starts it again with its data.
     pub(crate) fn restart_control(&mut self, at: usize) {
         self.controls[at].kill();
