--- a/crates/route/benches/room.rs
+++ b/crates/route/benches/room.rs
@@ -4,7 +4,7 @@
 use std::hint::black_box;
 use std::time::Duration;
 
-use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use criterion::{BenchmarkId, Criterion};
 use gentian_route::eject::Ending;
 use gentian_route::room::{Ask, Rooms, Told};
 use gentian_wire::id::{Incarnation, Node, Service};
@@ -68,5 +68,8 @@
     group.finish();
 }
 
-criterion_group!(benches, place);
-criterion_main!(benches);
+fn main() {
+    let mut criterion = Criterion::default().configure_from_args();
+    place(&mut criterion);
+    criterion.final_summary();
+}
