--- a/crates/claim/tests/run.rs
+++ b/crates/claim/tests/run.rs
@@ -46,13 +46,19 @@
     runs
 }
 
-/// The same with the run `t` 1 there.
-fn running() -> Runs {
+/// The same with the start of the run `t` 1 on its way.
+fn starting() -> Runs {
     let mut runs = runs();
     runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
         .expect("room");
     let grant = runs.grant(LEASE, ms(0));
     runs.granted(grant, true);
+    runs
+}
+
+/// The same with that run there.
+fn running() -> Runs {
+    let mut runs = starting();
     assert_eq!(None, runs.started(&run("t", 1), Started::Running, ms(1)));
     runs
 }
@@ -180,11 +186,7 @@
 
 #[test]
 fn a_start_without_an_answer_never_ran_once_its_stop_was_answered() {
-    let mut runs = runs();
-    runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
-        .expect("room");
-    let grant = runs.grant(LEASE, ms(0));
-    runs.granted(grant, true);
+    let mut runs = starting();
     runs.started(&run("t", 1), Started::Unknown, ms(200));
     let before = runs.look();
     assert!(
@@ -200,11 +202,7 @@
 
 #[test]
 fn a_start_without_an_answer_never_ran_once_its_lease_is_over() {
-    let mut runs = runs();
-    runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
-        .expect("room");
-    let grant = runs.grant(LEASE, ms(0));
-    runs.granted(grant, true);
+    let mut runs = starting();
     runs.started(&run("t", 1), Started::Unknown, ms(200));
     let look = runs.look();
     let ends = runs.looked(look, &[], &[], surely_gone());
@@ -346,11 +344,7 @@
 /// lost with the last one and ran twice.
 #[test]
 fn a_start_on_its_way_may_reach_the_next_life_of_the_upstream() {
-    let mut runs = runs();
-    runs.order(&owner("a"), &run("t", 1), TASK, ms(0))
-        .expect("room");
-    let grant = runs.grant(LEASE, ms(0));
-    runs.granted(grant, true);
+    let mut runs = starting();
     assert!(runs.replaced(ms(10)).is_empty(), "it may run there");
     assert_eq!(None, runs.started(&run("t", 1), Started::Unknown, ms(11)));
     assert!(runs.lapse(ms(12)).is_empty(), "its lease goes on there");
--- a/crates/core/src/entry/lease/state.rs
+++ b/crates/core/src/entry/lease/state.rs
@@ -38,21 +38,21 @@
 /// The jobs in progress, what waits, and where the tasks run.
 #[derive(Debug)]
 pub(super) struct State {
-    pub(super) metrics: Arc<metrics::Jobs>,
+    metrics: Arc<metrics::Jobs>,
     pub(super) rooms: Rooms,
-    pub(super) lines: BTreeMap<Service, Line>,
+    lines: BTreeMap<Service, Line>,
     pub(super) jobs: HashMap<u64, Job>,
     /// Jobs in progress by the caller's id.
     pub(super) ids: HashMap<Arc<str>, u64>,
     /// Runs that go on after their job's end, by the caller's id of that.
-    pub(super) ending: HashMap<Arc<str>, usize>,
+    ending: HashMap<Arc<str>, usize>,
     /// Jobs handed in again that wait until the runs of before have ended.
-    pub(super) held_back: HashMap<Arc<str>, u64>,
+    held_back: HashMap<Arc<str>, u64>,
     pub(super) arrivals: u64,
     pub(super) links: BTreeMap<Node, Link>,
     /// Run times over declared ones by queue, as seconds a second.
-    pub(super) ratios: runtime::Table<String>,
-    pub(super) rng: StdRng,
+    ratios: runtime::Table<String>,
+    rng: StdRng,
 }
 
 impl State {
@@ -427,17 +427,17 @@
         let Some(job) = self.jobs.get(&placed.job) else {
             return;
         };
-        let expected = self.expected(&job.submission, job.step_of(placed.index).estimate);
-        let elapsed = placed.at.elapsed();
         let task = &job.tasks[placed.index];
-        let fixed = task.moving || task.avoid.len() >= MOVES;
+        if task.moving || task.avoid.len() >= MOVES {
+            return;
+        }
+        let (elapsed, percent) = (placed.at.elapsed(), progress.percent);
         let slowness = self.rooms.slowness(node);
-        let slow = !placed.away && is_worth_moving(elapsed, progress.percent, slowness);
-        let moves = stands || slow;
-        if fixed || !moves {
+        let slow = !placed.away && is_worth_moving(elapsed, percent, slowness);
+        if !stands && !slow {
             return;
         }
-        let percent = progress.percent;
+        let expected = self.expected(&job.submission, job.step_of(placed.index).estimate);
         tracing::info!(
             event = "moved",
             request = %placed.id,
--- a/crates/core/src/entry/mod.rs
+++ b/crates/core/src/entry/mod.rs
@@ -128,9 +128,7 @@
         let _ = tokio::join!(renewing, lending);
         let _ = tokio::task::spawn_blocking(move || thread.join()).await;
     }
-}
 
-impl Role {
     async fn run_leases(self, stop: watch::Receiver<bool>) {
         let max_body = self.section.max_body.as_usize();
         let Role {
--- a/crates/core/src/metrics/agent.rs
+++ b/crates/core/src/metrics/agent.rs
@@ -2,9 +2,9 @@
 
 use gentian_wire::agent::Reason;
 use gentian_wire::outcome::Outcome;
-use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{IntCounterVec, IntGauge, Registry};
 
-use super::{by_outcome, page, register, Guard, Lease, Messages};
+use super::{by_outcome, counters, page, register, Guard, Lease, Messages};
 use crate::renew::Held;
 use crate::serve::Response;
 
@@ -22,20 +22,9 @@
 impl Agent {
     pub(crate) fn new() -> Agent {
         let registry = Registry::new();
-        let refusals = IntCounterVec::new(
-            Opts::new(
-                "gentian_agent_refusals_total",
-                "Starts that were refused, by reason; none of them ran",
-            ),
-            &["reason"],
-        );
-        let refusals = register(&registry, refusals);
-        for number in 1.. {
-            let Ok(reason) = Reason::try_from(number) else {
-                break;
-            };
-            refusals.with_label_values(&[label(reason).as_str()]);
-        }
+        let reasons = (1..).map_while(|number| Reason::try_from(number).ok());
+        let reasons: Vec<String> = reasons.map(label).collect();
+        let reasons: Vec<&str> = reasons.iter().map(String::as_str).collect();
         let running = IntGauge::new("gentian_agent_tasks_running", "Tasks on the upstream now");
         Agent {
             starts: by_outcome(
@@ -43,7 +32,13 @@
                 "gentian_agent_starts_total",
                 "Starts answered, by outcome",
             ),
-            refusals,
+            refusals: counters(
+                &registry,
+                "gentian_agent_refusals_total",
+                "Starts that were refused, by reason; none of them ran",
+                "reason",
+                &reasons,
+            ),
             running: register(&registry, running),
             messages: Messages::new(&registry),
             lease: Lease::new(&registry),
--- a/crates/core/src/metrics/jobs.rs
+++ b/crates/core/src/metrics/jobs.rs
@@ -12,9 +12,6 @@
 /// Upper bounds of the buckets for waits, in seconds.
 const WAIT_BUCKETS: [f64; 8] = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5];
 
-/// Why jobs are refused.
-const CAUSES: &[&str] = crate::entry::CAUSES;
-
 /// Metrics of one entry for jobs whose tasks run under leases.
 #[derive(Debug)]
 pub(crate) struct Jobs {
@@ -57,7 +54,7 @@
                 "gentian_job_refusals_total",
                 "Jobs of which nothing has run, by why they were refused",
                 "cause",
-                CAUSES,
+                crate::entry::CAUSES,
             ),
             moves: counters(
                 &registry,
--- a/crates/core/tests/explain.rs
+++ b/crates/core/tests/explain.rs
@@ -4,9 +4,10 @@
 
 use serde_json::Value;
 use support::output;
-use support::platform::{Mood, Platform};
+use support::platform::Platform;
 use support::system::poll;
 use support::text;
+use support::worker::Mood;
 
 const ID: &str = "0000000000000001";
 
--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -8,8 +8,9 @@
 use gentian::wire::control::control_client::ControlClient;
 use gentian::wire::control::{Node, RenewReply, RenewRequest, Role};
 use serde_json::json;
-use support::platform::{config, Mood, Platform};
+use support::platform::{config, job, Platform};
 use support::system::poll;
+use support::worker::Mood;
 use support::{call, Process};
 use test_case::test_case;
 
@@ -202,11 +203,7 @@
 #[test]
 fn a_caller_that_leaves_ends_its_job() {
     let platform = Platform::start(1, 1);
-    let job = json!({
-        "spec": "4000", "best-effort": true,
-        "steps": [{ "count": 3, "cpu": 3_000, "mem-mb": 64, "estimate-ms": 4_000 }],
-    });
-    platform.submit_and_leave(0, "0000000000000001", &job);
+    platform.submit_and_leave(0, "0000000000000001", &job(3, 4_000));
     poll(|| (ends(&platform, "stopped") == 3).then_some(()));
     assert_eq!(0, platform.running());
 }
@@ -231,11 +228,7 @@
 #[test]
 fn a_job_that_comes_again_waits_for_the_runs_of_before_to_end() {
     let platform = Platform::start(2, 1);
-    let job = json!({
-        "spec": "4000", "best-effort": true,
-        "steps": [{ "count": 3, "cpu": 3_000, "mem-mb": 64, "estimate-ms": 4_000 }],
-    });
-    platform.submit_and_leave(0, "0000000000000001", &job);
+    platform.submit_and_leave(0, "0000000000000001", &job(3, 4_000));
     let answer = platform.submit(0, "0000000000000001", 3, 50);
     assert_eq!((200, COMPLETED.to_owned()), answer);
     assert_once(&platform);
--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -18,8 +18,9 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
-use serde_json::{json, Value};
-use support::platform::{config, operate, Mood, Platform, Seen};
+use serde_json::Value;
+use support::platform::{config, job, operate, Platform};
+use support::worker::{Mood, Seen};
 use support::{try_call, NO_ANSWER};
 
 const WORKERS: usize = 3;
@@ -65,17 +66,14 @@
     while !stop.load(Ordering::Relaxed) {
         let id = format!("{:016x}", rng.random::<u64>());
         let (tasks, millis) = (rng.random_range(1..=6), rng.random_range(20..400_u64));
-        let job = json!({
-            "spec": millis.to_string(), "best-effort": true,
-            "steps": [{ "count": tasks, "cpu": 3_000, "mem-mb": 64, "estimate-ms": millis }],
-        });
+        let job = job(tasks, millis).to_string();
         let mut refused = true;
         let mut last = (NO_ANSWER, String::new());
         for _ in 0..4 {
             let entry = entries.choose(&mut rng).expect("entries");
             let url = format!("http://{entry}/q/{id}");
             let headers = [("deadline-ms", "2500")];
-            let answer = try_call("POST", &url, &headers, &job.to_string(), PATIENCE);
+            let answer = try_call("POST", &url, &headers, &job, PATIENCE);
             let none = |_| (NO_ANSWER, String::new());
             last = answer.map_or_else(none, |(status, body)| (status.as_u16(), body));
             refused &= matches!(last.0, 429 | 503);
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod cluster;
 pub(crate) mod platform;
 pub(crate) mod system;
+pub(crate) mod worker;
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -47,6 +48,17 @@
 }
 
 impl Process {
+    /// Runs a process with these settings, in a file that is kept as long.
+    pub(crate) fn with_settings(settings: &impl std::fmt::Display) -> Process {
+        let mut file = tempfile::NamedTempFile::new().expect("settings file");
+        file.write_all(settings.to_string().as_bytes())
+            .expect("settings");
+        let path = file.path().to_str().expect("path").to_owned();
+        let mut process = Process::start(&["run", "--settings", &path]);
+        process.keep(file);
+        process
+    }
+
     /// Starts the binary.
     pub(crate) fn start(args: &[&str]) -> Process {
         Process::spawn(gentiancove(args))
--- a/crates/core/tests/support/system.rs
+++ b/crates/core/tests/support/system.rs
@@ -1,11 +1,9 @@
 //! A whole system of separate processes on loopback.
 
-use std::io::Write;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use oxhttp::model::StatusCode;
-use tempfile::NamedTempFile;
 
 use super::{call, output, text, Process, PATIENCE};
 
@@ -168,12 +166,7 @@
     let text = format!(
         r#"{{"name":"{name}","data_center":"beauce","rack":"r1","region":"quebec","control":[{control}],{section}}}"#
     );
-    let mut file = NamedTempFile::new().expect("temporary file");
-    file.write_all(text.as_bytes()).expect("settings");
-    let path = file.path().to_str().expect("path").to_owned();
-    let mut process = Process::start(&["run", "--settings", &path]);
-    process.keep(file);
-    process
+    Process::with_settings(&text)
 }
 
 /// Polls until there is a value, for as long as tests have patience.
--- a/crates/quorum/tests/heal.rs
+++ b/crates/quorum/tests/heal.rs
@@ -91,33 +91,30 @@
     );
 }
 
-#[test]
-fn one_change_goes_at_a_time() {
-    let mut healer = healer(2);
-    healer.ask(id(8), address(8), NOW);
-    healer.ask(id(9), address(9), NOW);
+/// Three voters and an eighth that is to become one.
+fn adding() -> Members {
     let add = Change::Add {
         id: id(8),
         address: address(8),
     };
     let command = Command::new(1).expect("not zero");
-    let members = members(&[1, 2, 3])
-        .changed(command, &add)
-        .expect("a new member");
+    let members = members(&[1, 2, 3]).changed(command, &add);
+    members.expect("a new member")
+}
+
+#[test]
+fn one_change_goes_at_a_time() {
+    let mut healer = healer(2);
+    healer.ask(id(8), address(8), NOW);
+    healer.ask(id(9), address(9), NOW);
+    let members = adding();
     assert_eq!(None, healer.due(&members, id(1), &heard(&[2, 3, 8]), NOW));
 }
 
 #[test]
 fn a_learner_that_is_gone_does_not_block_the_next() {
     let healer = healer(2);
-    let add = Change::Add {
-        id: id(8),
-        address: address(8),
-    };
-    let command = Command::new(1).expect("not zero");
-    let members = members(&[1, 2, 3])
-        .changed(command, &add)
-        .expect("a new member");
+    let members = adding();
     let due = healer.due(&members, id(1), &heard(&[2, 3]), NOW);
     assert_eq!(Some(Change::Remove { id: id(8) }), due);
 }
--- a/crates/route/src/room/mod.rs
+++ b/crates/route/src/room/mod.rs
@@ -60,25 +60,16 @@
 }
 
 /// The upstreams of all services, as one entry knows them.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Rooms {
     peers: BTreeMap<Node, Peer>,
     detectors: BTreeMap<Service, Detector>,
 }
 
-impl Default for Rooms {
-    fn default() -> Rooms {
-        Rooms::new()
-    }
-}
-
 impl Rooms {
     /// Knows no upstream yet.
     pub fn new() -> Rooms {
-        Rooms {
-            peers: BTreeMap::new(),
-            detectors: BTreeMap::new(),
-        }
+        Rooms::default()
     }
 
     /// Takes in what an agent tells of its upstream.
@@ -86,8 +77,12 @@
         let detector = self.detectors.entry(told.service.clone());
         let detector = detector.or_insert_with(|| Detector::new(settings()));
         detector.put(node, incarnation);
-        let peer = self.peers.entry(node.clone());
-        peer.or_default().take(near, told);
+        match self.peers.get_mut(node) {
+            Some(peer) => peer.take(near, told),
+            None => {
+                self.peers.insert(node.clone(), Peer::new(near, told));
+            }
+        }
     }
 
     /// Whether an agent can be reached; nothing is placed where it can't.
--- a/crates/route/src/room/peer.rs
+++ b/crates/route/src/room/peer.rs
@@ -64,33 +64,24 @@
     pub(super) pace: Option<f64>,
 }
 
-impl Default for Peer {
-    fn default() -> Peer {
+impl Peer {
+    pub(super) fn new(near: bool, told: Told) -> Peer {
         Peer {
-            told: Told {
-                service: "none".parse().expect("a constant name is valid"),
-                capacity: Need::default(),
-                others: Need::default(),
-                open: false,
-                pace: None,
-                labels: Vec::new(),
-            },
-            near: false,
+            near,
             reachable: true,
             standing: Standing::Normal,
             suspect: false,
             own: Need::default(),
             tasks: 0,
-            pace: None,
+            pace: told.pace.map(believed),
+            told,
         }
     }
-}
 
-impl Peer {
     pub(super) fn take(&mut self, near: bool, told: Told) {
         self.near = near;
         if let Some(pace) = told.pace {
-            self.pace = Some(pace.clamp(*PACE.start(), *PACE.end()));
+            self.pace = Some(believed(pace));
         }
         self.told = told;
     }
@@ -133,9 +124,8 @@
 
     pub(super) fn observe(&mut self, run: Duration, expected: Duration) {
         let ratio = run.as_secs_f64() / expected.as_secs_f64().max(1e-3);
-        let ratio = ratio.clamp(*PACE.start(), *PACE.end());
         let pace = self.pace.unwrap_or(1.0);
-        self.pace = Some(pace + PACE_NEWEST * (ratio - pace));
+        self.pace = Some(pace + PACE_NEWEST * (believed(ratio) - pace));
     }
 
     /// What is this entry's, and what is free.
@@ -147,3 +137,7 @@
         self.own.plus(self.told.others)
     }
 }
+
+fn believed(pace: f64) -> f64 {
+    pace.clamp(*PACE.start(), *PACE.end())
+}
