quorum: a leader whose thread stood still asks before it steps down

Cause: tick_leader counted the time without a confirmed heartbeat round over a gap in which the process did not run. Change: the time counts from the waking, as for followers. The lease still ends by its own time, so nothing is answered or accepted on the strength of an old confirmation.

--- a/crates/quorum/src/replica/leader.rs
+++ b/crates/quorum/src/replica/leader.rs
@@ -36,7 +36,9 @@
     /// Send time of the latest heartbeat round that a majority has answered.
     pub(super) confirmed_at: Option<Duration>,
     pub(super) progress: BTreeMap<id::Member, Progress>,
-    elected_at: Duration,
+    /// When the leader was elected or, if later, when its process ran again after
+    /// a gap in which it could ask nobody.
+    pub(super) running_since: Duration,
     /// Number of the latest heartbeat round.
     round: u64,
     /// Number and send time of each round that no majority has answered yet.
@@ -51,7 +53,7 @@
             first_index: self.log.last_index() + 1,
             confirmed_at: None,
             progress: BTreeMap::new(),
-            elected_at: self.now,
+            running_since: self.now,
             round: 0,
             unconfirmed_rounds: VecDeque::new(),
             next_heartbeat: self.now,
@@ -60,14 +62,17 @@
         self.start_heartbeat_round();
     }
 
-    /// Steps down if no majority has answered for an election timeout; otherwise
-    /// sends a heartbeat that is due and advances a change of the members.
+    /// Steps down if no majority has answered for an election timeout in which this
+    /// member was running; otherwise sends a heartbeat that is due and advances a
+    /// change of the members. The lease ends by itself, whatever stepping down does.
     pub(super) fn tick_leader(&mut self) {
         let State::Leader(leader) = &self.state else {
             return;
         };
-        let last_confirmed = leader.confirmed_at.unwrap_or(leader.elected_at);
-        if self.now > last_confirmed + self.settings.election_timeout {
+        let unanswered_since = leader
+            .confirmed_at
+            .map_or(leader.running_since, |at| at.max(leader.running_since));
+        if self.now > unanswered_since + self.settings.election_timeout {
             self.become_follower(self.hard_state.term, None);
             return;
         }
--- a/crates/quorum/src/replica/mod.rs
+++ b/crates/quorum/src/replica/mod.rs
@@ -291,14 +291,21 @@
     ///
     /// A long gap since the last event means that the process was frozen or the
     /// clock jumped. This member then can't tell how long ago it heard from a
-    /// leader, so it waits a whole election timeout before it votes or campaigns.
+    /// leader, so it waits a whole election timeout before it votes or campaigns. A
+    /// leader has asked nobody in the gap, so it steps down only if it gets no answers
+    /// from now on.
     fn advance(&mut self, now: Duration) {
         let gap = now.saturating_sub(self.now);
         self.now = self.now.max(now);
-        if gap > self.settings.max_event_gap && !matches!(self.state, State::Leader(_)) {
-            self.last_leader_contact = self.now;
-            self.reset_election_deadline();
+        if gap <= self.settings.max_event_gap {
+            return;
+        }
+        if let State::Leader(leader) = &mut self.state {
+            leader.running_since = self.now;
+            return;
         }
+        self.last_leader_contact = self.now;
+        self.reset_election_deadline();
     }
 
     /// Whether the message comes from this member's cluster. A member that belongs
--- a/crates/quorum/tests/common/ops.rs
+++ b/crates/quorum/tests/common/ops.rs
@@ -62,6 +62,13 @@
         self.node(id).frozen_until = self.now + Duration::from_millis(ms);
     }
 
+    pub(crate) fn freeze_all(&mut self, ms: u64) {
+        let ids: Vec<_> = self.nodes.keys().copied().collect();
+        for id in ids {
+            self.freeze(id, ms);
+        }
+    }
+
     pub(crate) fn crash_all(&mut self, ms: u64) {
         let ids: Vec<_> = self.nodes.keys().copied().collect();
         for id in ids {
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -218,3 +218,35 @@
     simulation.run(1_500);
     assert!(!simulation.is_leader(leader));
 }
+
+/// A machine that stands still stops its processes together, so no other member has
+/// had the time to lead. `voters` is the size of the cluster.
+fn stall_all_members(voters: usize, ms: u64) {
+    for seed in 0..20 {
+        let mut simulation = Simulation::with_leader(seed, voters, DriverFault::None);
+        let (leader, term) = (simulation.leader(), simulation.term());
+        simulation.freeze_all(ms);
+        simulation.run(ms + 500);
+        assert_eq!((simulation.leader(), simulation.term()), (leader, term));
+        let committed = simulation.committed();
+        simulation.propose(0);
+        simulation.run(100);
+        assert!(simulation.committed() > committed, "the leader commits");
+        simulation.assert_agreement();
+    }
+}
+
+macro_rules! stall_tests {
+    ($($name:ident: $voters:literal voters, $ms:literal ms;)*) => {
+        $(#[test]
+        fn $name() {
+            stall_all_members($voters, $ms);
+        })*
+    };
+}
+
+stall_tests! {
+    a_sole_voter_that_stood_still_goes_on_leading: 1 voters, 3_000 ms;
+    a_sole_voter_that_stood_still_briefly_goes_on_leading: 1 voters, 420 ms;
+    a_leader_goes_on_leading_after_all_members_stood_still: 3 voters, 3_000 ms;
+}
