control: an operator's request waits while the leader's lease is renewed after a stall

Change: requests for the configuration and for a release wait for at most 500 ms while this instance is leader in its own view and not confirmed; an instance that follows redirects or refuses at once as before. Measured: the new test (the only instance stands still for 700 ms while a patch arrives, eight times) fails without the change with that answer and passes with it.

--- a/crates/core/src/control/operator_api.rs
+++ b/crates/core/src/control/operator_api.rs
@@ -143,6 +143,9 @@
     async fn handle(&self, request: Request) -> Response {
         let path = request.uri().path().to_owned();
         let query = request.uri().query().unwrap_or_default().to_owned();
+        if path.starts_with("/v1/config") {
+            self.service.wait_for_confirmation().await;
+        }
         let answer = match (request.method(), path.as_str()) {
             (&Method::GET, "/v1/config") => self.config(),
             (&Method::PATCH, "/v1/config") => self.patch(request).await,
--- a/crates/core/src/control/release_api.rs
+++ b/crates/core/src/control/release_api.rs
@@ -143,6 +143,7 @@
         if self.dialect != Dialect::Platform || call.is_none() {
             return self.next.handle(request).await;
         }
+        self.service.wait_for_confirmation().await;
         if let Some(leader) = self.other_leader() {
             return redirect(leader, &path);
         }
--- a/crates/core/src/control/replica/mod.rs
+++ b/crates/core/src/control/replica/mod.rs
@@ -160,6 +160,11 @@
         self.shared_status.leader()
     }
 
+    /// Whether this instance is leader in its own view but not confirmed by a majority.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        self.shared_status.is_unconfirmed()
+    }
+
     /// Returns the replica's status after its last event.
     pub(crate) fn status(&self) -> Status {
         self.shared_status.get()
--- a/crates/core/src/control/replica/replicated_log.rs
+++ b/crates/core/src/control/replica/replicated_log.rs
@@ -28,6 +28,10 @@
         })
     }
 
+    fn is_unconfirmed(&self) -> bool {
+        Handle::is_unconfirmed(self)
+    }
+
     fn leader(&self) -> Leader {
         match Handle::leader(self) {
             Ok(term) => Leader::This { term },
--- a/crates/core/src/control/replica/status.rs
+++ b/crates/core/src/control/replica/status.rs
@@ -104,6 +104,13 @@
         }
     }
 
+    /// Whether this member is leader in its own view but has no valid lease, as just
+    /// after its election or after a stall of the process.
+    pub(crate) fn is_unconfirmed(&self) -> bool {
+        let status = self.lock();
+        status.role == Role::Leader && !status.leads()
+    }
+
     fn lock(&self) -> MutexGuard<'_, Status> {
         self.0
             .lock()
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -6,7 +6,7 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 
 use gentian::claim::key_window::{MAX_CLOCK_SKEW, RETENTION};
 use gentian::config::ledger::{Answer, Ledger, Proposal};
@@ -38,6 +38,11 @@
 const VIEW_RETENTION: Duration =
     Duration::from_secs(RETENTION.as_secs() + VIEW_GRACE.as_secs() + 2 * MAX_CLOCK_SKEW.as_secs());
 
+/// How long a request waits for the leadership of this instance to be confirmed. An
+/// unconfirmed leader steps down after one election timeout.
+const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(500);
+const CONFIRMATION_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// The service of one control instance.
 #[derive(Debug)]
 pub(crate) struct Service<L> {
@@ -77,6 +82,16 @@
         self.log.leader()
     }
 
+    /// Waits while this instance is leader in its own view but not confirmed by a
+    /// majority, at most for [`CONFIRMATION_TIMEOUT`]. Requests that need the leader call
+    /// this first, so that a stall of the process delays them instead of failing them.
+    pub(crate) async fn wait_for_confirmation(&self) {
+        let give_up_at = Instant::now() + CONFIRMATION_TIMEOUT;
+        while self.log.is_unconfirmed() && Instant::now() < give_up_at {
+            tokio::time::sleep(CONFIRMATION_POLL_INTERVAL).await;
+        }
+    }
+
     /// Reads the state. Returns `None` unless this instance led in the same term before
     /// and after the read.
     pub(crate) fn read<T>(&self, read: impl FnOnce(&AppliedState) -> T) -> Option<T> {
--- a/crates/core/src/control/state/replicated_log.rs
+++ b/crates/core/src/control/state/replicated_log.rs
@@ -37,6 +37,11 @@
     /// Returns the leader at the time of the call.
     fn leader(&self) -> Leader;
 
+    /// Whether this instance is leader in its own view, but no majority has confirmed
+    /// it lately, as just after a stall of the process. [`leader`](Self::leader) then
+    /// names nobody.
+    fn is_unconfirmed(&self) -> bool;
+
     /// Returns the peer addresses of the control instances.
     fn members(&self) -> Vec<String>;
 
--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -67,6 +67,29 @@
     assert_eq!(cluster.version(), version);
 }
 
+#[test]
+fn a_patch_that_arrives_while_the_only_instance_stands_still_is_accepted() {
+    let cluster = Cluster::start(1);
+    let instance = &cluster.instances[0];
+    for version in 0..8 {
+        let term = instance.members()["term"].clone();
+        let merge = json!({ "teams": { "late": { "concurrent": version + 1 } } });
+        let patch =
+            json!({ "id": uuid::Uuid::now_v7(), "base": version, "author": "ada", "merge": merge });
+        let url = format!("http://{}/v1/config", instance.http);
+        instance.process.signal(libc::SIGSTOP);
+        let call = thread::spawn(move || {
+            let headers = [("content-type", "application/json")];
+            support::call("PATCH", &url, &headers, &patch.to_string())
+        });
+        thread::sleep(Duration::from_millis(700));
+        instance.process.signal(libc::SIGCONT);
+        let (status, body) = call.join().expect("the thread does not panic");
+        assert_eq!(status.as_u16(), 200, "{body}");
+        assert_eq!(instance.members()["term"], term);
+    }
+}
+
 #[test]
 fn a_version_survives_the_loss_of_one_disk_after_another() {
     let mut cluster = Cluster::start(3);
