claim: a poll that lists a run takes the place of the answer to its start

Cause: a start without an answer within 80 ms was stopped and begun again even if the upstream had listed the run as running meanwhile. Ruled out: a wrong count in the stand-in. A start that no poll lists is stopped as before, which keeps it from being carried out late.

--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -13,7 +13,7 @@
 /// What the agent knows about whether a run is at the upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Phase {
-    /// The upstream has not answered the start yet.
+    /// The upstream has not answered the start yet, nor has a poll listed the run.
     Starting,
     /// The upstream runs it. Polls with a number above `after` must list the run.
     Running { after: u64 },
@@ -79,7 +79,7 @@
         let progress_times = known.then_some((done * self.estimate.as_secs_f64(), took));
         self.percent = percent;
         self.last_found_at = now;
-        if matches!(self.phase, Phase::Unanswered { .. }) {
+        if !matches!(self.phase, Phase::Running { .. }) {
             self.phase = Phase::Running { after: poll };
             self.admitted_at = self.admitted_at.min(now);
         }
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -6,8 +6,8 @@
 //! last of the entries' leases. An entry that loses contact with a run thus
 //! knows when the run must be gone, and may then start the task again elsewhere.
 //!
-//! A start that got no answer may still be carried out until its lease has
-//! lapsed. The agent sends a stop for such a run, which also prevents the run from
+//! A poll that lists a run is as good as the answer to its start. Without either, the
+//! start may still be carried out until its lease has lapsed. The agent sends a stop for such a run, which also prevents the run from
 //! starting later. If a poll that begins after the stop was answered doesn't
 //! list the run, the run has never begun.
 
--- a/crates/claim/tests/run.rs
+++ b/crates/claim/tests/run.rs
@@ -191,6 +191,29 @@
     assert_eq!(vec![Fate::Done], fates(&ends));
 }
 
+/// The upstream carries an order out and its answer is lost: the run is not stopped,
+/// since a poll has listed it by the time at which the answer counts as lost.
+#[test]
+fn a_poll_that_lists_a_run_takes_the_place_of_the_answer_to_its_start() {
+    let mut runs = starting();
+    let poll = runs.begin_poll();
+    assert!(runs
+        .apply_poll(poll, &[listed_run("t", 1, 10)], &[], ms(60))
+        .is_empty());
+    assert_eq!(
+        None,
+        runs.apply_start_answer(&run("t", 1), StartAnswer::Unknown, ms(80))
+    );
+    assert!(runs.take_due_stops(ms(80)).is_empty());
+    assert_eq!(Some(MAX_LEASE), runs.upstream_lease(ms(80)));
+    let poll = runs.begin_poll();
+    assert_eq!(
+        vec![Fate::Lost],
+        fates(&runs.apply_poll(poll, &[], &[], ms(90))),
+        "polls must list the run from now on"
+    );
+}
+
 #[test]
 fn an_unanswered_start_counts_as_refused_after_its_stop_was_answered() {
     let mut runs = starting();
