Tests: the simulated worker refuses a start after its stop, and can lose answers

The protocol has such starts refused. New too: a worker that loses the answers to starts. The check of 3 stopped runs stays as it is.

--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -292,6 +292,38 @@
     assert_no_concurrent_runs(&platform);
 }
 
+/// The worker runs the task whose start gets no answer. The run goes on: it is neither
+/// stopped nor started again.
+#[test]
+fn a_lost_answer_to_a_start_costs_no_run() {
+    let platform = Platform::start(1, 1);
+    platform.workers[0].set_behavior(Behavior::LosesAnswers);
+    for round in 0..5 {
+        let answer = platform.submit(0, &format!("{round:016x}"), 4, 300);
+        assert_eq!((200, COMPLETED.to_owned()), answer);
+    }
+    let observed = platform.observed.lock().expect("the lock is not poisoned");
+    let restarted = observed.starts.iter().filter(|(_, starts)| **starts > 1);
+    assert_eq!(Vec::<(&String, &u64)>::new(), restarted.collect::<Vec<_>>());
+    assert_eq!(None, observed.ends.get("stopped"));
+}
+
+/// An order to stop a run overtakes the order to start it. The worker refuses the start
+/// then, and the task runs once, elsewhere or later.
+#[test]
+fn a_start_that_arrives_after_its_stop_runs_nowhere() {
+    let platform = Platform::start(2, 1);
+    platform
+        .workers
+        .iter()
+        .for_each(|worker| worker.set_behavior(Behavior::Reorders));
+    for round in 0..5 {
+        let answer = platform.submit(0, &format!("{round:016x}"), 8, 600);
+        assert_eq!((200, COMPLETED.to_owned()), answer);
+    }
+    assert_no_concurrent_runs(&platform);
+}
+
 #[test]
 fn a_draining_worker_gets_no_new_tasks() {
     let platform = Platform::start(2, 1);
@@ -345,9 +377,12 @@
     assert!(platform.entries[0].wait().success());
 }
 
-#[test]
-fn steps_run_in_dependency_order_on_the_workers_they_require() {
+#[test_case(Behavior::Normal; "at workers that answer")]
+#[test_case(Behavior::LosesAnswers; "at workers whose answers are lost")]
+fn steps_run_in_dependency_order_on_the_workers_they_require(behavior: Behavior) {
     let platform = Platform::start(3, 1);
+    let workers = platform.workers.iter();
+    workers.for_each(|worker| worker.set_behavior(behavior));
     let steps = json!([
         { "count": 2, "cpu": 3_000, "mem-mb": 64, "estimate-ms": 400, "requires": "b" },
         {
@@ -404,11 +439,17 @@
     );
 }
 
-#[test]
-fn a_job_in_progress_tells_its_state_and_can_be_cancelled() {
+/// Time after which a start without an answer has been found out and dealt with.
+const ANSWERS_MISSED_AFTER: Duration = Duration::from_millis(300);
+
+#[test_case(Behavior::Normal; "at a worker that answers")]
+#[test_case(Behavior::LosesAnswers; "at a worker whose answers are lost")]
+fn a_job_in_progress_tells_its_state_and_can_be_cancelled(behavior: Behavior) {
     let platform = Platform::start(1, 1);
+    platform.workers[0].set_behavior(behavior);
     let job = platform.spawn_submit(0, "0000000000000001", 3, 4_000);
     poll(|| (platform.running() == 3).then_some(()));
+    thread::sleep(ANSWERS_MISSED_AFTER);
     let path = "/q/0000000000000001";
     let state = |state: &str| (200, format!(r#"{{"state":"{state}"}}"#));
     assert_eq!(state("running"), platform.call(0, "GET", path, ""));
--- a/crates/core/tests/support/worker.rs
+++ b/crates/core/tests/support/worker.rs
@@ -14,6 +14,11 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay of an order at a worker with [`Behavior::Late`].
 const ORDER_DELAY: Duration = Duration::from_secs(2);
+/// Delay of an order at a worker with [`Behavior::Reorders`]: longer than the agent waits
+/// for an answer, shorter than the lease in the order.
+const SHORT_ORDER_DELAY: Duration = Duration::from_millis(200);
+/// How long a connection stays silent whose answer is lost.
+const SILENCE: Duration = Duration::from_millis(300);
 /// Interval at which runs make progress.
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
 /// CPU capacity of a worker, in the unit of `cpu` of a step.
@@ -32,6 +37,11 @@
     Crashed,
     /// Every eighth order is carried out two seconds late and gets no answer.
     Late,
+    /// Every second start is carried out after the stop that follows it, and gets no
+    /// answer.
+    Reorders,
+    /// Every second start is carried out and its answer is lost.
+    LosesAnswers,
 }
 
 /// A task that runs at a worker.
@@ -74,6 +84,9 @@
     /// Time by the worker's clock at which its runs lapse.
     lease_until: Duration,
     running: BTreeMap<String, Run>,
+    /// Highest number of a run that was stopped or has ended, by task. Starts up to it
+    /// are refused.
+    finished: BTreeMap<String, u64>,
     /// Ends that the agent has not acknowledged: sequence number, task, run id and how
     /// the run ended.
     ended: Vec<(u64, String, u64, &'static str)>,
@@ -81,6 +94,8 @@
     last_end: u64,
     heartbeats: u64,
     orders: u64,
+    /// Number of orders so far that were starts.
+    starts: u64,
     observed: Arc<Mutex<Observations>>,
 }
 
@@ -120,6 +135,7 @@
         let Some(run) = self.running.remove(task) else {
             return;
         };
+        self.record_finished(task, run.run_id);
         self.last_end += 1;
         self.ended
             .push((self.last_end, task.to_owned(), run.run_id, ending));
@@ -131,6 +147,26 @@
         *observed.running.entry(task.to_owned()).or_default() -= 1;
     }
 
+    fn record_finished(&mut self, task: &str, run_id: u64) {
+        let highest = self.finished.entry(task.to_owned()).or_default();
+        *highest = run_id.max(*highest);
+    }
+
+    /// Stops a run of a task, or an earlier one that still runs. If the run is not there
+    /// yet, its start is refused from now on.
+    fn stop(&mut self, body: &Value) {
+        let task = body["task"].as_str().expect("a task name");
+        let run_id = body["run-id"].as_u64().expect("a run id");
+        self.record_finished(task, run_id);
+        if self
+            .running
+            .get(task)
+            .is_some_and(|run| run.run_id <= run_id)
+        {
+            self.end_run(task, "stopped");
+        }
+    }
+
     /// Ends all runs as lost, without a record for the agent.
     fn lose_runs(&mut self) {
         let tasks: Vec<String> = self.running.keys().cloned().collect();
@@ -159,7 +195,7 @@
                 Some(reason) => (409, json!({ "clock-ms": clock, "reason": reason })),
             },
             "/-/run-stop" => {
-                self.end_run(body["task"].as_str().expect("a task name"), "stopped");
+                self.stop(body);
                 (200, json!({ "clock-ms": clock, "born": self.born }))
             }
             _ => (200, self.list_runs(body["ack-seq"].as_u64().unwrap_or(0))),
@@ -179,6 +215,9 @@
         if self.running.contains_key(&task) {
             return None;
         }
+        if self.finished.get(&task).is_some_and(|run| *run >= run_id) {
+            return Some("old");
+        }
         let mut observed = self.observed.lock().expect("the lock is not poisoned");
         *observed.starts.entry(task.clone()).or_default() += 1;
         let running = observed.running.entry(task.clone()).or_default();
@@ -254,10 +293,12 @@
             fencing_token: 0,
             lease_until: Duration::ZERO,
             running: BTreeMap::new(),
+            finished: BTreeMap::new(),
             ended: Vec::new(),
             last_end: 0,
             heartbeats: 0,
             orders: 0,
+            starts: 0,
             observed: observed.clone(),
         }));
         let order_state = state.clone();
@@ -293,6 +334,7 @@
     pub(crate) fn restart_worker(&self) {
         let mut state = self.state.lock().expect("the lock is not poisoned");
         state.lose_runs();
+        state.finished.clear();
         state.born += 1;
         state.clock_start = Instant::now();
         (state.fencing_token, state.lease_until) = (0, Duration::ZERO);
@@ -342,13 +384,22 @@
     let body: Value = serde_json::from_str(body).expect("valid JSON");
     let wait = Duration::from_millis(body["wait-ms"].as_u64().unwrap_or(0));
     let start = Instant::now();
-    if is_delayed(state) {
-        thread::sleep(ORDER_DELAY);
-        state
-            .lock()
-            .expect("the lock is not poisoned")
-            .answer(path, &body);
-        return (NO_ANSWER, String::new());
+    let answer = |state: &Mutex<State>| {
+        let mut state = state.lock().expect("the lock is not poisoned");
+        state.answer(path, &body)
+    };
+    match fault(state, path) {
+        Fault::None => {}
+        Fault::Delay(delay) => {
+            thread::sleep(delay);
+            answer(state);
+            return (NO_ANSWER, String::new());
+        }
+        Fault::LostAnswer => {
+            answer(state);
+            thread::sleep(SILENCE);
+            return (NO_ANSWER, String::new());
+        }
     }
     loop {
         let mut state = state.lock().expect("the lock is not poisoned");
@@ -370,11 +421,26 @@
     }
 }
 
-/// Counts an order; returns whether it is to be delayed and left without an answer.
-fn is_delayed(state: &Mutex<State>) -> bool {
+/// What goes wrong with an order; in each case but the first it gets no answer.
+enum Fault {
+    None,
+    Delay(Duration),
+    LostAnswer,
+}
+
+/// Counts an order and returns its fault.
+fn fault(state: &Mutex<State>, path: &str) -> Fault {
     let mut state = state.lock().expect("the lock is not poisoned");
     state.orders += 1;
-    state.behavior == Behavior::Late && state.orders.is_multiple_of(8)
+    let is_start = path == "/-/run-start";
+    state.starts += u64::from(is_start);
+    let every_second_start = is_start && state.starts.is_multiple_of(2);
+    match state.behavior {
+        Behavior::Late if state.orders.is_multiple_of(8) => Fault::Delay(ORDER_DELAY),
+        Behavior::Reorders if every_second_start => Fault::Delay(SHORT_ORDER_DELAY),
+        Behavior::LosesAnswers if every_second_start => Fault::LostAnswer,
+        _ => Fault::None,
+    }
 }
 
 /// Sends heartbeats to the agent for as long as the test runs.
