--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -10,7 +10,8 @@
 use gentian::wire::agent::{self, Reports};
 use gentian_platform::order::{self, List, StartResponse};
 
-use super::supervisor::{Order, State, Supervisor};
+use super::order::Order;
+use super::supervisor::{State, Supervisor};
 use crate::client;
 use crate::logging::is_sampled;
 
--- a/crates/core/src/agent/lease/mod.rs
+++ b/crates/core/src/agent/lease/mod.rs
@@ -7,6 +7,8 @@
 
 mod calls;
 mod http;
+mod order;
+mod reports;
 mod stream;
 mod supervisor;
 mod upstream;
@@ -63,7 +65,7 @@
     ));
     let http = http.serve(local, drain.clone());
     let polling = tokio::spawn(calls::poll_upstream(supervisor.clone()));
-    let reporting = tokio::spawn(supervisor::report_room(supervisor.clone()));
+    let reporting = tokio::spawn(reports::report_room(supervisor.clone()));
     let draining = drain_runs(stop, supervisor, drained);
     let (peer, (), (), ()) = tokio::join!(peer, http, renewal.run(drain), draining);
     polling.abort();
--- /dev/null
+++ b/crates/core/src/agent/lease/order.rs
@@ -0,0 +1,144 @@
+//! Orders to the upstream: their addressee, their authority and the lease in them.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use gentian::claim::run::LeaseGrant;
+use gentian_platform::order::{Authority, Clock};
+use http_body_util::Full;
+
+use super::supervisor::{State, Supervisor};
+use crate::client;
+
+/// Addressee and authority of an order to the upstream.
+pub(super) struct Order {
+    pub(super) id: String,
+    address: SocketAddr,
+    pub(super) authority: Authority,
+    /// Lease that the order grants to the upstream, if any.
+    grant: Option<LeaseGrant>,
+}
+
+impl Supervisor {
+    /// Prepares an order to the upstream, with the lease that it may be granted now.
+    /// Returns `None` if no upstream has reported yet.
+    pub(super) fn next_order(&self, state: &mut State) -> Option<Order> {
+        let (now, at) = (self.now(), Instant::now());
+        let upstream = state.upstream.as_ref()?;
+        // The lease of an unresponsive upstream isn't extended, so that its runs lapse.
+        let lease = state
+            .runs
+            .upstream_lease(now)
+            .filter(|_| upstream.is_responsive());
+        let until = lease.map(|until| upstream.clock_at(at) + until.saturating_sub(now));
+        let order = Order {
+            id: upstream.incarnation().id.clone(),
+            address: upstream.report.address,
+            authority: Authority {
+                token: state.token,
+                until,
+            },
+            grant: lease.map(|until| state.runs.begin_grant(until, now)),
+        };
+        Some(order)
+    }
+
+    /// Sends an order, and records whether the lease in it may have arrived.
+    pub(super) async fn send_order(
+        &self,
+        order: &Order,
+        request: http::Request<Bytes>,
+        timeout: Duration,
+    ) -> client::Result<client::Answer> {
+        let (mut head, body) = request.into_parts();
+        let uri = format!("http://{}{}", order.address, head.uri);
+        head.uri = uri.parse().expect("an address and a path make a URI");
+        let request = http::Request::from_parts(head, Full::new(body));
+        let answer = self.client.send(request, timeout).await;
+        let reached = !matches!(answer, Err(client::Error::Connect(_)));
+        let mut state = self.state();
+        if let Some(grant) = order.grant {
+            state.runs.end_grant(grant, reached);
+        }
+        drop(state);
+        answer
+    }
+
+    /// Records whether a poll was answered, which decides whether the upstream is
+    /// given new runs.
+    pub(super) fn record_poll_answer(
+        &self,
+        state: &mut State,
+        order: &Order,
+        error: Option<&client::Error>,
+    ) {
+        let upstream = state.upstream.as_mut();
+        let Some(upstream) = upstream.filter(|upstream| upstream.incarnation().id == order.id)
+        else {
+            return;
+        };
+        let was_open = upstream.is_open(Instant::now());
+        upstream.record_poll(error.is_none());
+        match (was_open, upstream.is_open(Instant::now()), error) {
+            (true, false, Some(error)) => {
+                log::warn!(
+                    "upstream {}: polls are not answered, so it gets no new runs: {error}",
+                    order.id
+                );
+            }
+            (false, true, _) => log::info!(
+                "upstream {}: answers polls again and may get new runs",
+                order.id
+            ),
+            _ => return,
+        }
+        state.update_admission(Instant::now());
+        self.room_changed.notify_one();
+    }
+
+    /// Records the clock in an answer to `order`. Returns true if another
+    /// incarnation of the upstream answered, or has reported since the order was sent.
+    pub(super) fn update_clock(&self, state: &mut State, order: &Order, clock: Clock) -> bool {
+        let Some(upstream) = &mut state.upstream else {
+            return true;
+        };
+        if upstream.incarnation().id != order.id || upstream.is_other_incarnation(clock) {
+            return true;
+        }
+        upstream.set_clock(clock.now, Instant::now());
+        false
+    }
+
+    /// Ends all runs, since another incarnation of the upstream answered `order`. Does
+    /// nothing if an incarnation with another id has reported already.
+    pub(super) fn handle_replacement(&self, state: &mut State, order: &Order) {
+        let upstream = state.upstream.as_mut();
+        let Some(upstream) = upstream.filter(|upstream| upstream.incarnation().id == order.id)
+        else {
+            return;
+        };
+        log::warn!(
+            "upstream {}: another incarnation answered; all runs at the former one are over",
+            order.id
+        );
+        upstream.mark_gone();
+        state.update_admission(Instant::now());
+        let ends = state.runs.upstream_replaced(self.now());
+        self.report_ends(state, ends);
+        self.room_changed.notify_one();
+    }
+
+    /// Raises the fencing token after an order with the token `used` was rejected,
+    /// unless another order has raised it already.
+    pub(super) fn raise_token(&self, state: &mut State, used: u64) {
+        if state.token == used {
+            state.token += state.token_step;
+            state.token_step *= 2;
+            log::warn!(
+                "upstream rejected fencing token {used} as too low; raised to {}",
+                state.token
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/lease/reports.rs
@@ -0,0 +1,261 @@
+//! Streams of the entries: their orders, and the reports of ends and of free capacity.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use gentian::claim::run::{self, Fate, Owner, Refusal, Run, RunEnd};
+use gentian::wire::agent::{self, Orders, Reports};
+use gentian::wire::need::Need;
+use gentian_platform::order;
+
+use super::calls;
+use super::stream::{self, Sender};
+use super::supervisor::{State, Supervisor};
+use crate::logging::is_sampled;
+
+/// Minimum time between two reports of free capacity to the entries.
+const MIN_ROOM_REPORT_INTERVAL: Duration = Duration::from_millis(25);
+/// Number of steps into which a doubling of the pace is rounded.
+const PACE_STEPS_PER_DOUBLING: f64 = 3.0;
+
+/// The open stream of one entry.
+#[derive(Debug)]
+pub(super) struct Stream {
+    number: u64,
+    sender: Sender,
+    /// Free capacity as last reported on this stream.
+    last_room: Option<agent::Room>,
+}
+
+impl Supervisor {
+    /// Registers a stream of an entry in place of its previous one, and reports the
+    /// ends that the entry missed. Returns the stream's number.
+    pub(super) fn open_stream(&self, owner: &Owner, sender: Sender, first: &Orders) -> u64 {
+        let now = self.now();
+        let mut state = self.state();
+        state.last_stream_number += 1;
+        let number = state.last_stream_number;
+        let stream = Stream {
+            number,
+            sender,
+            last_room: None,
+        };
+        state.streams.insert(owner.clone(), stream);
+        let known_runs: Vec<Run> = first.known.iter().map(Run::from).collect();
+        let ends = state.runs.reconcile(owner, &known_runs, now);
+        log::info!(
+            "entry {} incarnation {}: stream opened; it knows {} runs, {} of which have ended",
+            owner.entry,
+            owner.incarnation,
+            known_runs.len(),
+            ends.len()
+        );
+        self.report_ends(&mut state, ends);
+        number
+    }
+
+    /// Forgets a stream of an entry, unless a newer one has replaced it.
+    pub(super) fn close_stream(&self, owner: &Owner, number: u64) {
+        let mut state = self.state();
+        if state.streams.get(owner).is_some_and(|s| s.number == number) {
+            state.streams.remove(owner);
+        }
+    }
+
+    /// Carries out the orders of an entry. Returns false without doing so if a newer
+    /// stream has replaced this one, since the entry no longer relies on its orders.
+    pub(super) fn apply_orders(
+        self: &Arc<Self>,
+        owner: &Owner,
+        number: u64,
+        orders: Orders,
+    ) -> bool {
+        let now = self.now();
+        let mut state = self.state();
+        if state.streams.get(owner).is_none_or(|s| s.number != number) {
+            return false;
+        }
+        state.update_admission(Instant::now());
+        state
+            .runs
+            .renew_lease(owner, stream::duration(orders.lease_until_ms), now);
+        for run in &orders.stops {
+            state.runs.request_stop(owner, &Run::from(run));
+        }
+        let mut refused = Vec::new();
+        for batch in orders.starts {
+            let need = Need::from(batch.need.unwrap_or_default());
+            let estimate = stream::duration(batch.estimate_ms.into());
+            for run in batch.runs.iter().map(Run::from) {
+                match state.runs.admit(owner, &run, need, now) {
+                    Ok(()) => {
+                        state.runs.set_estimate(&run, estimate);
+                        tokio::spawn(calls::start_run(self.clone(), run, batch.spec.clone()));
+                    }
+                    Err(refusal) => {
+                        self.metrics.refused(refusal);
+                        let end = refused_end(owner, run, refusal);
+                        log_end(&end);
+                        refused.push(end);
+                    }
+                }
+            }
+        }
+        let stops = state.runs.take_due_stops(now);
+        self.send_stops(stops);
+        // Every message gets an answer, which tells the entry this agent's clock.
+        self.send_report(&mut state, owner, refused);
+        drop(state);
+        self.poll_wakeup.notify_one();
+        self.room_changed.notify_one();
+        true
+    }
+
+    /// Counts and logs the ends of runs, and reports them to the entries that
+    /// ordered the runs.
+    pub(super) fn report_ends(&self, state: &mut State, ends: Vec<RunEnd>) {
+        let mut by_owner: BTreeMap<Owner, Vec<RunEnd>> = BTreeMap::new();
+        for end in ends {
+            self.metrics.ended(&end);
+            log_end(&end);
+            by_owner.entry(end.owner.clone()).or_default().push(end);
+        }
+        for (owner, ends) in by_owner {
+            self.send_report(state, &owner, ends);
+        }
+    }
+
+    /// Sends ends to an entry, and the free capacity if that has changed.
+    fn send_report(&self, state: &mut State, owner: &Owner, ends: Vec<RunEnd>) {
+        let room = state.room_for(owner);
+        let Some(stream) = state.streams.get_mut(owner) else {
+            return;
+        };
+        let room = (stream.last_room != room).then(|| room.clone()).flatten();
+        if room.is_some() {
+            stream.last_room.clone_from(&room);
+        }
+        let reports = Reports {
+            clock_ms: self.clock_ms(),
+            room,
+            ends: ends.iter().map(end_to_wire).collect(),
+            progress: Vec::new(),
+            incarnation: self.incarnation,
+        };
+        self.queue_reports(state, owner, reports);
+    }
+
+    /// Queues reports for an entry. If its queue is full or closed, its stream is
+    /// dropped; the entry then opens another and gets what it missed.
+    pub(super) fn queue_reports(&self, state: &mut State, owner: &Owner, reports: Reports) {
+        let Some(stream) = state.streams.get(owner) else {
+            return;
+        };
+        if stream.sender.try_send(Ok(reports)).is_err() {
+            log::warn!(
+                "entry {}: stream dropped, since its queue of reports is full or closed",
+                owner.entry
+            );
+            state.streams.remove(owner);
+        }
+    }
+}
+
+impl State {
+    /// Capacity as reported to an entry, which knows its own runs and is told what
+    /// the runs of others use.
+    fn room_for(&self, owner: &Owner) -> Option<agent::Room> {
+        let upstream = self.upstream.as_ref()?;
+        Some(agent::Room {
+            service: upstream.report.service.to_string(),
+            capacity: Some(self.runs.capacity().into()),
+            others: Some(self.runs.used_by_others(owner).into()),
+            open: self.runs.is_open(),
+            labels: upstream.report.labels.clone(),
+            pace_percent: self.runs.pace().map_or(0, rounded_percent),
+        })
+    }
+}
+
+/// Reports the free capacity to all entries whenever it has changed.
+pub(super) async fn report_room(supervisor: Arc<Supervisor>) {
+    loop {
+        supervisor.room_changed.notified().await;
+        {
+            let mut state = supervisor.state();
+            let owners: Vec<Owner> = state.streams.keys().cloned().collect();
+            for owner in owners {
+                let room = state.room_for(&owner);
+                if state
+                    .streams
+                    .get(&owner)
+                    .is_some_and(|s| s.last_room != room)
+                {
+                    supervisor.send_report(&mut state, &owner, Vec::new());
+                }
+            }
+        }
+        tokio::time::sleep(MIN_ROOM_REPORT_INTERVAL).await;
+    }
+}
+
+/// A pace in percent, rounded to steps of about a quarter of itself, so that not
+/// every poll causes a report.
+fn rounded_percent(pace: f64) -> u32 {
+    let steps = (pace.max(0.1).log2() * PACE_STEPS_PER_DOUBLING).round() / PACE_STEPS_PER_DOUBLING;
+    (steps.exp2() * 100.0) as u32
+}
+
+/// Logs the end of a run. Of the runs that completed, only a sample is logged.
+fn log_end(end: &RunEnd) {
+    let request = order::job(&end.run.task);
+    if end.fate == Fate::Done && !is_sampled(request) {
+        return;
+    }
+    tracing::info!(
+        event = "ended",
+        request,
+        run = %end.run,
+        entry = %end.owner.entry,
+        fate = ?end.fate,
+        ran_ms = end.ran.as_millis() as u64,
+    );
+}
+
+fn refused_end(owner: &Owner, run: Run, refusal: Refusal) -> RunEnd {
+    RunEnd {
+        owner: owner.clone(),
+        run,
+        fate: Fate::Refused(refusal),
+        ran: Duration::ZERO,
+    }
+}
+
+fn end_to_wire(end: &RunEnd) -> agent::End {
+    let (fate, refusal) = match end.fate {
+        Fate::Done => (agent::Fate::Done, agent::Refusal::Unspecified),
+        Fate::Failed => (agent::Fate::Failed, agent::Refusal::Unspecified),
+        Fate::Stopped => (agent::Fate::Stopped, agent::Refusal::Unspecified),
+        Fate::Lost => (agent::Fate::Lost, agent::Refusal::Unspecified),
+        Fate::Refused(refusal) => (agent::Fate::Refused, refusal_to_wire(refusal)),
+    };
+    agent::End {
+        run: Some((&end.run).into()),
+        fate: fate.into(),
+        refusal: refusal.into(),
+        run_ms: u32::try_from(end.ran.as_millis()).unwrap_or(u32::MAX),
+    }
+}
+
+fn refusal_to_wire(refusal: run::Refusal) -> agent::Refusal {
+    match refusal {
+        Refusal::Full => agent::Refusal::Full,
+        Refusal::Closed => agent::Refusal::Closed,
+        Refusal::Expired => agent::Refusal::Expired,
+        Refusal::OldRun => agent::Refusal::OldRun,
+        Refusal::Unhealthy => agent::Refusal::Unhealthy,
+        Refusal::NoAnswer => agent::Refusal::NoAnswer,
+        Refusal::Invalid => agent::Refusal::Invalid,
+    }
+}
