Tests: the order of steps is checked at each start instead of by sampling

The check is stricter: every start is checked against all that run then, the order of all starts against the order of the steps, the limit a worker by the most at once, and the required label for all runs. Only the preferred rack is checked for first runs alone, since a task whose first start got no answer avoids that worker.

--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::collections::BTreeSet;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -380,6 +381,7 @@
 #[test_case(Behavior::Normal; "at workers that answer")]
 #[test_case(Behavior::LosesAnswers; "at workers whose answers are lost")]
 fn steps_run_in_dependency_order_on_the_workers_they_require(behavior: Behavior) {
+    const JOB: &str = "0000000000000001";
     let platform = Platform::start(3, 1);
     let workers = platform.workers.iter();
     workers.for_each(|worker| worker.set_behavior(behavior));
@@ -394,31 +396,32 @@
             "depends-on": [1], "affinity": "r2",
         },
     ]);
-    let job = platform.spawn_submit_steps(0, "0000000000000001", 400, steps);
-    let running = |step: usize| {
-        let prefix = format!("0000000000000001.0.{step}.");
-        let workers = platform.workers.iter();
-        workers
-            .map(|worker| worker.running_with_prefix(&prefix))
-            .collect()
-    };
-    let expected = [vec![0, 2, 0], vec![1, 1, 1], vec![0, 0, 2]];
-    for (step, expected) in expected.into_iter().enumerate() {
-        poll(|| (running(step) == expected).then_some(()));
-        for other in (0..3).filter(|other| *other != step) {
-            let tasks: Vec<usize> = running(other);
-            assert_eq!(
-                vec![0; 3],
-                tasks,
-                "step {other} runs at the same time as step {step}"
-            );
-        }
-    }
+    let job = platform.spawn_submit_steps(0, JOB, 400, steps);
     assert_eq!(
         (200, COMPLETED.to_owned()),
         job.join().expect("the thread does not panic")
     );
     assert_no_concurrent_runs(&platform);
+    let observed = platform.observed.lock().expect("the lock is not poisoned");
+    assert_eq!(BTreeSet::new(), observed.overlapping_steps);
+    let runs_of = |step: usize| {
+        let prefix = format!("{JOB}.0.{step}.");
+        let runs = observed.runs.iter();
+        runs.filter(move |(task, ..)| task.starts_with(&prefix))
+    };
+    let tasks = observed.runs.iter().map(|(task, ..)| task);
+    let tasks: Vec<&String> = tasks.filter(|task| task.starts_with(JOB)).collect();
+    let steps = tasks.iter().map(|task| &task[..task.len() - ".0".len()]);
+    assert!(steps.is_sorted(), "{tasks:?}");
+    assert!(runs_of(0).all(|(.., worker)| worker == "i-1"));
+    for worker in ["i-0", "i-1", "i-2"] {
+        let key = (worker.to_owned(), format!("{JOB}.0.1"));
+        assert_eq!(Some(&1), observed.most_at_once.get(&key), "{worker}");
+    }
+    // A task whose first run got no answer may run away from its data after that.
+    let first_runs = runs_of(2).filter(|(_, run, _)| *run == 1);
+    let workers: Vec<&str> = first_runs.map(|(.., worker)| worker.as_str()).collect();
+    assert_eq!(vec!["i-2", "i-2"], workers);
 }
 
 /// A job may have many steps without tasks, each of which depends on all steps before.
--- a/crates/core/tests/support/worker.rs
+++ b/crates/core/tests/support/worker.rs
@@ -59,6 +59,12 @@
     pub(crate) starts: BTreeMap<String, u64>,
     /// Tasks that ran more than once at the same time.
     pub(crate) concurrent: BTreeSet<String>,
+    /// Tasks that began while a task of another step of their job was running.
+    pub(crate) overlapping_steps: BTreeSet<String>,
+    /// All runs that began: the task, the number of the run and the id of the worker.
+    pub(crate) runs: Vec<(String, u64, String)>,
+    /// Most runs of a step at one worker at the same time, by worker and step.
+    pub(crate) most_at_once: BTreeMap<(String, String), usize>,
     /// Number of current runs, by task.
     running: BTreeMap<String, u64>,
     /// Number of runs that have ended, by how they ended.
@@ -67,6 +73,44 @@
     pub(crate) done: BTreeSet<String>,
 }
 
+impl Observations {
+    /// Records a start of a task at a worker, next to which `others` run there.
+    fn record_start<'a>(
+        &mut self,
+        task: &str,
+        run_id: u64,
+        worker: &str,
+        others: impl Iterator<Item = &'a String>,
+    ) {
+        *self.starts.entry(task.to_owned()).or_default() += 1;
+        self.runs.push((task.to_owned(), run_id, worker.to_owned()));
+        let step = step_of(task);
+        let of_same_step = others.filter(|other| step_of(other) == step).count();
+        let key = (worker.to_owned(), step.to_owned());
+        let most = self.most_at_once.entry(key).or_default();
+        *most = (*most).max(of_same_step + 1);
+        let current = self.running.iter().filter(|(_, runs)| **runs > 0);
+        let mut of_job = current.filter(|(other, _)| job_of(other) == job_of(task));
+        if of_job.any(|(other, _)| step_of(other) != step) {
+            self.overlapping_steps.insert(task.to_owned());
+        }
+        let running = self.running.entry(task.to_owned()).or_default();
+        *running += 1;
+        if *running > 1 {
+            self.concurrent.insert(task.to_owned());
+        }
+    }
+}
+
+/// A task's name without its index: `JOB.OCCURRENCE.STEP`.
+fn step_of(task: &str) -> &str {
+    task.rsplit_once('.').map_or(task, |(step, _)| step)
+}
+
+fn job_of(task: &str) -> &str {
+    task.split_once('.').map_or(task, |(job, _)| job)
+}
+
 #[derive(Debug)]
 struct State {
     id: String,
@@ -219,12 +263,7 @@
             return Some("old");
         }
         let mut observed = self.observed.lock().expect("the lock is not poisoned");
-        *observed.starts.entry(task.clone()).or_default() += 1;
-        let running = observed.running.entry(task.clone()).or_default();
-        *running += 1;
-        if *running > 1 {
-            observed.concurrent.insert(task.clone());
-        }
+        observed.record_start(&task, run_id, &self.id, self.running.keys());
         let work: u64 = body["spec"]
             .as_str()
             .and_then(|ms| ms.parse().ok())
@@ -347,13 +386,6 @@
         self.state.lock().expect("the lock is not poisoned").ready = false;
     }
 
-    /// Number of running tasks whose names begin with `prefix`, such as a job id.
-    pub(crate) fn running_with_prefix(&self, prefix: &str) -> usize {
-        let state = self.state.lock().expect("the lock is not poisoned");
-        let tasks = state.running.keys();
-        tasks.filter(|task| task.starts_with(prefix)).count()
-    }
-
     /// Number of running tasks.
     pub(crate) fn running(&self) -> usize {
         self.state
