Numbers that no duration can hold fail no other request

Cause: estimate-ms near 1.8e22, or a configured stretch of 1e300, overflowed a sum of durations while the entry's lock was held; the lock was poisoned and the entry answered nothing any more, without ending. Deadline-Ms had the same overflow for its own request.

--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -362,6 +362,35 @@
     assert!(platform.entries[0].wait().success());
 }
 
+/// A number that no duration can hold used to cause a panic under the entry's lock, after
+/// which the entry answered nothing any more.
+#[test]
+fn an_absurd_number_fails_no_other_request() {
+    let platform = Platform::start(1, 1);
+    let step = |estimate: f64| json!({ "count": 1, "cpu": 3_000, "mem-mb": 64, "estimate-ms": estimate, "depends-on": [] });
+    for estimate in [1e15, 1.8e22, 1e300] {
+        let mut steps = vec![step(estimate), step(estimate)];
+        steps[1]["depends-on"] = json!([0]);
+        let job = json!({ "spec": "20", "best-effort": true, "steps": steps }).to_string();
+        platform.call(0, "POST", "/q/0000000000000001", &job);
+        let answer = platform.submit(0, "0000000000000002", 2, 20);
+        assert_eq!((200, COMPLETED.to_owned()), answer, "after {estimate}");
+    }
+    for deadline in ["1e21", "1.8e22", "-1", "nan"] {
+        let headers = [("deadline-ms", deadline)];
+        let body = job(1, 20).to_string();
+        let answer = platform.call_with(0, "POST", "/q/0000000000000003", &headers, &body);
+        assert_eq!((200, COMPLETED.to_owned()), answer, "deadline {deadline}");
+    }
+    let mut large_stretch = config(3, 1_500);
+    large_stretch["routes"][0]["stretch"] = json!(1e300);
+    platform.put_config_body(&large_stretch);
+    poll(|| (platform.submit(0, "0000000000000004", 2, 20).0 == 200).then_some(()));
+    thread::sleep(Duration::from_millis(1_500));
+    let answer = platform.submit(0, "0000000000000005", 2, 20);
+    assert_eq!((200, COMPLETED.to_owned()), answer);
+}
+
 #[test]
 fn processes_keep_running_after_sighup() {
     let mut platform = Platform::start(1, 1);
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -164,7 +164,12 @@
 
     /// Puts a configuration at each control instance in turn until one acknowledges it.
     pub(crate) fn put_config(&self, version: u64, timeout: u64) {
-        let body = config(version, timeout).to_string();
+        self.put_config_body(&config(version, timeout));
+    }
+
+    /// Like [`Platform::put_config`], with the whole configuration.
+    pub(crate) fn put_config_body(&self, config: &Value) {
+        let body = config.to_string();
         let mut turn = 0;
         poll(|| {
             turn += 1;
@@ -256,9 +261,20 @@
 
     /// Calls an entry; returns status and body.
     pub(crate) fn call(&self, entry: usize, method: &str, path: &str, body: &str) -> (u16, String) {
+        self.call_with(entry, method, path, &[("deadline-ms", "10000")], body)
+    }
+
+    /// Calls an entry with these headers; returns status and body.
+    pub(crate) fn call_with(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&'static str, &str)],
+        body: &str,
+    ) -> (u16, String) {
         let url = format!("http://{}{path}", self.entry_http_addresses[entry]);
-        let headers = [("deadline-ms", "10000")];
-        let (status, answer) = call(method, &url, &headers, body);
+        let (status, answer) = call(method, &url, headers, body);
         (status.as_u16(), answer)
     }
 
--- a/crates/limit/src/job_queue.rs
+++ b/crates/limit/src/job_queue.rs
@@ -14,6 +14,10 @@
 /// Share of a job's time limit that it may wait before its first task starts.
 const MAX_WAIT_SHARE: f64 = 0.25;
 
+/// Longest time limit of a job, which keeps sums of times from overflowing where a
+/// configuration names a stretch without reason.
+const MAX_TIME_LIMIT: Duration = Duration::from_secs(365 * 24 * 60 * 60);
+
 /// Response time that a caller expects of a job.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Objective {
@@ -26,9 +30,12 @@
 }
 
 impl Objective {
-    /// Time within which the job must finish, counted from its arrival.
+    /// Time within which the job must finish, counted from its arrival; at most
+    /// [`MAX_TIME_LIMIT`].
     pub fn time_limit(&self) -> Duration {
-        self.critical_path.mul_f64(self.stretch) + self.target
+        let seconds = self.critical_path.as_secs_f64() * self.stretch + self.target.as_secs_f64();
+        let limit = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_TIME_LIMIT);
+        limit.min(MAX_TIME_LIMIT)
     }
 
     /// Longest time that the job may wait before its first task starts.
--- a/crates/limit/tests/job_queue.rs
+++ b/crates/limit/tests/job_queue.rs
@@ -29,6 +29,17 @@
     assert_eq!(ms(95), objective.max_wait());
 }
 
+#[test]
+fn a_stretch_without_bound_overflows_nothing() {
+    let objective = Objective {
+        critical_path: Duration::from_secs(1_000_000),
+        stretch: f64::MAX,
+        target: ms(60),
+    };
+    assert!(objective.max_wait() > Duration::from_secs(1_000_000));
+    let _ = Duration::from_secs(1_000_000_000) + objective.time_limit();
+}
+
 #[test_case(rank(false, 2, 900, 9), rank(true, 0, 100, 1); "started jobs first")]
 #[test_case(rank(true, 0, 900, 9), rank(true, 1, 100, 1); "then by priority")]
 #[test_case(rank(true, 1, 100, 9), rank(true, 1, 200, 1); "then by latest start")]
