Entries send nothing to agents that they have no runs at and that report by themselves

Cause: each stream without runs carried a message and its answer every 500 ms. An entry of 31 has runs at about 24 of 160 agents, so the others cost it 270 messages a second and as many answers. Change: such a message is sent only if nothing was heard for 500 ms; the periodic reports of free capacity show that the agent is there. With runs the lease is renewed every 150 ms as before. A silent agent is found as soon as before, after 500 and 600 ms.

--- a/crates/core/src/entry/lease/stream.rs
+++ b/crates/core/src/entry/lease/stream.rs
@@ -18,7 +18,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two lease renewals while this entry has runs at the agent.
 const RENEWAL_PERIOD: Duration = Duration::from_millis(150);
-/// Time between two messages while it has none.
+/// Time without a message in either direction, while it has none, after which it sends
+/// one to learn whether the agent is still there.
 const IDLE_PERIOD: Duration = Duration::from_millis(500);
 /// Time without a report after which a stream counts as lost.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -51,9 +52,20 @@
     last_report: Option<(Duration, Instant)>,
     /// When the first message after the last report was sent; none if there is none.
     unanswered_since: Option<Instant>,
+    last_sent: Instant,
 }
 
 impl Timing {
+    /// When the next message is due even if there are no orders. The agent's reports show
+    /// that it is there, but only messages to it renew the lease of this entry's runs.
+    fn next_message_at(&self, has_runs: bool) -> Instant {
+        if has_runs {
+            return self.last_sent + RENEWAL_PERIOD;
+        }
+        let last_received = self.last_report.map(|(_, at)| at);
+        last_received.map_or(self.last_sent, |at| at.max(self.last_sent)) + IDLE_PERIOD
+    }
+
     /// When this entry's lease at the agent ends, in milliseconds on the agent's
     /// clock; 0 before the first report. The time that the report took to arrive is
     /// not counted, so a lease ends too early rather than too late.
@@ -113,14 +125,10 @@
     let mut timing = Timing {
         last_report: None,
         unanswered_since: Some(Instant::now()),
+        last_sent: Instant::now(),
     };
-    let mut last_sent = Instant::now();
     loop {
-        let period = if dispatcher.has_runs(node) {
-            RENEWAL_PERIOD
-        } else {
-            IDLE_PERIOD
-        };
+        let next_message_at = timing.next_message_at(dispatcher.has_runs(node));
         let timeout = timing.unanswered_since.map(|at| at + REPORT_TIMEOUT);
         tokio::select! {
             report = reports.message() => {
@@ -138,7 +146,7 @@
                 }
             }
             () = orders_ready.notified(), if timing.last_report.is_some() => {}
-            () = sleep_until_if_some(Some(last_sent + period)), if timing.last_report.is_some() => {}
+            () = sleep_until_if_some(Some(next_message_at)), if timing.last_report.is_some() => {}
             () = sleep_until_if_some(timeout) => {
                 let message = format!("no report within {REPORT_TIMEOUT:?}");
                 return tonic::Status::unavailable(message);
@@ -148,8 +156,8 @@
         if sender.try_send(orders).is_err() {
             return tonic::Status::unavailable("the agent does not read orders");
         }
-        last_sent = Instant::now();
-        timing.unanswered_since = timing.unanswered_since.or(Some(last_sent));
+        timing.last_sent = Instant::now();
+        timing.unanswered_since = timing.unanswered_since.or(Some(timing.last_sent));
     }
 }
 
