claim: a start without an answer is stopped only once a poll doesn't list it

Change: the stop waits for the answer to a poll that began after the run was admitted. An upstream that has been replaced is told to stop at once as before.

--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -36,6 +36,11 @@
     pub(super) stop_requested: bool,
     /// When the last stop was sent to the upstream.
     pub(super) stop_sent_at: Option<Duration>,
+    /// Number of the last poll that began before the run was admitted.
+    polls_before: u64,
+    /// Whether a poll that began later was answered without listing the run, or the
+    /// upstream has been replaced: without an answer to its start the run is then stopped.
+    pub(super) unlisted: bool,
     /// Whether its start got no answer, even if a poll found the run since.
     pub(super) start_unanswered: bool,
     /// Progress at the last poll that listed it.
@@ -47,7 +52,8 @@
 }
 
 impl LiveRun {
-    pub(super) fn new(owner: Owner, need: Need, now: Duration) -> LiveRun {
+    /// A run that is admitted now; `polls` is the number of the last poll that has begun.
+    pub(super) fn new(owner: Owner, need: Need, polls: u64, now: Duration) -> LiveRun {
         LiveRun {
             owner,
             need,
@@ -55,6 +61,8 @@
             phase: Phase::Starting,
             stop_requested: false,
             stop_sent_at: None,
+            polls_before: polls,
+            unlisted: false,
             start_unanswered: false,
             percent: 0,
             last_found_at: now,
@@ -69,6 +77,22 @@
         self.stop_requested && again && !matches!(self.phase, Phase::Starting)
     }
 
+    /// Records that the start got no answer. The run is stopped once a poll doesn't list
+    /// it: before that, it may well have begun and only the answer be lost.
+    pub(super) fn set_unanswered(&mut self, until: Duration) {
+        self.phase = Phase::Unanswered { until, after: None };
+        self.start_unanswered = true;
+        self.stop_requested |= self.unlisted;
+    }
+
+    /// Records that the given poll did not list the run.
+    pub(super) fn not_found(&mut self, poll: u64) {
+        self.unlisted |= poll > self.polls_before;
+        if matches!(self.phase, Phase::Unanswered { .. }) {
+            self.stop_requested |= self.unlisted;
+        }
+    }
+
     /// Records that the given poll listed the run. Returns how long the progress since
     /// the run was listed last was expected to take and how long it took, both in
     /// seconds; `None` without an estimate.
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -7,9 +7,9 @@
 //! knows when the run must be gone, and may then start the task again elsewhere.
 //!
 //! A poll that lists a run is as good as the answer to its start. Without either, the
-//! start may still be carried out until its lease has lapsed. The agent sends a stop for such a run, which also prevents the run from
-//! starting later. If a poll that begins after the stop was answered doesn't
-//! list the run, the run has never begun.
+//! start may still be carried out until its lease has lapsed. The agent sends a stop
+//! for such a run, which also prevents the run from starting later. If a poll that
+//! begins after the stop was answered doesn't list the run, the run has never begun.
 
 mod live;
 mod pace;
@@ -248,7 +248,7 @@
         now: Duration,
     ) -> Result<(), Refusal> {
         self.check_admission(owner, run, need, now)?;
-        let live = LiveRun::new(owner.clone(), need, now);
+        let live = LiveRun::new(owner.clone(), need, self.polls, now);
         self.live.insert(run.clone(), live);
         Ok(())
     }
@@ -341,12 +341,7 @@
             }
             StartAnswer::Refused(refusal) => self.end(run, Fate::Refused(refusal), now),
             StartAnswer::Unknown => {
-                live.phase = Phase::Unanswered {
-                    until: gone_at,
-                    after: None,
-                };
-                live.stop_requested = true;
-                live.start_unanswered = true;
+                live.set_unanswered(gone_at);
                 None
             }
         }
@@ -436,7 +431,13 @@
             }
         }
         self.pace.observe(expected, actual, now);
-        let missing = self.missing(running, poll, now);
+        let listed: BTreeSet<&Run> = running.iter().map(|found| &found.run).collect();
+        for (run, live) in &mut self.live {
+            if !listed.contains(run) {
+                live.not_found(poll);
+            }
+        }
+        let missing = self.missing(&listed, poll, now);
         ends.extend(
             missing
                 .into_iter()
@@ -502,10 +503,14 @@
         for (run, live) in &mut self.live {
             match &mut live.phase {
                 Phase::Running { .. } => gone.push(run.clone()),
-                Phase::Starting => self.gone_at = now + max_orphan_lifetime(),
+                Phase::Starting => {
+                    self.gone_at = now + max_orphan_lifetime();
+                    live.unlisted = true;
+                }
                 Phase::Unanswered { until, after } => {
                     self.gone_at = now + max_orphan_lifetime();
                     (*until, *after) = (self.gone_at, None);
+                    live.stop_requested = true;
                     live.stop_sent_at = None;
                 }
             }
@@ -557,8 +562,7 @@
 
     /// The runs that the poll should have listed as running but did not, with their
     /// fates.
-    fn missing(&self, running: &[ListedRun], poll: u64, now: Duration) -> Vec<(Run, Fate)> {
-        let listed: BTreeSet<&Run> = running.iter().map(|found| &found.run).collect();
+    fn missing(&self, listed: &BTreeSet<&Run>, poll: u64, now: Duration) -> Vec<(Run, Fate)> {
         let missing = self.live.iter().filter(|(run, _)| !listed.contains(run));
         let with_fates = missing.map(|(run, live)| Some((run.clone(), live.missing(poll, now)?)));
         with_fates.flatten().collect()
