--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -214,6 +214,31 @@
     platform.entries[0].signal(libc::SIGCONT);
 }
 
+/// An agent is paused with tasks running and an order on its way to it. When it goes on, the
+/// tasks have long been started elsewhere, and what it was permitted has run out.
+#[test]
+fn a_paused_agent_starts_nothing_twice_when_it_goes_on() {
+    let platform = Platform::start(2, 1);
+    let agent = &platform.workers[0].agent;
+    for round in 0..3 {
+        let id = ["0000000000000001", "0000000000000002", "0000000000000003"][round];
+        let job = platform.spawn_submit(0, id, 12, 600);
+        poll(|| (platform.workers[0].running() > 0).then_some(()));
+        agent.signal(libc::SIGSTOP);
+        let later = platform.spawn_submit(0, "00000000000000bb", 2, 300);
+        thread::sleep(Duration::from_millis(1_500));
+        agent.signal(libc::SIGCONT);
+        for job in [job, later] {
+            assert_eq!(
+                (200, COMPLETED.to_owned()),
+                job.join().expect("the thread does not panic")
+            );
+        }
+        thread::sleep(Duration::from_millis(700));
+    }
+    assert_no_concurrent_runs(&platform);
+}
+
 #[test]
 fn tasks_stop_when_the_caller_disconnects() {
     let platform = Platform::start(1, 1);
