--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -9,33 +9,12 @@
 use gentian::wire::control::control_client::ControlClient;
 use gentian::wire::control::{Node, RenewReply, RenewRequest, Role};
 use serde_json::json;
-use support::platform::{config, job, Platform};
+use support::platform::{config, job, Platform, COMPLETED};
 use support::system::poll;
 use support::worker::Behavior;
 use support::{call, Process};
 use test_case::test_case;
 
-const COMPLETED: &str = r#"{"state":"completed"}"#;
-
-/// Delay after which a caller resends a job that got no answer.
-const RESEND_DELAY: Duration = Duration::from_millis(1_300);
-
-/// Asserts that no task ran more than once at the same time.
-fn assert_no_concurrent_runs(platform: &Platform) {
-    let observed = platform.observed.lock().expect("the lock is not poisoned");
-    assert!(
-        observed.concurrent.is_empty(),
-        "ran more than once at the same time: {:?}",
-        observed.concurrent
-    );
-}
-
-/// Number of runs that have ended in the given way.
-fn count_ends(platform: &Platform, ending: &str) -> u64 {
-    let observed = platform.observed.lock().expect("the lock is not poisoned");
-    observed.ends.get(ending).copied().unwrap_or(0)
-}
-
 #[test]
 fn a_job_is_completed_and_invalid_calls_get_their_status() {
     let platform = Platform::start(2, 1);
@@ -71,7 +50,7 @@
     let too_large =
         json!({ "spec": "1", "best-effort": true, "steps": [{ "count": 1, "cpu": 64_000 }] });
     assert_eq!(503, platform.call(0, "POST", job, &too_large.to_string()).0);
-    assert_no_concurrent_runs(&platform);
+    platform.assert_no_concurrent_runs();
 }
 
 #[test]
@@ -183,197 +162,12 @@
     assert_eq!(
         (0, 0),
         (
-            count_ends(&platform, "lapsed"),
-            count_ends(&platform, "stopped")
+            platform.count_ends("lapsed"),
+            platform.count_ends("stopped")
         )
     );
 }
 
-#[test]
-fn tasks_of_a_killed_entry_have_ended_when_the_job_is_resent() {
-    let mut platform = Platform::start(2, 2);
-    let _lost = platform.spawn_submit(0, "0000000000000001", 6, 4_000);
-    poll(|| (platform.running() == 6).then_some(()));
-    platform.entries[0].kill();
-    platform.entries[0].wait();
-    thread::sleep(RESEND_DELAY);
-    assert_eq!(0, platform.running());
-    let answer = platform.submit(1, "0000000000000001", 6, 50);
-    assert_eq!((200, COMPLETED.to_owned()), answer);
-    assert_no_concurrent_runs(&platform);
-}
-
-#[test]
-fn tasks_of_a_frozen_entry_end() {
-    let platform = Platform::start(1, 1);
-    let _late = platform.spawn_submit(0, "0000000000000001", 3, 4_000);
-    poll(|| (platform.running() == 3).then_some(()));
-    platform.entries[0].signal(libc::SIGSTOP);
-    thread::sleep(RESEND_DELAY);
-    assert_eq!(0, platform.running());
-    platform.entries[0].signal(libc::SIGCONT);
-}
-
-/// An agent is paused with tasks running and an order on its way to it. When it goes on, the
-/// tasks have long been started elsewhere, and what it was permitted has run out.
-#[test]
-fn a_paused_agent_starts_nothing_twice_when_it_goes_on() {
-    let platform = Platform::start(2, 1);
-    let agent = &platform.workers[0].agent;
-    for round in 0..3 {
-        let id = ["0000000000000001", "0000000000000002", "0000000000000003"][round];
-        let job = platform.spawn_submit(0, id, 12, 600);
-        poll(|| (platform.workers[0].running() > 0).then_some(()));
-        agent.signal(libc::SIGSTOP);
-        let later = platform.spawn_submit(0, "00000000000000bb", 2, 300);
-        thread::sleep(Duration::from_millis(1_500));
-        agent.signal(libc::SIGCONT);
-        for job in [job, later] {
-            assert_eq!(
-                (200, COMPLETED.to_owned()),
-                job.join().expect("the thread does not panic")
-            );
-        }
-        thread::sleep(Duration::from_millis(700));
-    }
-    assert_no_concurrent_runs(&platform);
-}
-
-#[test]
-fn tasks_stop_when_the_caller_disconnects() {
-    let platform = Platform::start(1, 1);
-    platform.submit_and_disconnect(0, "0000000000000001", &job(3, 4_000));
-    poll(|| (count_ends(&platform, "stopped") == 3).then_some(()));
-    assert_eq!(0, platform.running());
-}
-
-#[test]
-fn a_job_resent_while_it_runs_runs_once_and_answers_both_callers() {
-    let platform = Platform::start(1, 1);
-    let first = platform.spawn_submit(0, "0000000000000001", 4, 800);
-    poll(|| (platform.running() == 4).then_some(()));
-    let second = platform.submit(0, "0000000000000001", 4, 800);
-    let expected = (200, COMPLETED.to_owned());
-    assert_eq!(expected, second);
-    assert_eq!(expected, first.join().expect("the thread does not panic"));
-    let observed = platform.observed.lock().expect("the lock is not poisoned");
-    let of_job = observed
-        .starts
-        .iter()
-        .filter(|(task, _)| task.starts_with("0000000000000001"));
-    assert_eq!(4, of_job.map(|(_, starts)| starts).sum::<u64>());
-}
-
-#[test]
-fn a_resent_job_waits_until_its_earlier_runs_have_ended() {
-    let platform = Platform::start(2, 1);
-    platform.submit_and_disconnect(0, "0000000000000001", &job(3, 4_000));
-    let answer = platform.submit(0, "0000000000000001", 3, 50);
-    assert_eq!((200, COMPLETED.to_owned()), answer);
-    assert_no_concurrent_runs(&platform);
-}
-
-#[test_case(Behavior::Crashed; "crashes")]
-#[test_case(Behavior::Hangs; "hangs")]
-#[test_case(Behavior::Fails; "fails all tasks")]
-fn a_job_completes_on_other_workers_when_one(behavior: Behavior) {
-    let platform = Platform::start(2, 1);
-    let job = platform.spawn_submit(0, "0000000000000001", 8, 1_500);
-    // Waits for one task, not for all eight: a start that gets no answer in time is
-    // repeated elsewhere, possibly after the others have ended.
-    poll(|| (platform.workers[0].running() > 0).then_some(()));
-    platform.workers[0].set_behavior(behavior);
-    assert_eq!(
-        (200, COMPLETED.to_owned()),
-        job.join().expect("the thread does not panic")
-    );
-    assert_no_concurrent_runs(&platform);
-}
-
-/// When a worker leaves the agent's request for ended runs unanswered, all ends stay
-/// unknown to the agent until it asks again. In an incident every twentieth order got
-/// no answer, each unanswered request hid the ends for 300 ms, and the median latency
-/// of all requests rose from 190 to 456 ms.
-#[test]
-fn unanswered_orders_add_little_latency() {
-    let platform = Platform::start(2, 1);
-    platform
-        .workers
-        .iter()
-        .for_each(|worker| worker.set_behavior(Behavior::Late));
-    let mut times: Vec<Duration> = (0..20)
-        .map(|number| {
-            let start = Instant::now();
-            let answer = platform.submit(0, &format!("{number:016x}"), 2, 50);
-            assert_eq!((200, COMPLETED.to_owned()), answer);
-            start.elapsed()
-        })
-        .collect();
-    times.sort();
-    assert!(
-        times[10] < Duration::from_millis(250),
-        "median {:?}",
-        times[10]
-    );
-    assert_no_concurrent_runs(&platform);
-}
-
-/// The worker runs the task whose start gets no answer. The run goes on: it is neither
-/// stopped nor started again.
-#[test]
-fn a_lost_answer_to_a_start_costs_no_run() {
-    let platform = Platform::start(1, 1);
-    platform.workers[0].set_behavior(Behavior::LosesAnswers);
-    for round in 0..5 {
-        let answer = platform.submit(0, &format!("{round:016x}"), 4, 300);
-        assert_eq!((200, COMPLETED.to_owned()), answer);
-    }
-    let observed = platform.observed.lock().expect("the lock is not poisoned");
-    let restarted = observed.starts.iter().filter(|(_, starts)| **starts > 1);
-    assert_eq!(Vec::<(&String, &u64)>::new(), restarted.collect::<Vec<_>>());
-    assert_eq!(None, observed.ends.get("stopped"));
-}
-
-/// An order to stop a run overtakes the order to start it. The worker refuses the start
-/// then, and the task runs once, elsewhere or later.
-#[test]
-fn a_start_that_arrives_after_its_stop_runs_nowhere() {
-    let platform = Platform::start(2, 1);
-    platform
-        .workers
-        .iter()
-        .for_each(|worker| worker.set_behavior(Behavior::Reorders));
-    for round in 0..5 {
-        let answer = platform.submit(0, &format!("{round:016x}"), 8, 600);
-        assert_eq!((200, COMPLETED.to_owned()), answer);
-    }
-    assert_no_concurrent_runs(&platform);
-}
-
-#[test]
-fn a_draining_worker_gets_no_new_tasks() {
-    let platform = Platform::start(2, 1);
-    platform.workers[0].drain();
-    thread::sleep(Duration::from_millis(500));
-    let job = platform.spawn_submit(0, "0000000000000001", 8, 1_500);
-    poll(|| (platform.running() == 8).then_some(()));
-    assert_eq!(0, platform.workers[0].running());
-    assert_eq!(200, job.join().expect("the thread does not panic").0);
-}
-
-#[test]
-fn a_restarted_agent_resumes_running_tasks_and_runs_none_twice() {
-    let mut platform = Platform::start(1, 1);
-    let job = platform.spawn_submit(0, "0000000000000001", 6, 1_500);
-    poll(|| (platform.running() == 6).then_some(()));
-    platform.workers[0].restart_agent();
-    assert_eq!(
-        (200, COMPLETED.to_owned()),
-        job.join().expect("the thread does not panic")
-    );
-    assert_no_concurrent_runs(&platform);
-}
-
 #[test]
 fn a_terminated_entry_answers_requests_in_progress() {
     let mut platform = Platform::start(1, 1);
@@ -455,7 +249,7 @@
         (200, COMPLETED.to_owned()),
         job.join().expect("the thread does not panic")
     );
-    assert_no_concurrent_runs(&platform);
+    platform.assert_no_concurrent_runs();
     let observed = platform.observed.lock().expect("the lock is not poisoned");
     assert_eq!(BTreeSet::new(), observed.overlapping_steps);
     let runs_of = |step: usize| {
@@ -516,7 +310,7 @@
         job.join().expect("the thread does not panic")
     );
     poll(|| (platform.running() == 0).then_some(()));
-    assert_eq!(3, count_ends(&platform, "stopped"));
+    assert_eq!(3, platform.count_ends("stopped"));
     assert_eq!(410, platform.call(0, "GET", path, "").0);
 }
 
@@ -577,21 +371,3 @@
     let reply = renew(&platform, "agent-9", Role::Agent);
     assert_eq!((0, 0), (reply.roster, reply.present.len()));
 }
-
-/// A worker that restarts under its id used to carry out orders that the agent had sent
-/// before it learned of the restart. The agent took these tasks for lost and started
-/// them elsewhere as well. Found by seed 53 of the soak test.
-#[test]
-fn a_worker_that_restarts_under_its_id_runs_nothing_twice() {
-    let platform = Platform::start(2, 1);
-    for round in 0..4 {
-        thread::sleep(Duration::from_millis(700));
-        platform
-            .workers
-            .iter()
-            .for_each(|worker| worker.restart_worker());
-        let answer = platform.submit(0, &format!("{round:016x}"), 8, 300);
-        assert_eq!((200, COMPLETED.to_owned()), answer);
-    }
-    assert_no_concurrent_runs(&platform);
-}
--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -20,8 +20,9 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use serde_json::Value;
+use support::observations::Observations;
 use support::platform::{call_control, config, job, Platform};
-use support::worker::{Behavior, Observations};
+use support::worker::Behavior;
 use support::{try_call, NO_ANSWER};
 
 const WORKERS: usize = 3;
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod cluster;
+pub(crate) mod observations;
 pub(crate) mod platform;
 pub(crate) mod system;
 pub(crate) mod worker;
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -11,13 +11,17 @@
 use oxhttp::model::{Body, Request, StatusCode};
 use serde_json::{json, Value};
 
+use super::observations::Observations;
 use super::system::poll;
-use super::worker::{Observations, Worker};
+use super::worker::Worker;
 use super::{call, output, text, Process, NO_ANSWER};
 
 /// Host header of the callers, which the HTTP client derives from the address.
 const HOST: &str = "127.0.0.1";
 
+/// Answer to a job that is completed.
+pub(crate) const COMPLETED: &str = r#"{"state":"completed"}"#;
+
 /// Three control instances that form a cluster without an operator, entries, and
 /// workers with an agent each.
 pub(crate) struct Platform {
@@ -278,6 +282,22 @@
         (status.as_u16(), answer)
     }
 
+    /// Asserts that no task ran more than once at the same time.
+    pub(crate) fn assert_no_concurrent_runs(&self) {
+        let observed = self.observed.lock().expect("the lock is not poisoned");
+        assert!(
+            observed.concurrent.is_empty(),
+            "ran more than once at the same time: {:?}",
+            observed.concurrent
+        );
+    }
+
+    /// Number of runs that have ended in the given way.
+    pub(crate) fn count_ends(&self, ending: &str) -> u64 {
+        let observed = self.observed.lock().expect("the lock is not poisoned");
+        observed.ends.get(ending).copied().unwrap_or(0)
+    }
+
     /// Number of tasks that run at the workers.
     pub(crate) fn running(&self) -> usize {
         self.workers.iter().map(Worker::running).sum()
