--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -90,6 +90,7 @@
         }
         let mut refused = Vec::new();
         for batch in orders.starts {
+            // A batch without a need is one of tasks that need nothing.
             let need = Need::from(batch.need.unwrap_or_default());
             let estimate = stream::duration(batch.estimate_ms.into());
             for run in batch.runs.iter().map(Run::from) {
