--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -12,7 +12,8 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
-use std::sync::mpsc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{mpsc, Arc};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -238,6 +239,46 @@
 pub(crate) struct FakeServer {
     pub(crate) address: SocketAddr,
     pub(crate) requests: mpsc::Receiver<String>,
+    listener: Listener,
+}
+
+/// Accepts connections at one address while it is open.
+#[derive(Clone)]
+pub(crate) struct Listener {
+    address: SocketAddr,
+    /// Whether connections are accepted.
+    open: Arc<AtomicBool>,
+    /// Serves one connection.
+    serve: Arc<dyn Fn(TcpStream) + Send + Sync>,
+}
+
+impl Listener {
+    fn accept_from(&self, listener: TcpListener) {
+        let (open, serve) = (self.open.clone(), self.serve.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if !open.load(Ordering::SeqCst) {
+                    return;
+                }
+                let serve = serve.clone();
+                thread::spawn(move || serve(stream));
+            }
+        });
+    }
+
+    /// Refuses further connections, like a process that has ended.
+    pub(crate) fn close(&self) {
+        self.open.store(false, Ordering::SeqCst);
+        // Wakes the thread that accepts connections, which then drops the listener.
+        let _ = TcpStream::connect(self.address);
+    }
+
+    /// Accepts connections at the same address again.
+    pub(crate) fn reopen(&self) {
+        let listener = TcpListener::bind(self.address).expect("the address is free again");
+        self.open.store(true, Ordering::SeqCst);
+        self.accept_from(listener);
+    }
 }
 
 impl FakeServer {
@@ -259,14 +300,22 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
         let (sender, requests) = mpsc::channel();
-        let answer = std::sync::Arc::new(answer);
-        thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                let (sender, answer) = (sender.clone(), answer.clone());
-                thread::spawn(move || serve(stream, &sender, &*answer));
-            }
-        });
-        FakeServer { address, requests }
+        let accepting = Listener {
+            address,
+            open: Arc::new(AtomicBool::new(true)),
+            serve: Arc::new(move |stream| serve(stream, &sender, &answer)),
+        };
+        accepting.accept_from(listener);
+        FakeServer {
+            address,
+            requests,
+            listener: accepting,
+        }
+    }
+
+    /// The server's listener, with which it can be taken down and up again.
+    pub(crate) fn listener(&self) -> Listener {
+        self.listener.clone()
     }
 
     /// Waits for the next request that starts with `prefix`; discards others.
--- a/crates/core/tests/support/observations.rs
+++ b/crates/core/tests/support/observations.rs
@@ -21,6 +21,10 @@
     pub(crate) ends: BTreeMap<&'static str, u64>,
     /// Tasks of which a run was completed.
     pub(crate) done: BTreeSet<String>,
+    /// Tasks that crash each worker that starts them.
+    pub(crate) deadly: BTreeSet<String>,
+    /// Number of times that a worker crashed while it ran the task, by task.
+    pub(crate) crashes: BTreeMap<String, u64>,
 }
 
 impl Observations {
--- a/crates/core/tests/support/worker.rs
+++ b/crates/core/tests/support/worker.rs
@@ -10,7 +10,7 @@
 use serde_json::{json, Value};
 
 use super::observations::Observations;
-use super::{FakeServer, Process, NO_ANSWER};
+use super::{FakeServer, Listener, Process, NO_ANSWER};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// Delay of an order at a worker with [`Behavior::Late`].
@@ -20,6 +20,10 @@
 const SHORT_ORDER_DELAY: Duration = Duration::from_millis(200);
 /// How long a connection stays silent whose answer is lost.
 const SILENCE: Duration = Duration::from_millis(300);
+/// Time from the start of a deadly task to the crash of its worker.
+const CRASH_DELAY: Duration = Duration::from_millis(5);
+/// Time for which a worker is down after such a crash.
+const RESTART_DELAY: Duration = Duration::from_millis(1_500);
 /// Interval at which runs make progress.
 const TICK_INTERVAL: Duration = Duration::from_millis(5);
 /// CPU capacity of a worker, in the unit of `cpu` of a step.
@@ -82,6 +86,10 @@
     orders: u64,
     /// Number of orders so far that were starts.
     starts: u64,
+    /// When the worker crashes, since it has started a deadly task.
+    crashes_at: Option<Instant>,
+    /// When it is up again after that.
+    restarts_at: Option<Instant>,
     observed: Arc<Mutex<Observations>>,
 }
 
@@ -162,6 +170,43 @@
         self.ended.clear();
     }
 
+    /// Crashes the worker if it has started a deadly task, and restarts it later.
+    fn crash_or_restart(&mut self, listener: &Listener) {
+        let due = |at: Option<Instant>| at.is_some_and(|at| at <= Instant::now());
+        if due(self.crashes_at) {
+            self.crashes_at = None;
+            listener.close();
+            self.record_crash();
+            self.lose_runs();
+            self.behavior = Behavior::Crashed;
+            self.restarts_at = Some(Instant::now() + RESTART_DELAY);
+        }
+        if due(self.restarts_at) {
+            self.restarts_at = None;
+            listener.reopen();
+            self.restart();
+        }
+    }
+
+    fn record_crash(&self) {
+        let mut observed = self.observed.lock().expect("the lock is not poisoned");
+        for task in self.running.keys() {
+            *observed.crashes.entry(task.clone()).or_default() += 1;
+        }
+    }
+
+    /// Begins a new life under the same id, without any state of the former one.
+    fn restart(&mut self) {
+        self.lose_runs();
+        self.finished.clear();
+        self.born += 1;
+        self.clock_start = Instant::now();
+        (self.fencing_token, self.lease_until) = (0, Duration::ZERO);
+        (self.last_end, self.heartbeats) = (0, 0);
+        self.crashes_at = None;
+        self.behavior = Behavior::Normal;
+    }
+
     /// Carries an order out and returns status and body of the answer.
     fn answer(&mut self, path: &str, body: &Value) -> (u16, Value) {
         if body["fencing-token"].as_u64().unwrap_or(0) < self.fencing_token {
@@ -206,6 +251,9 @@
         }
         let mut observed = self.observed.lock().expect("the lock is not poisoned");
         observed.record_start(&task, run_id, &self.id, self.running.keys());
+        if observed.deadly.contains(&task) {
+            self.crashes_at = Some(Instant::now() + CRASH_DELAY);
+        }
         let work: u64 = body["spec"]
             .as_str()
             .and_then(|ms| ms.parse().ok())
@@ -280,6 +328,8 @@
             heartbeats: 0,
             orders: 0,
             starts: 0,
+            crashes_at: None,
+            restarts_at: None,
             observed: observed.clone(),
         }));
         let order_state = state.clone();
@@ -287,10 +337,12 @@
         let (heartbeat_state, agent_address) = (state.clone(), agent_http.clone());
         let address = server.address.to_string();
         thread::spawn(move || send_heartbeats(&heartbeat_state, &agent_address, &address));
-        let tick_state = state.clone();
+        let (tick_state, listener) = (state.clone(), server.listener());
         thread::spawn(move || loop {
             thread::sleep(TICK_INTERVAL);
-            tick_state.lock().expect("the lock is not poisoned").tick();
+            let mut state = tick_state.lock().expect("the lock is not poisoned");
+            state.tick();
+            state.crash_or_restart(&listener);
         });
         Worker {
             agent,
@@ -314,13 +366,7 @@
     /// Restarts the worker under the same id, without any state of its former life.
     pub(crate) fn restart_worker(&self) {
         let mut state = self.state.lock().expect("the lock is not poisoned");
-        state.lose_runs();
-        state.finished.clear();
-        state.born += 1;
-        state.clock_start = Instant::now();
-        (state.fencing_token, state.lease_until) = (0, Duration::ZERO);
-        (state.last_end, state.heartbeats) = (0, 0);
-        state.behavior = Behavior::Normal;
+        state.restart();
     }
 
     /// Makes the worker report that it is draining.
@@ -337,6 +383,13 @@
             .len()
     }
 
+    /// Terminates the worker like a power loss, which no task has caused; it restarts
+    /// after a while.
+    pub(crate) fn crash(&self) {
+        let mut state = self.state.lock().expect("the lock is not poisoned");
+        state.crashes_at = Some(Instant::now());
+    }
+
     /// Kills the agent and starts it again at the same addresses.
     pub(crate) fn restart_agent(&mut self) {
         self.agent.kill();
