--- /dev/null
+++ b/crates/claim/src/crash/mod.rs
@@ -0,0 +1,220 @@
+//! Crashes of upstreams, and the tasks that ran when they happened.
+//!
+//! A task may crash each upstream that starts it. One crash proves little: the task may
+//! have run beside the one that caused it, or the machine may have lost power. A task is
+//! therefore only given up after a crash while nothing but its own job ran there, or after
+//! a third crash. Until then it is tried again, after two crashes away from others.
+//!
+//! Agents notice crashes and tell all entries, so that every entry that gets a job knows
+//! how often upstreams crashed under its tasks, whichever entry started them.
+
+mod start_rates;
+mod wire;
+
+use std::collections::{HashMap, VecDeque};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use gentian_wire::id::Node;
+
+use crate::run::Run;
+
+pub use start_rates::StartRates;
+
+/// How long a crash is remembered. A caller may send a job again for as long.
+const RETENTION: Duration = Duration::from_secs(120);
+
+/// Largest number of crashes remembered; the oldest is dropped first.
+const MAX_CRASHES: usize = 512;
+
+/// Largest number of runs kept of one crash: those that started last.
+const MAX_RUNS: usize = 256;
+
+/// Number of crashes after which a task is given up if it ran alone at one of them.
+const CRASHES_ALONE: u32 = 2;
+
+/// Number of crashes after which a task is given up in any case.
+const MAX_TASK_CRASHES: u32 = 3;
+
+/// Largest difference between two tellings of one crash, for upstreams that don't tell
+/// when they began.
+const SAME_CRASH: Duration = Duration::from_secs(1);
+
+/// One process of an upstream.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Process {
+    /// The upstream's id, which a restarted upstream may reuse.
+    pub upstream: String,
+    /// Start time in milliseconds since the Unix epoch; 0 if unknown.
+    pub born_ms: u64,
+}
+
+impl fmt::Display for Process {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} incarnation {}", self.upstream, self.born_ms)
+    }
+}
+
+/// A run that was at an upstream when it crashed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CrashedRun {
+    /// The run.
+    pub run: Run,
+    /// The job that its task belongs to.
+    pub job: Arc<str>,
+    /// The queue that the job came from.
+    pub queue: Arc<str>,
+    /// Time from the run's start to the crash.
+    pub age: Duration,
+}
+
+/// How often jobs of a queue were started at an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct QueueRate {
+    /// The queue.
+    pub queue: Arc<str>,
+    /// Jobs with a start there, each second.
+    pub starts_per_s: f64,
+}
+
+/// The unplanned end of an upstream's process.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Crash {
+    /// Agent of the upstream.
+    pub agent: Node,
+    /// The process that ended.
+    pub process: Process,
+    /// When it ended, on the clock of whoever holds this record.
+    pub at: Duration,
+    /// Runs that were there.
+    pub runs: Vec<CrashedRun>,
+    /// How often jobs were started there before.
+    pub rates: Vec<QueueRate>,
+}
+
+impl Crash {
+    /// Whether nothing but the given job ran at the upstream.
+    pub fn was_alone(&self, job: &str) -> bool {
+        self.runs.iter().all(|run| *run.job == *job)
+    }
+
+    /// Keeps the runs that started last if there are too many to remember.
+    fn limit_runs(&mut self) {
+        if self.runs.len() > MAX_RUNS {
+            self.runs.sort_by_key(|run| run.age);
+            self.runs.truncate(MAX_RUNS);
+        }
+    }
+
+    fn is_same(&self, other: &Crash) -> bool {
+        let known_start = self.process.born_ms != 0;
+        self.process == other.process && (known_start || self.at.abs_diff(other.at) < SAME_CRASH)
+    }
+}
+
+/// What to do with a task, given the crashes under it.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Verdict {
+    /// No upstream has crashed under it.
+    Clear,
+    /// One upstream has crashed under it: it may be to blame.
+    Suspect,
+    /// Two have, each while others ran beside it: it may run only away from them.
+    Isolate,
+    /// It is not to be started again.
+    GiveUp,
+}
+
+/// Crashes under one task.
+#[derive(Clone, Copy, Debug, Default)]
+struct TaskCrashes {
+    count: u32,
+    /// Of these, crashes while only its job ran there.
+    alone: u32,
+}
+
+impl TaskCrashes {
+    fn verdict(self) -> Verdict {
+        match self.count {
+            0 => Verdict::Clear,
+            count if count >= MAX_TASK_CRASHES => Verdict::GiveUp,
+            count if count >= CRASHES_ALONE && self.alone > 0 => Verdict::GiveUp,
+            1 => Verdict::Suspect,
+            _ => Verdict::Isolate,
+        }
+    }
+}
+
+/// The crashes of the last two minutes, by task.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// In the order in which they became known here.
+    crashes: VecDeque<Crash>,
+    tasks: HashMap<Arc<str>, TaskCrashes>,
+}
+
+impl History {
+    /// Adds a crash. Returns false if it is known already or too old.
+    pub fn record(&mut self, mut crash: Crash, now: Duration) -> bool {
+        self.prune(now);
+        let known = self.crashes.iter().any(|known| known.is_same(&crash));
+        if known || is_old(&crash, now) {
+            return false;
+        }
+        crash.limit_runs();
+        for crashed in &crash.runs {
+            let task = self.tasks.entry(crashed.run.task.clone()).or_default();
+            task.count += 1;
+            task.alone += u32::from(crash.was_alone(&crashed.job));
+        }
+        self.crashes.push_back(crash);
+        if self.crashes.len() > MAX_CRASHES {
+            self.drop_oldest();
+        }
+        true
+    }
+
+    /// Number of upstreams that crashed under a task.
+    pub fn count(&self, task: &str) -> u32 {
+        self.tasks.get(task).map_or(0, |task| task.count)
+    }
+
+    /// What to do with a task.
+    pub fn verdict(&self, task: &str) -> Verdict {
+        let crashes = self.tasks.get(task).copied().unwrap_or_default();
+        crashes.verdict()
+    }
+
+    /// The crashes that are remembered.
+    pub fn iter(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter()
+    }
+
+    /// Forgets old crashes.
+    pub fn prune(&mut self, now: Duration) {
+        while self.crashes.front().is_some_and(|crash| is_old(crash, now)) {
+            self.drop_oldest();
+        }
+    }
+
+    fn drop_oldest(&mut self) {
+        let Some(crash) = self.crashes.pop_front() else {
+            return;
+        };
+        for crashed in &crash.runs {
+            let Some(task) = self.tasks.get_mut(&crashed.run.task) else {
+                continue;
+            };
+            task.count -= 1;
+            task.alone -= u32::from(crash.was_alone(&crashed.job));
+            if task.count == 0 {
+                self.tasks.remove(&crashed.run.task);
+            }
+        }
+    }
+}
+
+fn is_old(crash: &Crash, now: Duration) -> bool {
+    now.saturating_sub(crash.at) > RETENTION
+}
--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -11,7 +11,8 @@
 //! ([`coordinator`]).
 //!
 //! Tasks that may run again once an earlier run is known to have ended need no
-//! claims or gates: their runs go on only while leases are renewed ([`run`]).
+//! claims or gates: their runs go on only while leases are renewed ([`run`]). A task under
+//! which upstreams crash is tried a few times only ([`crash`]).
 //!
 //! Nothing in this crate does I/O, reads a clock or draws random numbers: the
 //! caller passes in the wall time as a [`Duration`](std::time::Duration) since
@@ -20,6 +21,7 @@
 //! before its restart ([`key_window`]).
 
 pub mod coordinator;
+pub mod crash;
 pub mod gate;
 pub mod home;
 pub mod key_window;
--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -1,10 +1,11 @@
 //! State of one run that is, or may be, at the upstream.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use gentian_wire::need::Need;
 
-use super::{Fate, Owner, Refusal, STOP_RETRY_INTERVAL};
+use super::{Fate, Owner, Refusal, Start, STOP_RETRY_INTERVAL};
 
 /// A run counts as slow, and its progress is reported, once it has taken this many
 /// times its estimated run time.
@@ -29,8 +30,14 @@
 pub(super) struct LiveRun {
     pub(super) owner: Owner,
     pub(super) need: Need,
+    pub(super) job: Arc<str>,
+    pub(super) queue: Arc<str>,
+    /// Whether it may run beside runs of its own job only.
+    pub(super) alone: bool,
     /// When the run was admitted.
     pub(super) admitted_at: Duration,
+    /// When the order to start it was first sent to the upstream.
+    pub(super) sent_at: Option<Duration>,
     pub(super) phase: Phase,
     /// Whether the run is to be stopped.
     pub(super) stop_requested: bool,
@@ -53,11 +60,15 @@
 
 impl LiveRun {
     /// A run that is admitted now; `polls` is the number of the last poll that has begun.
-    pub(super) fn new(owner: Owner, need: Need, polls: u64, now: Duration) -> LiveRun {
+    pub(super) fn new(owner: Owner, start: Start, polls: u64, now: Duration) -> LiveRun {
         LiveRun {
             owner,
-            need,
+            need: start.need,
+            job: start.job,
+            queue: start.queue,
+            alone: start.alone,
             admitted_at: now,
+            sent_at: None,
             phase: Phase::Starting,
             stop_requested: false,
             stop_sent_at: None,
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -11,23 +11,26 @@
 //! for such a run, which also prevents the run from starting later. If a poll that
 //! begins after the stop was answered doesn't list the run, the run has never begun.
 
+mod admission;
+mod crash;
 mod live;
 mod pace;
 mod recent_ends;
+mod types;
 mod wire;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
-use std::sync::Arc;
 use std::time::Duration;
 
-use gentian_wire::id::{Incarnation, Node};
 use gentian_wire::need::Need;
 
+use crate::crash::CrashedRun;
 use live::{LiveRun, Phase};
 use pace::Pace;
 use recent_ends::RecentEnds;
 
+pub use types::{Fate, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Start, StartAnswer};
+
 /// Longest lease of an upstream, and longest lease of an entry at an agent.
 pub const MAX_LEASE: Duration = Duration::from_millis(500);
 
@@ -50,116 +53,6 @@
     (MAX_LEASE + MAX_LEASE).mul_f64(1.0 + MAX_CLOCK_DRIFT) + STOP_GRACE
 }
 
-/// One run of a task.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct Run {
-    /// The task's name.
-    pub task: Arc<str>,
-    /// Number of the run; later runs of the task have higher numbers.
-    pub number: u64,
-}
-
-impl fmt::Display for Run {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{} run {}", self.task, self.number)
-    }
-}
-
-/// An entry that orders runs.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Owner {
-    /// Name of the entry.
-    pub entry: Node,
-    /// Distinguishes the entry's process from earlier processes of the same entry.
-    pub incarnation: Incarnation,
-}
-
-/// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Fate {
-    /// The upstream completed the run.
-    Done,
-    /// The run failed at the upstream.
-    Failed,
-    /// The run was stopped by an order.
-    Stopped,
-    /// The run's lease lapsed, its upstream is gone, or nothing is known of the run.
-    Lost,
-    /// The run was refused and never began.
-    Refused(Refusal),
-}
-
-impl Fate {
-    /// Whether the upstream itself reported this end.
-    fn is_reported(self) -> bool {
-        matches!(self, Fate::Done | Fate::Failed | Fate::Stopped)
-    }
-}
-
-/// Why a run did not begin.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display, strum::VariantNames)]
-#[strum(serialize_all = "snake_case")]
-pub enum Refusal {
-    /// The upstream lacks the capacity.
-    Full,
-    /// The upstream is leaving, unknown, or has been replaced.
-    Closed,
-    /// The order came after the lease of its owner had ended.
-    Expired,
-    /// This run or a later one of the task was admitted before.
-    OldRun,
-    /// The upstream refuses new runs.
-    Unhealthy,
-    /// The upstream did not answer the start, and the run has never begun.
-    NoAnswer,
-    /// The upstream rejects the order as malformed.
-    Invalid,
-}
-
-/// The end of a run, to be reported to its owner.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct RunEnd {
-    /// The entry that ordered the run.
-    pub owner: Owner,
-    /// The run.
-    pub run: Run,
-    /// How it ended.
-    pub fate: Fate,
-    /// How long it ran, as measured by the agent.
-    pub ran: Duration,
-}
-
-/// The upstream's answer to a start.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum StartAnswer {
-    /// The run has begun.
-    Running,
-    /// The run has not begun and never will.
-    Refused(Refusal),
-    /// There was no answer: the run may have begun or may yet begin.
-    Unknown,
-}
-
-/// A run that an upstream lists as running.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ListedRun {
-    /// The run.
-    pub run: Run,
-    /// Its progress.
-    pub percent: u32,
-}
-
-/// A run that an upstream lists as ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ListedEnd {
-    /// Sequence number of the end at this incarnation of the upstream, from 1.
-    pub number: u64,
-    /// The run.
-    pub run: Run,
-    /// How it ended.
-    pub fate: Fate,
-}
-
 /// Identifies a lease that is being sent to the upstream.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct LeaseGrant(u64);
@@ -189,6 +82,9 @@
     pending_grants: BTreeMap<LeaseGrant, Duration>,
     /// Number of grants so far, which numbers the next.
     grants: u64,
+    /// Runs that ended because the upstream's lease lapsed, and which it has not been
+    /// heard of since. If it turns out to have crashed, they were there.
+    lost_in_silence: Vec<CrashedRun>,
     pace: Pace,
 }
 
@@ -209,18 +105,6 @@
         self.capacity
     }
 
-    /// Capacity used by the runs of all entries but `owner`.
-    pub fn used_by_others(&self, owner: &Owner) -> Need {
-        let others = self.live.values().filter(|live| live.owner != *owner);
-        others.fold(Need::default(), |sum, live| sum.plus(live.need))
-    }
-
-    /// Capacity used by all runs.
-    pub fn used(&self) -> Need {
-        let needs = self.live.values().map(|live| live.need);
-        needs.fold(Need::default(), Need::plus)
-    }
-
     /// Number of runs that are, or may be, at the upstream.
     pub fn len(&self) -> usize {
         self.live.len()
@@ -231,60 +115,6 @@
         self.live.is_empty()
     }
 
-    /// Extends an owner's lease to `until`, but to no longer than [`MAX_LEASE`] from
-    /// `now`. A lease never gets shorter.
-    pub fn renew_lease(&mut self, owner: &Owner, until: Duration, now: Duration) {
-        let until = until.min(now + MAX_LEASE);
-        let lease = self.leases.entry(owner.clone()).or_default();
-        *lease = until.max(*lease);
-    }
-
-    /// Admits a run, which the caller then starts at the upstream.
-    pub fn admit(
-        &mut self,
-        owner: &Owner,
-        run: &Run,
-        need: Need,
-        now: Duration,
-    ) -> Result<(), Refusal> {
-        self.check_admission(owner, run, need, now)?;
-        let live = LiveRun::new(owner.clone(), need, self.polls, now);
-        self.live.insert(run.clone(), live);
-        Ok(())
-    }
-
-    fn check_admission(
-        &self,
-        owner: &Owner,
-        run: &Run,
-        need: Need,
-        now: Duration,
-    ) -> Result<(), Refusal> {
-        if !self.open {
-            return Err(Refusal::Closed);
-        }
-        if self.leases.get(owner).is_none_or(|until| *until <= now) {
-            return Err(Refusal::Expired);
-        }
-        if self.live_runs_of_task(run).next().is_some() || self.recent_ends.has_later(run) {
-            return Err(Refusal::OldRun);
-        }
-        if !self.used().plus(need).fits(self.capacity) {
-            return Err(Refusal::Full);
-        }
-        Ok(())
-    }
-
-    /// Runs of the same task that are, or may be, at the upstream.
-    fn live_runs_of_task<'a>(&'a self, run: &'a Run) -> impl Iterator<Item = &'a Run> {
-        let first = Run {
-            task: run.task.clone(),
-            number: 0,
-        };
-        let same = self.live.range(first..).map(|(live, _)| live);
-        same.take_while(|live| live.task == run.task)
-    }
-
     /// End of the lease that the upstream may be granted now: at most
     /// [`MAX_LEASE`] from `now`, and not after the longest lease of an owner that
     /// has runs there. `None` if no owner with runs there holds a lease.
@@ -405,6 +235,7 @@
         listed: &[ListedEnd],
         now: Duration,
     ) -> Vec<RunEnd> {
+        self.lost_in_silence.clear();
         let mut ends = Vec::new();
         for end in listed {
             if end.number > self.last_seen_end {
@@ -485,6 +316,11 @@
         let starting = |live: &LiveRun| matches!(live.phase, Phase::Starting);
         let gone = self.live.iter().filter(|(_, live)| !starting(live));
         let gone: Vec<Run> = gone.map(|(run, _)| run.clone()).collect();
+        let lost = gone
+            .iter()
+            .filter_map(|run| self.live[run].crashed(run, now));
+        let lost: Vec<CrashedRun> = lost.collect();
+        self.lost_in_silence.extend(lost);
         self.end_all(&gone, now)
     }
 
@@ -496,6 +332,7 @@
     pub fn upstream_replaced(&mut self, now: Duration) -> Vec<RunEnd> {
         self.last_seen_end = 0;
         self.unknown_runs.clear();
+        self.lost_in_silence.clear();
         self.gone_at = Duration::ZERO;
         self.pending_grants.clear();
         self.pace = Pace::default();
--- a/crates/claim/tests/run.rs
+++ b/crates/claim/tests/run.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use gentian_claim::run::{
-    max_orphan_lifetime, Fate, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Runs,
+    max_orphan_lifetime, Fate, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Runs, Start,
     StartAnswer, MAX_LEASE,
 };
 use gentian_wire::id::Incarnation;
@@ -21,6 +21,16 @@
     accelerators: 0,
 };
 
+/// An order to start a task of job `j`, which may run beside others.
+fn start() -> Start {
+    Start {
+        need: TASK,
+        job: "j".into(),
+        queue: "q".into(),
+        alone: false,
+    }
+}
+
 fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -50,7 +60,7 @@
 /// Like [`runs`], with run 1 of task `t` admitted and its start not answered yet.
 fn starting() -> Runs {
     let mut runs = runs();
-    runs.admit(&owner("a"), &run("t", 1), TASK, ms(0))
+    runs.admit(&owner("a"), &run("t", 1), start(), ms(0))
         .expect("capacity is free");
     let grant = runs.begin_grant(MAX_LEASE, ms(0));
     runs.end_grant(grant, true);
@@ -105,17 +115,20 @@
 fn capacity_stays_used_until_the_end_is_listed() {
     let mut runs = running();
     for task in ["u", "v"] {
-        runs.admit(&owner("a"), &run(task, 1), TASK, ms(1))
+        runs.admit(&owner("a"), &run(task, 1), start(), ms(1))
             .expect("capacity is free");
     }
     let full = Err(Refusal::Full);
-    assert_eq!(full, runs.admit(&owner("a"), &run("w", 1), TASK, ms(2)));
+    assert_eq!(full, runs.admit(&owner("a"), &run("w", 1), start(), ms(2)));
     runs.request_stop(&owner("a"), &run("t", 1));
     assert_eq!(vec![run("t", 1)], runs.take_due_stops(ms(3)));
-    assert_eq!(full, runs.admit(&owner("a"), &run("w", 1), TASK, ms(4)));
+    assert_eq!(full, runs.admit(&owner("a"), &run("w", 1), start(), ms(4)));
     let poll = runs.begin_poll();
     runs.apply_poll(poll, &[], &[listed_end(1, "t", Fate::Stopped)], ms(5));
-    assert_eq!(Ok(()), runs.admit(&owner("a"), &run("w", 1), TASK, ms(6)));
+    assert_eq!(
+        Ok(()),
+        runs.admit(&owner("a"), &run("w", 1), start(), ms(6))
+    );
 }
 
 #[test_case(false, true, Refusal::Closed; "by a closed upstream")]
@@ -128,7 +141,7 @@
     }
     assert_eq!(
         Err(refusal),
-        runs.admit(&owner("a"), &run("t", 1), TASK, ms(1))
+        runs.admit(&owner("a"), &run("t", 1), start(), ms(1))
     );
 }
 
@@ -138,7 +151,7 @@
     let late = MAX_LEASE + ms(1);
     // A renewal whose end lies in the past doesn't renew the lease.
     runs.renew_lease(&owner("a"), MAX_LEASE, late);
-    let refused = runs.admit(&owner("a"), &run("t", 1), TASK, late);
+    let refused = runs.admit(&owner("a"), &run("t", 1), start(), late);
     assert_eq!(Err(Refusal::Expired), refused);
 }
 
@@ -147,11 +160,14 @@
     let mut runs = running();
     let old = Err(Refusal::OldRun);
     runs.renew_lease(&owner("b"), MAX_LEASE, ms(1));
-    assert_eq!(old, runs.admit(&owner("b"), &run("t", 2), TASK, ms(1)));
+    assert_eq!(old, runs.admit(&owner("b"), &run("t", 2), start(), ms(1)));
     let poll = runs.begin_poll();
     runs.apply_poll(poll, &[], &[listed_end(1, "t", Fate::Failed)], ms(50));
-    assert_eq!(old, runs.admit(&owner("b"), &run("t", 1), TASK, ms(51)));
-    assert_eq!(Ok(()), runs.admit(&owner("b"), &run("t", 2), TASK, ms(51)));
+    assert_eq!(old, runs.admit(&owner("b"), &run("t", 1), start(), ms(51)));
+    assert_eq!(
+        Ok(()),
+        runs.admit(&owner("b"), &run("t", 2), start(), ms(51))
+    );
 }
 
 #[test]
@@ -174,7 +190,7 @@
 #[test]
 fn an_unanswered_start_that_has_begun_is_found_by_a_poll() {
     let mut runs = runs();
-    runs.admit(&owner("a"), &run("t", 1), TASK, ms(0))
+    runs.admit(&owner("a"), &run("t", 1), start(), ms(0))
         .expect("capacity is free");
     assert_eq!(
         None,
@@ -241,7 +257,7 @@
 #[test]
 fn a_poll_that_began_before_the_start_was_answered_proves_nothing() {
     let mut runs = runs();
-    runs.admit(&owner("a"), &run("t", 1), TASK, ms(0))
+    runs.admit(&owner("a"), &run("t", 1), start(), ms(0))
         .expect("capacity is free");
     let early = runs.begin_poll();
     runs.apply_start_answer(&run("t", 1), StartAnswer::Running, ms(2));
@@ -329,7 +345,7 @@
 #[test]
 fn a_new_stream_gets_the_ends_that_the_last_one_missed() {
     let mut runs = running();
-    runs.admit(&owner("a"), &run("u", 1), TASK, ms(1))
+    runs.admit(&owner("a"), &run("u", 1), start(), ms(1))
         .expect("capacity is free");
     runs.apply_start_answer(&run("u", 1), StartAnswer::Running, ms(2));
     let poll = runs.begin_poll();
@@ -361,7 +377,7 @@
     let mut runs = runs();
     let tasks = ["t", "u", "v"];
     for task in tasks {
-        runs.admit(&owner("a"), &run(task, 1), TASK, ms(0))
+        runs.admit(&owner("a"), &run(task, 1), start(), ms(0))
             .expect("capacity is free");
         runs.set_estimate(&run(task, 1), ms(1_000));
         runs.apply_start_answer(&run(task, 1), StartAnswer::Running, ms(0));
@@ -451,7 +467,7 @@
 fn an_unanswered_start_is_stopped_once_a_later_poll_does_not_list_it() {
     let mut runs = runs();
     let early = runs.begin_poll();
-    runs.admit(&owner("a"), &run("t", 1), TASK, ms(0))
+    runs.admit(&owner("a"), &run("t", 1), start(), ms(0))
         .expect("capacity is free");
     let grant = runs.begin_grant(MAX_LEASE, ms(0));
     runs.end_grant(grant, true);
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -44,6 +44,7 @@
         let Some(order) = order.filter(|order| order.authority.until.is_some()) else {
             return handle_start_answer(&supervisor, &run, StartAnswer::Refused(Refusal::Expired));
         };
+        supervisor.state().runs.start_sent(&run, supervisor.now());
         let request = order::start(&order.id, &run, spec, order.authority);
         let answer = supervisor.send_order(&order, request, ANSWER_TIMEOUT).await;
         let read = answer.map(|answer| order::parse_start(answer.status, &answer.body));
@@ -93,13 +94,16 @@
                 );
                 return handle_start_answer(&supervisor, &run, StartAnswer::Unknown);
             }
-            Err(client::Error::Connect(error)) => {
+            Err(error @ client::Error::Connect(_)) => {
                 log::info!("{run}: start refused, since the upstream can't be reached: {error}");
                 let refusal = StartAnswer::Refused(Refusal::NoAnswer);
-                return handle_start_answer(&supervisor, &run, refusal);
+                handle_start_answer(&supervisor, &run, refusal);
+                supervisor.handle_failed_order(&mut supervisor.state(), &order, &error);
+                return;
             }
             Err(error) => {
                 log::warn!("{run}: start not answered, so the run may have begun: {error}");
+                supervisor.handle_failed_order(&mut supervisor.state(), &order, &error);
                 return handle_start_answer(&supervisor, &run, StartAnswer::Unknown);
             }
         }
@@ -177,12 +181,12 @@
             .send_order(&order, request, wait + POLL_ANSWER_TIMEOUT)
             .await;
         supervisor.record_poll_answer(&mut supervisor.state(), &order, answer.as_ref().err());
-        let usable = match answer {
+        let again = match answer {
             Ok(answer) => supervisor.handle_poll_answer(&order, poll_number, last_end, &answer),
-            Err(_) => false,
+            Err(error) => supervisor.handle_failed_order(&mut supervisor.state(), &order, &error),
         };
         supervisor.end_lapsed_runs();
-        if !usable {
+        if !again {
             tokio::time::sleep(POLL_RETRY_DELAY).await;
         }
     }
--- /dev/null
+++ b/crates/core/src/agent/lease/crashes.rs
@@ -0,0 +1,133 @@
+//! Crashes of the upstream: how they are noticed, and how the entries learn of them.
+//!
+//! An upstream that refuses connections, or that another process has replaced, has ended.
+//! If it didn't announce that, it has crashed. The refusal is not taken as proof that its
+//! runs are gone: they end with its lease, or when the next process reports.
+
+use std::time::{Duration, Instant};
+
+use gentian::claim::crash::{Crash, Process};
+use gentian::wire::agent::{self, Reports};
+
+use super::order::Order;
+use super::supervisor::{State, Supervisor};
+use super::upstream::UpstreamState;
+use crate::client;
+
+impl Supervisor {
+    /// Handles an order that failed without an answer. Returns true if it is the first
+    /// sign that the upstream may have ended: asking again then shows whether it has.
+    pub(super) fn handle_failed_order(
+        &self,
+        state: &mut State,
+        order: &Order,
+        error: &client::Error,
+    ) -> bool {
+        let now = self.now();
+        let upstream = state.upstream.as_mut();
+        let Some(upstream) = upstream.filter(|upstream| upstream.incarnation().id == order.id)
+        else {
+            return false;
+        };
+        if matches!(error, client::Error::Broken(_)) {
+            return upstream.record_break(now);
+        }
+        if error.is_refused() {
+            upstream.mark_down(now);
+            let ended = upstream.clone();
+            state.update_admission(Instant::now());
+            self.record_crash(state, &ended);
+            self.room_changed.notify_one();
+        }
+        false
+    }
+
+    /// Records the unplanned end of an upstream's process and tells all entries. Does
+    /// nothing if the end was announced or is known.
+    pub(super) fn record_crash(&self, state: &mut State, ended: &UpstreamState) {
+        if ended.is_ending() {
+            return;
+        }
+        let now = self.now();
+        let at = ended.ended_at().unwrap_or(now);
+        let incarnation = ended.incarnation();
+        let crash = Crash {
+            agent: self.node.clone(),
+            process: Process {
+                upstream: incarnation.id.clone(),
+                born_ms: incarnation.born_ms,
+            },
+            at,
+            runs: state.runs.crashed(at),
+            rates: state.start_rates.rates(now),
+        };
+        if !state.crashes.record(crash.clone(), now) {
+            return;
+        }
+        self.metrics.crashed(crash.runs.len());
+        log_crash(&crash);
+        self.tell_crash(state, &crash, now);
+    }
+
+    /// Takes over the crashes that an entry remembers, since this agent may have restarted
+    /// after them, and tells the entry those that it may have missed.
+    pub(super) fn exchange_crashes(
+        &self,
+        state: &mut State,
+        owner: &gentian::claim::run::Owner,
+        known: &[agent::Crash],
+    ) {
+        let now = self.now();
+        for message in known {
+            let crash = Crash::from_wire(message, &self.node, now);
+            if state.crashes.record(crash.clone(), now) {
+                self.tell_crash(state, &crash, now);
+            }
+        }
+        state.crashes.prune(now);
+        let crashes = state.crashes.iter().map(|crash| crash.to_wire(now));
+        let crashes: Vec<agent::Crash> = crashes.collect();
+        if !crashes.is_empty() {
+            self.queue_reports(state, owner, self.crash_reports(crashes));
+        }
+    }
+
+    fn tell_crash(&self, state: &mut State, crash: &Crash, now: Duration) {
+        let owners: Vec<_> = state.streams.keys().cloned().collect();
+        for owner in owners {
+            let reports = self.crash_reports(vec![crash.to_wire(now)]);
+            self.queue_reports(state, &owner, reports);
+        }
+    }
+
+    fn crash_reports(&self, crashes: Vec<agent::Crash>) -> Reports {
+        Reports {
+            clock_ms: self.clock_ms(),
+            incarnation: self.incarnation,
+            crashes,
+            ..Reports::default()
+        }
+    }
+}
+
+/// Logs the crash, and each run that was there.
+fn log_crash(crash: &Crash) {
+    let runs = crash.runs.len();
+    log::warn!(
+        "upstream {}: ended without notice while {runs} runs were there",
+        crash.process
+    );
+    for crashed in &crash.runs {
+        tracing::info!(
+            event = "crashed_under",
+            request = %crashed.job,
+            run = %crashed.run,
+            queue = %crashed.queue,
+            upstream = crash.process.upstream,
+            born_ms = crash.process.born_ms,
+            age_ms = crashed.age.as_millis() as u64,
+            beside = runs - 1,
+            alone = crash.was_alone(&crashed.job),
+        );
+    }
+}
--- a/crates/core/src/agent/lease/mod.rs
+++ b/crates/core/src/agent/lease/mod.rs
@@ -6,6 +6,7 @@
 //! module does the calls and serves the streams.
 
 mod calls;
+mod crashes;
 mod http;
 mod order;
 mod reports;
@@ -45,7 +46,7 @@
 ) {
     let name = format!("node {}", node.name);
     let metrics = Arc::new(metrics::Runs::new());
-    let supervisor = Arc::new(Supervisor::new(node.incarnation, metrics.clone()));
+    let supervisor = Arc::new(Supervisor::new(&node, metrics.clone()));
     let renewal = renew::Loop::new(node, supervisor.clone(), control);
     tokio::spawn(renew::log_changes(name, renewal.subscribe()));
     let (drained, drain) = watch::channel(false);
--- a/crates/core/src/agent/lease/order.rs
+++ b/crates/core/src/agent/lease/order.rs
@@ -122,8 +122,10 @@
             "upstream {}: another incarnation answered; all runs at the former one are over",
             order.id
         );
+        let ended = upstream.clone();
         upstream.mark_gone();
         state.update_admission(Instant::now());
+        self.record_crash(state, &ended);
         let ends = state.runs.upstream_replaced(self.now());
         self.report_ends(state, ends);
         self.room_changed.notify_one();
--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gentian::claim::run::{self, Fate, Owner, Refusal, Run, RunEnd};
+use gentian::claim::run::{self, Fate, Owner, Refusal, Run, RunEnd, Start};
 use gentian::wire::agent::{self, Orders, Reports};
 use gentian::wire::need::Need;
 use gentian_platform::order;
@@ -56,6 +56,7 @@
             known_runs.len(),
             ends.len()
         );
+        self.exchange_crashes(&mut state, owner, &first.crashes);
         self.report_ends(&mut state, ends);
         number
     }
@@ -91,16 +92,27 @@
         let mut refused = Vec::new();
         for batch in orders.starts {
             // A batch without a need is one of tasks that need nothing.
-            let need = Need::from(batch.need.unwrap_or_default());
+            let start = Start {
+                need: Need::from(batch.need.unwrap_or_default()),
+                job: batch.job.into(),
+                queue: batch.queue.into(),
+                alone: batch.alone,
+            };
             let estimate = stream::duration(batch.estimate_ms.into());
+            let mut any_admitted = false;
             for run in batch.runs.iter().map(Run::from) {
-                match state.runs.admit(owner, &run, need, now) {
+                match state.runs.admit(owner, &run, start.clone(), now) {
                     Ok(()) => {
+                        any_admitted = true;
                         state.runs.set_estimate(&run, estimate);
                         tokio::spawn(calls::start_run(self.clone(), run, batch.spec.clone()));
                     }
                     Err(refusal) => {
                         if refusal == Refusal::Full {
+                            let need = match start.alone {
+                                true => state.runs.capacity(),
+                                false => start.need,
+                            };
                             state.waiting.add(owner.clone(), need, now);
                         }
                         self.metrics.refused(refusal);
@@ -110,6 +122,9 @@
                     }
                 }
             }
+            if any_admitted {
+                state.start_rates.record(&start.queue, now);
+            }
         }
         let stops = state.runs.take_due_stops(now);
         self.send_stops(stops);
@@ -180,8 +195,8 @@
             clock_ms: self.clock_ms(),
             room,
             ends: ends.iter().map(end_to_wire).collect(),
-            progress: Vec::new(),
             incarnation: self.incarnation,
+            ..Reports::default()
         };
         self.queue_reports(state, owner, reports);
     }
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -4,9 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant, SystemTime};
 
+use gentian::claim::crash::{History, StartRates};
 use gentian::claim::run::{Owner, Run, Runs};
 use gentian::limit::waiting_list::WaitingList;
-use gentian::wire::control;
+use gentian::wire::{control, id};
 use gentian_platform::heartbeat::Report;
 use tokio::sync::{Notify, Semaphore};
 
@@ -26,6 +27,8 @@
 /// Supervises the runs at the agent's upstream on behalf of the entries.
 #[derive(Debug)]
 pub(super) struct Supervisor {
+    /// Name of this agent.
+    pub(super) node: id::Node,
     pub(super) incarnation: u64,
     origin: Instant,
     state: Mutex<State>,
@@ -43,6 +46,10 @@
 #[derive(Debug)]
 pub(super) struct State {
     pub(super) runs: Runs,
+    /// Crashes of the upstreams that this agent has had.
+    pub(super) crashes: History,
+    /// How often jobs are started at the upstream.
+    pub(super) start_rates: StartRates,
     pub(super) upstream: Option<UpstreamState>,
     pub(super) streams: BTreeMap<Owner, Stream>,
     /// Entries whose starts were refused for lack of capacity.
@@ -62,16 +69,22 @@
 }
 
 impl Supervisor {
-    pub(super) fn new(incarnation: u64, metrics: Arc<metrics::Runs>) -> Supervisor {
+    pub(super) fn new(node: &control::Node, metrics: Arc<metrics::Runs>) -> Supervisor {
         let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
         // Higher than the token of every earlier agent process, unless the machine's
         // clock was set back.
         let token = since_epoch.unwrap_or_default().as_millis() as u64;
         Supervisor {
-            incarnation,
+            node: node
+                .name
+                .parse()
+                .expect("the settings hold a valid node name"),
+            incarnation: node.incarnation,
             origin: Instant::now(),
             state: Mutex::new(State {
                 runs: Runs::default(),
+                crashes: History::default(),
+                start_rates: StartRates::default(),
                 upstream: None,
                 streams: BTreeMap::new(),
                 waiting: WaitingList::default(),
@@ -107,10 +120,8 @@
         let mut state = self.state();
         let incarnation = report.incarnation.clone();
         let ready = report.ready;
-        let was_ready = state
-            .upstream
-            .as_ref()
-            .map(|upstream| upstream.report.ready);
+        let previous = state.upstream.clone();
+        let was_ready = previous.as_ref().map(|upstream| upstream.report.ready);
         let ends = match UpstreamState::apply_report(&mut state.upstream, report, now) {
             Update::Stale => return,
             Update::Same => {
@@ -125,6 +136,9 @@
                     "upstream {} incarnation {born}: first heartbeat, ready {ready}",
                     incarnation.id
                 );
+                if let Some(previous) = &previous {
+                    self.record_crash(&mut state, previous);
+                }
                 state.acknowledged = 0;
                 state.runs.upstream_replaced(self.now())
             }
--- a/crates/core/src/agent/lease/upstream.rs
+++ b/crates/core/src/agent/lease/upstream.rs
@@ -32,6 +32,11 @@
     gone: bool,
     /// Number of polls in a row without an answer since the last heartbeat.
     unanswered_polls: u32,
+    /// When a connection to it broke for the first time since it last answered, on the
+    /// agent's clock.
+    broken_at: Option<Duration>,
+    /// When it refused a connection, on the agent's clock; none if it has answered since.
+    down_at: Option<Duration>,
     /// The upstream's clock when it was last read.
     last_clock: Duration,
     /// When the agent received that reading, on its own clock.
@@ -46,6 +51,8 @@
             last_report_at: now,
             gone: false,
             unanswered_polls: 0,
+            broken_at: None,
+            down_at: None,
             report,
         }
     }
@@ -66,6 +73,7 @@
             }
             previous.last_report_at = now;
             previous.unanswered_polls = 0;
+            (previous.broken_at, previous.down_at) = (None, None);
             previous.set_clock(report.clock, now);
             previous.report = report;
             return Update::Same;
@@ -88,8 +96,35 @@
         self.report.ready && !self.gone && !silent && self.is_responsive()
     }
 
+    /// Records that a connection broke. Returns whether it is the first since the last
+    /// answer.
+    pub(super) fn record_break(&mut self, now: Duration) -> bool {
+        let is_first = self.broken_at.is_none();
+        self.broken_at.get_or_insert(now);
+        is_first
+    }
+
+    /// Records that a connection was refused: the process has ended.
+    pub(super) fn mark_down(&mut self, now: Duration) {
+        self.down_at.get_or_insert(now);
+    }
+
+    /// When the process ended, if it has, as far as that is known.
+    pub(super) fn ended_at(&self) -> Option<Duration> {
+        let down_at = self.down_at?;
+        Some(self.broken_at.map_or(down_at, |at| at.min(down_at)))
+    }
+
+    /// Whether it announced its end.
+    pub(super) fn is_ending(&self) -> bool {
+        self.gone || !self.report.ready
+    }
+
     /// Records whether a poll was answered.
     pub(super) fn record_poll(&mut self, answered: bool) {
+        if answered {
+            (self.broken_at, self.down_at) = (None, None);
+        }
         self.unanswered_polls = if answered {
             0
         } else {
@@ -97,9 +132,10 @@
         };
     }
 
-    /// Whether fewer than [`MAX_UNANSWERED_POLLS`] polls in a row are unanswered.
+    /// Whether it accepts connections, and fewer than [`MAX_UNANSWERED_POLLS`] polls in a
+    /// row are unanswered.
     pub(super) fn is_responsive(&self) -> bool {
-        self.unanswered_polls < MAX_UNANSWERED_POLLS
+        self.down_at.is_none() && self.unanswered_polls < MAX_UNANSWERED_POLLS
     }
 
     /// Records that this incarnation has ended or is about to.
--- a/crates/core/src/client/mod.rs
+++ b/crates/core/src/client/mod.rs
@@ -39,6 +39,24 @@
     Timeout(Duration),
 }
 
+impl Error {
+    /// Whether nothing listens at the address: the process there has ended.
+    pub(crate) fn is_refused(&self) -> bool {
+        let Error::Connect(error) = self else {
+            return false;
+        };
+        let mut cause: Option<&dyn std::error::Error> = Some(error);
+        while let Some(error) = cause {
+            let io = error.downcast_ref::<std::io::Error>();
+            if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
+                return true;
+            }
+            cause = error.source();
+        }
+        false
+    }
+}
+
 /// A result whose error is why there is no complete answer.
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
--- a/crates/core/src/entry/lease/link.rs
+++ b/crates/core/src/entry/lease/link.rs
@@ -4,13 +4,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use gentian::claim::run::{max_orphan_lifetime, Run};
 use gentian::wire::agent::{self, Batch, Orders};
-use gentian::wire::id::{Incarnation, Node, Service};
+use gentian::wire::id::{Incarnation, Node};
 use gentian::wire::need::Need;
 use tokio::sync::Notify;
 
+use super::job::Submission;
+
 /// A run that was ordered from an agent and whose end is not known yet.
 #[derive(Clone, Debug)]
 pub(super) struct PlacedRun {
@@ -26,6 +27,8 @@
     pub(super) ordered_at: Instant,
     /// Last reported percentage, and when the percentage last changed.
     pub(super) progress: (u32, Instant),
+    /// Whether it may run beside tasks of its own job only.
+    pub(super) alone: bool,
     /// Whether a stop was ordered.
     pub(super) stop_ordered: bool,
     /// The agent's incarnation at the time of the order; 0 if the agent had not
@@ -74,26 +77,30 @@
         }
     }
 
-    /// Adds a start to the next message.
+    /// Adds a start of a job's task to the next message.
     pub(super) fn start(
         &mut self,
         run: &Run,
         placed: PlacedRun,
-        service: &Service,
-        spec: &Bytes,
+        job: &Submission,
         estimate: Duration,
     ) {
         let message = agent::Run::from(run);
+        let spec = &job.spec;
         // Consecutive starts of one job share a batch. Its `spec` is compared by
         // address, since all tasks of a job share one buffer.
         let same_job = self
             .pending_starts
             .last_mut()
-            .filter(|batch| batch.spec.as_ptr() == spec.as_ptr() && batch.spec.len() == spec.len());
+            .filter(|batch| batch.spec.as_ptr() == spec.as_ptr() && batch.spec.len() == spec.len())
+            .filter(|batch| batch.alone == placed.alone);
         match same_job {
             Some(batch) => batch.runs.push(message),
             None => self.pending_starts.push(Batch {
-                service: service.to_string(),
+                service: job.service.to_string(),
+                job: job.id.to_string(),
+                queue: job.queue.name.clone(),
+                alone: placed.alone,
                 spec: spec.clone(),
                 need: Some(placed.need.into()),
                 runs: vec![message],
--- /dev/null
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -0,0 +1,122 @@
+//! Admission of jobs: their objectives, and refusals.
+
+use std::time::Duration;
+
+use gentian::limit::job_queue::{JobQueue, Objective, Rank};
+use gentian::limit::retry_after::retry_after;
+use gentian::route::bulkhead::Pool;
+use gentian::wire::id::Service;
+
+use super::super::job::{Outcome, RefusalCause, Submission};
+use super::State;
+
+/// Retry delay for refused callers when the wait can't be estimated.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+impl State {
+    /// How long a job may wait and take, by the settings of its queue and its expected
+    /// run time.
+    pub(in crate::entry::lease) fn objective(&self, submission: &Submission) -> Objective {
+        let queue = &submission.queue;
+        Objective {
+            critical_path: self.expected(submission, submission.critical_path()),
+            stretch: queue.stretch,
+            target: queue.target(),
+        }
+    }
+
+    /// Expected run time of tasks that were declared to run for `declared`: scaled by
+    /// the median ratio of measured to declared run times in the job's queue.
+    pub(super) fn expected(&self, submission: &Submission, declared: Duration) -> Duration {
+        let ratio = self
+            .run_time_ratios
+            .get(&submission.queue.name)
+            .quantile(0.5);
+        let ratio = ratio.map_or(1.0, |ratio| ratio.as_secs_f64());
+        declared.mul_f64(ratio)
+    }
+
+    /// The refusal of a job that no upstream can run or that would wait for too long;
+    /// none if the job is admitted.
+    pub(in crate::entry::lease) fn admission_refusal(
+        &self,
+        submission: &Submission,
+        objective: &Objective,
+        rank: &Rank,
+    ) -> Option<Outcome> {
+        let service = &submission.service;
+        for step in &submission.steps {
+            if self.placer.could_ever_fit(service, step.need) == Some(false) {
+                return Some(Outcome::Refused(
+                    DEFAULT_RETRY_AFTER,
+                    RefusalCause::TooLarge,
+                ));
+            }
+            if !self.placer.serves(service, &step.constraints, Pool::All) {
+                return Some(Outcome::Refused(
+                    DEFAULT_RETRY_AFTER,
+                    RefusalCause::NoUpstream,
+                ));
+            }
+        }
+        let job_queue = self.job_queues.get(service)?;
+        let wait = job_queue.expected_wait(rank, self.available_cores(service));
+        (wait > objective.max_wait()).then_some(Outcome::Refused(wait, RefusalCause::Overload))
+    }
+
+    /// Number of cores that this entry's tasks of a service use or could use now.
+    pub(super) fn available_cores(&self, service: &Service) -> f64 {
+        f64::from(self.placer.own_share(service, Pool::All).cpu) / 1e3
+    }
+
+    /// Counts and logs the refusal of a job in progress.
+    pub(in crate::entry::lease) fn record_job_refusal(
+        &self,
+        number: u64,
+        cause: RefusalCause,
+        after: Duration,
+    ) {
+        if let Some(job) = self.jobs.get(&number) {
+            self.record_refusal(&job.submission, cause, after, job.arrived_at.elapsed());
+        }
+    }
+
+    /// Counts and logs a refusal, with the values that led to it.
+    pub(in crate::entry::lease) fn record_refusal(
+        &self,
+        submission: &Submission,
+        cause: RefusalCause,
+        after: Duration,
+        waited: Duration,
+    ) {
+        self.metrics.refused(&cause.to_string());
+        let job_queue = self.job_queues.get(&submission.service);
+        tracing::info!(
+            event = "refused",
+            request = %submission.id,
+            queue = submission.queue.name,
+            cause = %cause,
+            retry_after_ms = after.as_millis() as u64,
+            waited_ms = waited.as_millis() as u64,
+            tasks = submission.task_count(),
+            cpu = submission.max_cpu(),
+            jobs_in_line = job_queue.map_or(0, JobQueue::len),
+            own_cores = self.available_cores(&submission.service),
+        );
+    }
+
+    /// When a caller whose job is refused should submit it again: after about the
+    /// time that a job of this rank would wait.
+    pub(in crate::entry::lease) fn retry_after(
+        &mut self,
+        service: &Service,
+        rank: &Rank,
+    ) -> Duration {
+        let cores = self.available_cores(service);
+        let job_queue = self.job_queues.get(service);
+        let wait = job_queue.map_or(DEFAULT_RETRY_AFTER, |queue| {
+            queue.expected_wait(rank, cores)
+        });
+        retry_after(wait, &mut self.rng)
+    }
+}
--- /dev/null
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -0,0 +1,161 @@
+//! The scheduler's state: jobs in progress, the queue of each service, and the
+//! links to agents.
+//!
+//! Nothing here blocks or does I/O: orders are left at the [`Link`]s, from which
+//! the streams send them.
+
+mod admission;
+mod runs;
+mod schedule;
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use gentian::limit::job_queue::JobQueue;
+use gentian::route::placement::{Placer, UpstreamReport};
+use gentian::route::run_times;
+use gentian::wire::agent::Room;
+use gentian::wire::id::{Incarnation, Node, Service};
+use gentian::wire::need::Need;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
+
+use crate::metrics;
+
+use super::job::{Job, Outcome};
+use super::link::{Link, PlacedRun};
+
+/// Number of configured queues whose run times are learned separately.
+const MAX_LEARNED_QUEUES: usize = 256;
+
+/// The scheduler's state, guarded by the dispatcher's lock.
+#[derive(Debug)]
+pub(super) struct State {
+    metrics: Arc<metrics::Jobs>,
+    /// Chooses upstreams and keeps account of their free capacity.
+    pub(super) placer: Placer,
+    /// Jobs with tasks that wait for capacity, by service.
+    job_queues: BTreeMap<Service, JobQueue>,
+    /// Jobs in progress by number.
+    pub(super) jobs: HashMap<u64, Job>,
+    /// Numbers of the jobs in progress by the caller's id.
+    pub(super) numbers_by_id: HashMap<Arc<str>, u64>,
+    /// Number of runs that still have to stop after their job has ended, by the
+    /// caller's id of the job.
+    stopping_runs: HashMap<Arc<str>, usize>,
+    /// Jobs submitted again under an id whose earlier runs still have to stop.
+    blocked_jobs: HashMap<Arc<str>, u64>,
+    /// The last number given. A caller and the job that it submits share a number.
+    pub(super) last_number: u64,
+    pub(super) links: BTreeMap<Node, Link>,
+    /// Ratios of measured to declared run times by configured queue. The table holds
+    /// durations; a ratio of 1 is stored as one second.
+    run_time_ratios: run_times::Table<String>,
+    rng: StdRng,
+}
+
+impl State {
+    pub(super) fn new(entry: &Node, metrics: Arc<metrics::Jobs>) -> State {
+        State {
+            metrics,
+            placer: Placer::new(entry),
+            job_queues: BTreeMap::new(),
+            jobs: HashMap::new(),
+            numbers_by_id: HashMap::new(),
+            stopping_runs: HashMap::new(),
+            blocked_jobs: HashMap::new(),
+            last_number: 0,
+            links: BTreeMap::new(),
+            run_time_ratios: run_times::Table::new(MAX_LEARNED_QUEUES),
+            rng: StdRng::from_os_rng(),
+        }
+    }
+
+    /// Applies an agent's report on the capacity of its upstream.
+    pub(super) fn update_room(&mut self, node: &Node, incarnation: Incarnation, room: Room) {
+        let Ok(service) = room.service.parse() else {
+            log::warn!(
+                "agent {node}: invalid service name {:?} in its report; ignoring its room",
+                room.service
+            );
+            return;
+        };
+        let same_data_center = self
+            .links
+            .get(node)
+            .is_some_and(|link| link.same_data_center);
+        let report = UpstreamReport {
+            service,
+            capacity: Need::from(room.capacity.unwrap_or_default()),
+            used_by_others: Need::from(room.others.unwrap_or_default()),
+            accepts_runs: room.open,
+            run_time_ratio: (room.pace_percent > 0).then(|| f64::from(room.pace_percent) / 100.0),
+            labels: room.labels,
+        };
+        self.placer
+            .update(node, incarnation, same_data_center, report);
+    }
+
+    /// Puts upstreams on trial whose ejection has ended.
+    pub(super) fn readmit(&mut self, now: Duration) {
+        while let Some(node) = self.placer.readmit(now) {
+            log::info!(
+                "agent {node}: its upstream is on trial after an ejection; sending it a few tasks"
+            );
+        }
+    }
+
+    /// Adds a job and starts its tasks. If runs of an earlier job with the same id
+    /// still have to stop, its tasks wait for that, so that no task runs twice at
+    /// the same time.
+    pub(super) fn insert_job(&mut self, number: u64, job: Job) {
+        let id = job.submission.id.clone();
+        let service = job.submission.service.clone();
+        self.jobs.insert(number, job);
+        self.numbers_by_id.insert(id.clone(), number);
+        if self.stopping_runs.contains_key(&id) {
+            self.blocked_jobs.insert(id, number);
+            return;
+        }
+        self.requeue(number);
+        self.schedule(&service);
+    }
+
+    /// Handles the end of a run whose job had ended before. The last such run of a job
+    /// unblocks the job that was submitted again under the same id.
+    fn stopped_run_ended(&mut self, placed: &PlacedRun) {
+        let Some(left) = self.stopping_runs.get_mut(&placed.id) else {
+            return;
+        };
+        *left -= 1;
+        if *left > 0 {
+            return;
+        }
+        self.stopping_runs.remove(&placed.id);
+        if let Some(blocked) = self.blocked_jobs.remove(&placed.id) {
+            self.requeue(blocked);
+        }
+    }
+
+    /// Ends a job: stops its runs and answers its callers.
+    pub(super) fn finish_job(&mut self, number: u64, outcome: Outcome) {
+        let Some(mut job) = self.jobs.remove(&number) else {
+            return;
+        };
+        let id = job.submission.id;
+        self.numbers_by_id.remove(&id);
+        self.blocked_jobs.remove(&id);
+        self.dequeue(&job.submission.service, &job.rank);
+        for (node, run) in job.tasks.iter_mut().filter_map(|task| task.run.take()) {
+            if let Some(link) = self.links.get_mut(&node) {
+                link.stop(run);
+                *self.stopping_runs.entry(id.clone()).or_default() += 1;
+            }
+        }
+        for sender in job.callers.into_values() {
+            // The receiver is dropped if the caller has disconnected.
+            let _ = sender.send(outcome);
+        }
+    }
+}
--- a/crates/core/src/metrics/runs.rs
+++ b/crates/core/src/metrics/runs.rs
@@ -22,6 +22,8 @@
     refusals: IntCounterVec,
     offers: IntCounter,
     unreadable_reports: IntCounter,
+    crashes: IntCounter,
+    crashed_runs: IntCounter,
     start_latency: Histogram,
     run_time: Histogram,
 }
@@ -37,8 +39,18 @@
             "gentian_capacity_offers_total",
             "Times that free capacity was offered to an entry that was refused before",
         );
+        let crashes = IntCounter::new(
+            "gentian_upstream_crashes_total",
+            "Ends of the upstream that it had not announced",
+        );
+        let crashed_runs = IntCounter::new(
+            "gentian_crashed_runs_total",
+            "Runs that were at the upstream when it ended without notice",
+        );
         Runs {
             offers: register(&registry, offers),
+            crashes: register(&registry, crashes),
+            crashed_runs: register(&registry, crashed_runs),
             ends: counters(
                 &registry,
                 "gentian_run_ends_total",
@@ -97,6 +109,12 @@
         self.offers.inc();
     }
 
+    /// Counts an end of the upstream that it had not announced, with the runs there.
+    pub(crate) fn crashed(&self, runs: usize) {
+        self.crashes.inc();
+        self.crashed_runs.inc_by(runs as u64);
+    }
+
     /// Counts an upstream report that can't be parsed.
     pub(crate) fn unreadable(&self) {
         self.unreadable_reports.inc();
--- a/crates/gentian/tests/fleet/entry.rs
+++ b/crates/gentian/tests/fleet/entry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use gentian::limit::job_queue::{JobQueue, Objective, Rank};
+use gentian::route::bulkhead::Pool;
 use gentian::route::placement::{PlacementRequest, Placer};
 use gentian::wire::id::{Node, Service};
 use gentian::wire::need::{Constraints, Need};
@@ -114,7 +115,7 @@
             start_by: now + objective.max_wait(),
             arrival: self.last_number,
         };
-        let cores = f64::from(self.placer.own_share(&self.service).cpu) / 1e3;
+        let cores = f64::from(self.placer.own_share(&self.service, Pool::All).cpu) / 1e3;
         if self.queue.expected_wait(&rank, cores) > objective.max_wait() {
             self.tally.refused += 1;
             return None;
@@ -168,12 +169,7 @@
 
     fn place_tasks(&mut self, job: &mut Job, starts: &mut Vec<Start>) {
         let constraints = Constraints::default();
-        let request = PlacementRequest {
-            need: job.need(),
-            constraints: &constraints,
-            avoid: &[],
-            excluded: &[],
-        };
+        let request = PlacementRequest::new(job.need(), &constraints);
         while let Some(task) = job.waiting.front().copied() {
             let Some(upstream) = self.placer.place(&self.service, &request) else {
                 return;
--- a/crates/route/benches/room.rs
+++ b/crates/route/benches/room.rs
@@ -42,12 +42,7 @@
 fn bench_place(criterion: &mut Criterion) {
     let service: Service = "desk".parse().expect("a valid name");
     let constraints = Constraints::default();
-    let request = PlacementRequest {
-        need: TASK,
-        constraints: &constraints,
-        avoid: &[],
-        excluded: &[],
-    };
+    let request = PlacementRequest::new(TASK, &constraints);
     let mut group = criterion.benchmark_group("place_by_room");
     for upstreams in [11, 68, 300] {
         let mut placer = placer(&service, upstreams);
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`Policy`](policy::Policy) for an upstream, and reports the requests that it starts
 //! and the answers with their load back to the view.
 
+pub mod bulkhead;
 pub mod outlier;
 pub mod placement;
 pub mod policy;
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod wanted_labels;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use gentian_wire::id::{Incarnation, Node, Service};
@@ -24,6 +25,7 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::bulkhead::Pool;
 use crate::outlier::{Detector, Observation, Settings};
 use crate::view::Standing;
 
@@ -78,6 +80,24 @@
     pub avoid: &'a [Node],
     /// Upstreams that must not be used.
     pub excluded: &'a [Node],
+    /// Upstreams that may be used.
+    pub pool: Pool<'a>,
+    /// The job whose tasks may run beside the task; `None` if any may.
+    pub alone_with: Option<&'a Arc<str>>,
+}
+
+impl<'a> PlacementRequest<'a> {
+    /// A task that may run anywhere, beside any other.
+    pub fn new(need: Need, constraints: &'a Constraints) -> PlacementRequest<'a> {
+        PlacementRequest {
+            need,
+            constraints,
+            avoid: &[],
+            excluded: &[],
+            pool: Pool::All,
+            alone_with: None,
+        }
+    }
 }
 
 /// Chooses upstreams for tasks, from what one entry knows of the upstreams of all
@@ -140,24 +160,38 @@
         }
     }
 
-    /// Resources of a service's upstreams that this entry uses or could use at once.
-    pub fn own_share(&self, service: &Service) -> Need {
+    /// Resources of a pool of a service's upstreams that this entry uses or could use at
+    /// once.
+    pub fn own_share(&self, service: &Service, pool: Pool<'_>) -> Need {
         let accepting = self
             .of_service(service)
-            .filter(|(_, upstream)| upstream.is_available());
+            .filter(|(node, upstream)| pool.includes(node) && upstream.is_available());
         accepting.fold(Need::default(), |sum, (_, upstream)| {
             sum.plus(upstream.own_share())
         })
     }
 
-    /// Whether any reachable upstream of a service accepts runs and has the label that
-    /// `constraints` requires.
-    pub fn serves(&self, service: &Service, constraints: &Constraints) -> bool {
-        self.of_service(service).any(|(_, upstream)| {
-            upstream.is_available() && upstream.report.is_suitable(constraints)
+    /// Whether any reachable upstream in a pool of a service accepts runs and has the label
+    /// that `constraints` requires.
+    pub fn serves(&self, service: &Service, constraints: &Constraints, pool: Pool<'_>) -> bool {
+        self.of_service(service).any(|(node, upstream)| {
+            let suitable = upstream.report.is_suitable(constraints);
+            pool.includes(node) && suitable && upstream.is_available()
         })
     }
 
+    /// The agents of all upstreams of a service, whether they accept runs or not.
+    pub fn nodes(&self, service: &Service) -> Vec<Node> {
+        let known = self.of_service(service);
+        known.map(|(node, _)| node.clone()).collect()
+    }
+
+    /// The service of an agent's upstream, if it has reported.
+    pub fn service(&self, node: &Node) -> Option<&Service> {
+        let upstream = self.upstreams.get(node)?;
+        Some(&upstream.report.service)
+    }
+
     /// Whether an upstream is near the task's data; also true if the task names no
     /// preference.
     pub fn is_near(&self, node: &Node, constraints: &Constraints) -> bool {
@@ -183,14 +217,13 @@
     pub fn place(&mut self, service: &Service, request: &PlacementRequest<'_>) -> Option<Node> {
         // If every upstream that could be given runs is ejected, an ejected one is used
         // rather than none.
-        let last_resort = !self
-            .of_service(service)
-            .any(|(_, upstream)| upstream.is_open());
-        let known = self.of_service(service);
-        let fitting = known.filter(|(node, upstream)| {
+        let in_pool = |(node, _): &(&Node, &Upstream)| request.pool.includes(node);
+        let known = || self.of_service(service).filter(in_pool);
+        let last_resort = !known().any(|(_, upstream)| upstream.is_open());
+        let fitting = known().filter(|(node, upstream)| {
             let suitable = upstream.report.is_suitable(request.constraints)
                 && !request.excluded.contains(node);
-            suitable && upstream.can_take(request.need, last_resort)
+            suitable && upstream.can_take(request, last_resort)
         });
         let scored = fitting.map(|(node, upstream)| {
             let avoided = if request.avoid.contains(node) {
@@ -203,7 +236,7 @@
         });
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0))?;
         let node = best.1.clone();
-        self.upstreams.get_mut(&node)?.add_task(request.need);
+        self.upstreams.get_mut(&node)?.add_task(request);
         let preferred = request.constraints.preferred_label.as_deref();
         self.wanted_labels.record_placement(preferred);
         Some(node)
--- a/crates/route/src/placement/upstream.rs
+++ b/crates/route/src/placement/upstream.rs
@@ -1,5 +1,6 @@
 //! State of one upstream, as known to an entry.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use gentian_wire::id::Service;
@@ -72,6 +73,8 @@
     own_use: Need,
     /// Number of this entry's tasks.
     tasks: u32,
+    /// The job of this entry beside whose tasks no others may run; `None` if there is none.
+    alone_with: Option<Arc<str>>,
     /// Moving average of the ratio of actual to expected run times, replaced by each ratio
     /// that the agent reports; `None` until one is known.
     pub(super) run_time_ratio: Option<f64>,
@@ -91,6 +94,7 @@
             suspect: false,
             own_use: Need::default(),
             tasks: 0,
+            alone_with: None,
             run_time_ratio: report.run_time_ratio.map(clamp_ratio),
             report,
         }
@@ -115,11 +119,22 @@
 
     /// Whether a task may be placed here now. As a `last_resort` the upstream's standing
     /// is ignored.
-    pub(super) fn can_take(&self, need: Need, last_resort: bool) -> bool {
+    pub(super) fn can_take(&self, request: &PlacementRequest<'_>, last_resort: bool) -> bool {
         let trial_full = self.standing == Standing::Trial && self.tasks >= TRIAL_TASKS;
         let good = self.is_open() && !trial_full;
         let free = self.report.capacity.minus(self.used());
-        self.is_available() && (good || last_resort) && need.fits(free)
+        let fits = request.need.fits(free) && self.is_beside_allowed(request);
+        self.is_available() && (good || last_resort) && fits
+    }
+
+    /// Whether a task may run beside those that are here, and they beside it.
+    fn is_beside_allowed(&self, request: &PlacementRequest<'_>) -> bool {
+        match (&self.alone_with, request.alone_with) {
+            (Some(job), Some(of_task)) => job == of_task,
+            (Some(_), None) => false,
+            (None, Some(_)) => self.used() == Need::default(),
+            (None, None) => true,
+        }
     }
 
     /// Score for placing a task here; the smallest is best.
@@ -143,14 +158,18 @@
         ORDER_WEIGHT * local_first
     }
 
-    pub(super) fn add_task(&mut self, need: Need) {
-        self.own_use = self.own_use.plus(need);
+    pub(super) fn add_task(&mut self, request: &PlacementRequest<'_>) {
+        self.own_use = self.own_use.plus(request.need);
         self.tasks += 1;
+        self.alone_with = request.alone_with.cloned();
     }
 
     pub(super) fn remove_task(&mut self, need: Need) {
         self.own_use = self.own_use.minus(need);
         self.tasks = self.tasks.saturating_sub(1);
+        if self.tasks == 0 {
+            self.alone_with = None;
+        }
     }
 
     pub(super) fn observe_run_time(&mut self, run: Duration, expected: Duration) {
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use gentian_route::bulkhead::Pool;
 use gentian_route::outlier::Observation;
 use gentian_route::placement::{is_worth_moving, PlacementRequest, Placer, UpstreamReport};
 use gentian_wire::id::{Incarnation, Node, Service};
@@ -42,10 +43,8 @@
 
 fn place_one(placer: &mut Placer, constraints: &Constraints, avoid: &[Node]) -> Option<Node> {
     let request = PlacementRequest {
-        need: TASK,
-        constraints,
         avoid,
-        excluded: &[],
+        ..PlacementRequest::new(TASK, constraints)
     };
     placer.place(&service(), &request)
 }
@@ -261,8 +260,8 @@
         required_label: Some("c".to_owned()),
         ..Constraints::default()
     };
-    assert!(placer.serves(&service(), &constraints));
-    assert!(!placer.serves(&service(), &unknown));
+    assert!(placer.serves(&service(), &constraints, Pool::All));
+    assert!(!placer.serves(&service(), &unknown, Pool::All));
     assert_eq!(None, place_one(&mut placer, &unknown, &[]));
 }
 
@@ -296,10 +295,9 @@
     let constraints = Constraints::default();
     let excluded = [node(0)];
     let request = PlacementRequest {
-        need: TASK,
-        constraints: &constraints,
         avoid: &[node(1)],
         excluded: &excluded,
+        ..PlacementRequest::new(TASK, &constraints)
     };
     for _ in 0..10 {
         assert_eq!(Some(node(1)), placer.place(&service(), &request));
