Tasks that crash their upstreams are given up, and their queues confined

Ruled out: slow evidence as the main cause. Change: claim::crash keeps the crashes of two minutes by task, fed by agents to every entry: a task is given up after two crashes, one of them with only its job there, or after three; after two beside others it runs away from them. route::bulkhead finds the queue that explains the crashes by a sequential test on the time from its last start to the crash, and gives it a third of the upstreams, those that crashed last first; the other queues use the rest. Jobs wait in a lane of their own then, suspects last, and are refused at once while no upstream of the pool is up. A queue is released 5 s after its last crash, if the pool was up all the while. Why it works: the crashes stay in the pool; 8 of 11 upstreams at worst are left to the others.

--- a/crates/core/src/entry/lease/api.rs
+++ b/crates/core/src/entry/lease/api.rs
@@ -80,11 +80,11 @@
 
     fn metrics(&self) -> Response {
         let held = self.held.borrow().clone();
-        let (metrics, waiting) = self.dispatcher.metrics();
-        metrics.page(metrics::JobStatus {
+        self.dispatcher.metrics().page(metrics::JobStatus {
             version: held.version,
             age: held.age(Instant::now()).unwrap_or_default(),
-            waiting,
+            waiting: self.dispatcher.jobs_waiting(),
+            confined_queues: self.dispatcher.confined_queues(),
         })
     }
 
@@ -182,7 +182,7 @@
         }
         let outcome = self.dispatch(submission, deadline).await;
         let took = arrived.elapsed();
-        self.dispatcher.metrics().0.answered(outcome.name(), took);
+        self.dispatcher.metrics().answered(outcome.name(), took);
         if sampled || outcome != Outcome::Completed {
             tracing::info!(
                 event = "answered",
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -92,13 +92,20 @@
             job.map(|job| job.callers.insert(caller, sender));
             return ticket;
         }
+        if let Some(outcome) = state.given_up_outcome(&submission) {
+            // The ticket holds the receiver, so this can't fail.
+            let _ = sender.send(outcome);
+            return ticket;
+        }
         let rank = Rank {
+            suspect: false,
             not_started: true,
             priority: submission.queue.priority,
             start_by: now + objective.max_wait(),
             arrival: caller,
         };
-        if let Some(outcome) = state.admission_refusal(&submission, &objective, &rank) {
+        let lane = state.lane(&submission);
+        if let Some(outcome) = state.admission_refusal(&submission, &objective, &lane, &rank) {
             if let Outcome::Refused(after, cause) = outcome {
                 state.record_refusal(&submission, cause, after, Duration::ZERO);
             }
@@ -106,7 +113,7 @@
             let _ = sender.send(outcome);
             return ticket;
         }
-        let mut job = Job::new(submission, objective, rank);
+        let mut job = Job::new(submission, objective, lane, rank);
         job.callers.insert(caller, sender);
         state.insert_job(caller, job);
         ticket
@@ -119,8 +126,8 @@
         let Some(job) = state.jobs.get(&number).filter(|job| !job.started) else {
             return false;
         };
-        let (service, rank) = (job.submission.service.clone(), job.rank);
-        let after = state.retry_after(&service, &rank);
+        let (lane, rank) = (job.lane.clone(), job.rank);
+        let after = state.retry_after(&lane, &rank);
         state.record_job_refusal(number, cause, after);
         state.finish_job(number, Outcome::Refused(after, cause));
         state.readmit(now);
@@ -135,10 +142,10 @@
             return;
         };
         let sender = job.callers.remove(&caller);
-        let service = job.submission.service.clone();
+        let lane = job.lane.clone();
         if job.callers.is_empty() {
             state.finish_job(number, Outcome::GivenUp);
-            state.schedule(&service);
+            state.schedule(&lane);
         }
         if let Some(sender) = sender {
             // The receiver is dropped if the caller has disconnected.
@@ -176,11 +183,20 @@
         state.links.is_empty() || state.placer.any_reachable()
     }
 
-    /// The metrics, and the number of jobs that have started no task.
-    pub(super) fn metrics(&self) -> (&metrics::Jobs, usize) {
+    pub(super) fn metrics(&self) -> &metrics::Jobs {
+        &self.metrics
+    }
+
+    /// Number of jobs that have started no task.
+    pub(super) fn jobs_waiting(&self) -> usize {
         let state = self.state();
-        let waiting = state.jobs.values().filter(|job| !job.started).count();
-        (&self.metrics, waiting)
+        state.jobs.values().filter(|job| !job.started).count()
+    }
+
+    /// Number of configured queues that are confined to a part of their service's
+    /// upstreams.
+    pub(super) fn confined_queues(&self) -> usize {
+        self.state().confined_queues()
     }
 
     /// Number of jobs of a queue that have started no task.
@@ -238,10 +254,16 @@
     }
 
     pub(super) fn first_orders(&self, node: &Node) -> Orders {
+        let now = self.now();
         let mut state = self.state();
-        let link = state.links.get_mut(node);
-        link.map(|link| link.first_orders(&self.entry, self.incarnation))
-            .unwrap_or_default()
+        let crashes = state.crashes_at(node, now);
+        let Some(link) = state.links.get_mut(node) else {
+            return Orders::default();
+        };
+        Orders {
+            crashes,
+            ..link.first_orders(&self.entry, self.incarnation)
+        }
     }
 
     pub(super) fn orders(&self, node: &Node, lease_until_ms: u64) -> Orders {
@@ -276,6 +298,9 @@
         if let Some(room) = reports.room {
             state.update_room(node, incarnation, room);
         }
+        for crash in &reports.crashes {
+            state.upstream_crashed(node, crash, now);
+        }
         for end in reports.ends {
             state.run_ended(node, end, now);
         }
@@ -305,7 +330,9 @@
                 state.run_lost(node, &run, &placed);
             }
         }
-        state.readmit(self.now());
+        let now = self.now();
+        state.readmit(now);
+        state.release_queues(now);
         if !nodes.is_empty() {
             state.schedule_all();
         }
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -29,6 +29,12 @@
         self.steps.iter().map(|step| step.tasks.len()).sum()
     }
 
+    /// Names of the tasks of all steps.
+    pub(super) fn task_names(&self) -> impl Iterator<Item = &str> {
+        let tasks = self.steps.iter().flat_map(|step| &step.tasks);
+        tasks.map(String::as_str)
+    }
+
     /// The most processor time that a task needs, in thousandths of a core.
     pub(super) fn max_cpu(&self) -> u32 {
         let cpu = self.steps.iter().map(|step| step.need.cpu);
@@ -86,12 +92,24 @@
     TooLarge,
     /// The work queued ahead of the job would make it wait for too long.
     Overload,
+    /// Its queue is confined to a few upstreams, since its tasks crash them, and none of
+    /// these takes runs.
+    Confined,
     /// The job has waited for as long as its queue allows without starting a task.
     Waited,
     /// The job's deadline has passed before a task started.
     Deadline,
 }
 
+/// One of the two queues of a service in which jobs wait for capacity.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) struct Lane {
+    pub(super) service: Service,
+    /// Whether it is that of the configured queues whose tasks crash upstreams, which have
+    /// upstreams of their own.
+    pub(super) confined: bool,
+}
+
 /// One task of a job.
 #[derive(Debug)]
 pub(super) struct Task {
@@ -106,6 +124,8 @@
     /// Agents to avoid, where earlier runs failed, were lost or stopped, or were refused
     /// for a reason other than a lack of capacity or an old run number.
     pub(super) avoided: Vec<Node>,
+    /// Number of upstreams that crashed under it.
+    pub(super) crashes: u32,
     /// Whether the run was ordered to stop so that the task can start elsewhere.
     pub(super) moving: bool,
 }
@@ -126,6 +146,8 @@
 pub(super) struct Job {
     pub(super) submission: Submission,
     pub(super) objective: Objective,
+    /// Its service's queue in which it waits for capacity.
+    pub(super) lane: Lane,
     pub(super) rank: Rank,
     pub(super) tasks: Vec<Task>,
     /// Indices of the tasks that may start and wait for room.
@@ -141,7 +163,7 @@
 }
 
 impl Job {
-    pub(super) fn new(submission: Submission, objective: Objective, rank: Rank) -> Job {
+    pub(super) fn new(submission: Submission, objective: Objective, lane: Lane, rank: Rank) -> Job {
         let steps = submission.steps.iter().enumerate();
         let tasks =
             steps.flat_map(|(step, tasks)| tasks.tasks.iter().map(move |name| (step, name)));
@@ -152,10 +174,12 @@
             failures: 0,
             run: None,
             avoided: Vec::new(),
+            crashes: 0,
             moving: false,
         });
         let mut job = Job {
             objective,
+            lane,
             rank,
             waiting: VecDeque::new(),
             unfinished: submission
--- a/crates/core/src/entry/lease/state/admission.rs
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -4,14 +4,16 @@
 
 use gentian::limit::job_queue::{JobQueue, Objective, Rank};
 use gentian::limit::retry_after::retry_after;
-use gentian::route::bulkhead::Pool;
-use gentian::wire::id::Service;
+use gentian::wire::need::Constraints;
 
-use super::super::job::{Outcome, RefusalCause, Submission};
-use super::State;
+use super::super::job::{Lane, Outcome, RefusalCause, Submission};
+use super::{crashes, State};
 
 /// Retry delay for refused callers when the wait can't be estimated.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay for callers whose jobs only crashed upstreams could take: about the time
+/// that an upstream takes to restart.
+const CONFINED_RETRY_AFTER: Duration = Duration::from_secs(3);
 
 impl State {
     /// How long a job may wait and take, by the settings of its queue and its expected
@@ -42,6 +44,7 @@
         &self,
         submission: &Submission,
         objective: &Objective,
+        lane: &Lane,
         rank: &Rank,
     ) -> Option<Outcome> {
         let service = &submission.service;
@@ -52,21 +55,24 @@
                     RefusalCause::TooLarge,
                 ));
             }
-            if !self.placer.serves(service, &step.constraints, Pool::All) {
-                return Some(Outcome::Refused(
-                    DEFAULT_RETRY_AFTER,
-                    RefusalCause::NoUpstream,
-                ));
+            let pool = crashes::pool(&self.bulkheads, &self.placer, lane, &step.constraints);
+            if !self.placer.serves(service, &step.constraints, pool) {
+                return Some(match lane.confined {
+                    true => Outcome::Refused(CONFINED_RETRY_AFTER, RefusalCause::Confined),
+                    false => Outcome::Refused(DEFAULT_RETRY_AFTER, RefusalCause::NoUpstream),
+                });
             }
         }
-        let job_queue = self.job_queues.get(service)?;
-        let wait = job_queue.expected_wait(rank, self.available_cores(service));
+        let job_queue = self.job_queues.get(lane)?;
+        let wait = job_queue.expected_wait(rank, self.available_cores(lane));
         (wait > objective.max_wait()).then_some(Outcome::Refused(wait, RefusalCause::Overload))
     }
 
-    /// Number of cores that this entry's tasks of a service use or could use now.
-    pub(super) fn available_cores(&self, service: &Service) -> f64 {
-        f64::from(self.placer.own_share(service, Pool::All).cpu) / 1e3
+    /// Number of cores that this entry's tasks in a lane use or could use now.
+    pub(super) fn available_cores(&self, lane: &Lane) -> f64 {
+        let any = Constraints::default();
+        let pool = crashes::pool(&self.bulkheads, &self.placer, lane, &any);
+        f64::from(self.placer.own_share(&lane.service, pool).cpu) / 1e3
     }
 
     /// Counts and logs the refusal of a job in progress.
@@ -90,7 +96,8 @@
         waited: Duration,
     ) {
         self.metrics.refused(&cause.to_string());
-        let job_queue = self.job_queues.get(&submission.service);
+        let lane = self.lane(submission);
+        let job_queue = self.job_queues.get(&lane);
         tracing::info!(
             event = "refused",
             request = %submission.id,
@@ -101,19 +108,15 @@
             tasks = submission.task_count(),
             cpu = submission.max_cpu(),
             jobs_in_line = job_queue.map_or(0, JobQueue::len),
-            own_cores = self.available_cores(&submission.service),
+            own_cores = self.available_cores(&lane),
         );
     }
 
     /// When a caller whose job is refused should submit it again: after about the
     /// time that a job of this rank would wait.
-    pub(in crate::entry::lease) fn retry_after(
-        &mut self,
-        service: &Service,
-        rank: &Rank,
-    ) -> Duration {
-        let cores = self.available_cores(service);
-        let job_queue = self.job_queues.get(service);
+    pub(in crate::entry::lease) fn retry_after(&mut self, lane: &Lane, rank: &Rank) -> Duration {
+        let cores = self.available_cores(lane);
+        let job_queue = self.job_queues.get(lane);
         let wait = job_queue.map_or(DEFAULT_RETRY_AFTER, |queue| {
             queue.expected_wait(rank, cores)
         });
--- a/crates/core/src/entry/lease/state/mod.rs
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -5,6 +5,7 @@
 //! the streams send them.
 
 mod admission;
+mod crashes;
 mod runs;
 mod schedule;
 
@@ -12,7 +13,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use gentian::claim::crash;
 use gentian::limit::job_queue::JobQueue;
+use gentian::route::bulkhead::Bulkhead;
 use gentian::route::placement::{Placer, UpstreamReport};
 use gentian::route::run_times;
 use gentian::wire::agent::Room;
@@ -23,7 +26,7 @@
 
 use crate::metrics;
 
-use super::job::{Job, Outcome};
+use super::job::{Job, Lane, Outcome};
 use super::link::{Link, PlacedRun};
 
 /// Number of configured queues whose run times are learned separately.
@@ -35,8 +38,12 @@
     metrics: Arc<metrics::Jobs>,
     /// Chooses upstreams and keeps account of their free capacity.
     pub(super) placer: Placer,
-    /// Jobs with tasks that wait for capacity, by service.
-    job_queues: BTreeMap<Service, JobQueue>,
+    /// Jobs with tasks that wait for capacity.
+    job_queues: BTreeMap<Lane, JobQueue>,
+    /// Crashes of upstreams that this entry knows of.
+    pub(super) crashes: crash::History,
+    /// Which configured queues of a service are confined to a part of its upstreams.
+    bulkheads: BTreeMap<Service, Bulkhead>,
     /// Jobs in progress by number.
     pub(super) jobs: HashMap<u64, Job>,
     /// Numbers of the jobs in progress by the caller's id.
@@ -61,6 +68,8 @@
             metrics,
             placer: Placer::new(entry),
             job_queues: BTreeMap::new(),
+            crashes: crash::History::default(),
+            bulkheads: BTreeMap::new(),
             jobs: HashMap::new(),
             numbers_by_id: HashMap::new(),
             stopping_runs: HashMap::new(),
@@ -111,7 +120,7 @@
     /// the same time.
     pub(super) fn insert_job(&mut self, number: u64, job: Job) {
         let id = job.submission.id.clone();
-        let service = job.submission.service.clone();
+        let lane = job.lane.clone();
         self.jobs.insert(number, job);
         self.numbers_by_id.insert(id.clone(), number);
         if self.stopping_runs.contains_key(&id) {
@@ -119,7 +128,7 @@
             return;
         }
         self.requeue(number);
-        self.schedule(&service);
+        self.schedule(&lane);
     }
 
     /// Handles the end of a run whose job had ended before. The last such run of a job
@@ -146,7 +155,7 @@
         let id = job.submission.id;
         self.numbers_by_id.remove(&id);
         self.blocked_jobs.remove(&id);
-        self.dequeue(&job.submission.service, &job.rank);
+        self.dequeue(&job.lane, &job.rank);
         for (node, run) in job.tasks.iter_mut().filter_map(|task| task.run.take()) {
             if let Some(link) = self.links.get_mut(&node) {
                 link.stop(run);
--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -2,25 +2,24 @@
 
 use std::time::Instant;
 
+use super::super::job::Lane;
+use super::super::link::PlacedRun;
+use super::{crashes, State};
+use crate::logging::is_sampled;
 use gentian::claim::run::Run;
 use gentian::limit::job_queue::Rank;
 use gentian::route::placement::PlacementRequest;
-use gentian::wire::id::Service;
-
-use super::super::link::PlacedRun;
-use super::State;
-use crate::logging::is_sampled;
 
 impl State {
-    pub(super) fn enqueue(&mut self, service: &Service, rank: Rank, work: f64) {
+    pub(super) fn enqueue(&mut self, lane: &Lane, rank: Rank, work: f64) {
         self.job_queues
-            .entry(service.clone())
+            .entry(lane.clone())
             .or_default()
             .insert(rank, work);
     }
 
-    pub(super) fn dequeue(&mut self, service: &Service, rank: &Rank) {
-        if let Some(job_queue) = self.job_queues.get_mut(service) {
+    pub(super) fn dequeue(&mut self, lane: &Lane, rank: &Rank) {
+        if let Some(job_queue) = self.job_queues.get_mut(lane) {
             job_queue.remove(rank);
         }
     }
@@ -31,19 +30,19 @@
             .job_queues
             .iter()
             .filter(|(_, queue)| !queue.is_empty());
-        let services: Vec<Service> = waiting.map(|(service, _)| service.clone()).collect();
-        for service in services {
-            self.schedule(&service);
+        let lanes: Vec<Lane> = waiting.map(|(lane, _)| lane.clone()).collect();
+        for lane in lanes {
+            self.schedule(&lane);
         }
     }
 
-    /// Starts waiting tasks of one service in order of their jobs' ranks, until no
-    /// upstream has room for the next task. A task that only some upstreams may run
-    /// doesn't block the jobs behind it.
-    pub(in crate::entry::lease) fn schedule(&mut self, service: &Service) {
+    /// Starts waiting tasks of one lane in order of their jobs' ranks, until no upstream
+    /// has room for the next task. A task that only some upstreams may run, or only an
+    /// empty one, doesn't block the jobs behind it.
+    pub(in crate::entry::lease) fn schedule(&mut self, lane: &Lane) {
         let mut skipped: Option<Rank> = None;
         loop {
-            let job_queue = self.job_queues.get(service);
+            let job_queue = self.job_queues.get(lane);
             let next = job_queue.and_then(|queue| queue.next(skipped.as_ref()));
             let Some(rank) = next.copied() else {
                 return;
@@ -53,20 +52,19 @@
                 let Some(index) = self.jobs[&number].waiting.front().copied() else {
                     break None;
                 };
-                if !self.start_task(service, number, index) {
+                if !self.start_task(number, index) {
                     break Some(index);
                 }
             };
             let Some(index) = blocked else {
-                self.dequeue(service, &rank);
+                self.dequeue(lane, &rank);
                 continue;
             };
             self.requeue(number);
-            if !self.jobs[&number]
-                .step_of(index)
-                .constraints
-                .is_restrictive()
-            {
+            let job = &self.jobs[&number];
+            let constraints = &job.step_of(index).constraints;
+            let alone = self.must_be_alone(&job.tasks[index].name, lane);
+            if !alone && !constraints.is_restrictive() {
                 return;
             }
             skipped = Some(rank);
@@ -74,16 +72,21 @@
     }
 
     /// Starts one task of a job; returns false if no upstream has room for it.
-    pub(super) fn start_task(&mut self, service: &Service, number: u64, index: usize) -> bool {
+    pub(super) fn start_task(&mut self, number: u64, index: usize) -> bool {
         let job = &self.jobs[&number];
         let step = job.step_of(index);
         let (need, expected) = (step.need, self.expected(&job.submission, step.estimate));
+        let task = &job.tasks[index];
+        let alone = self.must_be_alone(&task.name, &job.lane);
+        let pool = crashes::pool(&self.bulkheads, &self.placer, &job.lane, &step.constraints);
         let request = PlacementRequest {
-            avoid: &job.tasks[index].avoided,
+            avoid: &task.avoided,
             excluded: &job.nodes_at_limit(index),
+            pool,
+            alone_with: alone.then_some(&job.submission.id),
             ..PlacementRequest::new(need, &step.constraints)
         };
-        let Some(node) = self.placer.place(service, &request) else {
+        let Some(node) = self.placer.place(&job.submission.service, &request) else {
             return false;
         };
         let far_from_data = !self.placer.is_near(&node, &step.constraints);
@@ -110,7 +113,7 @@
             far_from_data,
             ordered_at: Instant::now(),
             progress: (0, Instant::now()),
-            alone: false,
+            alone,
             stop_ordered: false,
             incarnation: link.incarnation,
         };
@@ -136,14 +139,18 @@
     /// Updates a job's position in its service's queue, and the amount of work that it
     /// has waiting there.
     pub(super) fn requeue(&mut self, number: u64) {
+        let Some(lane) = self.jobs.get(&number).map(|job| self.lane(&job.submission)) else {
+            return;
+        };
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
         };
         let before = job.rank;
         job.rank.not_started = !job.started;
+        job.rank.suspect = lane.confined && job.tasks.iter().any(|task| task.crashes > 0);
         let (rank, work) = (job.rank, job.work());
-        let service = job.submission.service.clone();
-        self.dequeue(&service, &before);
-        self.enqueue(&service, rank, work);
+        let left = std::mem::replace(&mut job.lane, lane.clone());
+        self.dequeue(&left, &before);
+        self.enqueue(&lane, rank, work);
     }
 }
--- a/crates/core/src/metrics/jobs.rs
+++ b/crates/core/src/metrics/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use prometheus::{Histogram, IntCounterVec, IntGauge, Registry};
+use prometheus::{Histogram, IntCounter, IntCounterVec, IntGauge, Registry};
 
 use super::{counters, histogram, page, register};
 use crate::serve::Response;
@@ -21,7 +21,9 @@
     returned_tasks: IntCounterVec,
     latency: Histogram,
     wait: Histogram,
+    crashing: IntCounter,
     waiting: IntGauge,
+    confined: IntGauge,
     version: IntGauge,
     version_age: IntGauge,
 }
@@ -35,13 +37,21 @@
     pub(crate) age: Duration,
     /// Number of jobs of which no task has started.
     pub(crate) waiting: usize,
+    /// Number of configured queues whose tasks use only some upstreams, since they crash
+    /// them.
+    pub(crate) confined_queues: usize,
 }
 
 impl Jobs {
     pub(crate) fn new() -> Jobs {
         let registry = Registry::new();
         let gauge = |name, help| register(&registry, IntGauge::new(name, help));
+        let crashing = IntCounter::new(
+            "gentian_jobs_crashing_total",
+            "Jobs given up because upstreams crashed under one of their tasks",
+        );
         Jobs {
+            crashing: register(&registry, crashing),
             answers: counters(
                 &registry,
                 "gentian_jobs_total",
@@ -76,6 +86,10 @@
                 &WAIT_BUCKETS,
             ),
             waiting: gauge("gentian_jobs_waiting", "Jobs of which nothing has begun"),
+            confined: gauge(
+                "gentian_queues_confined",
+                "Queues that use only some upstreams, since their tasks crash them",
+            ),
             version: gauge(
                 "gentian_job_config_version",
                 "Configuration version in force",
@@ -110,6 +124,11 @@
             .inc();
     }
 
+    /// Counts a job that is given up because upstreams crashed under one of its tasks.
+    pub(crate) fn crashing(&self) {
+        self.crashing.inc();
+    }
+
     /// Records the time from a job's arrival to the start of its first task.
     pub(crate) fn waited(&self, time: Duration) {
         self.wait.observe(time.as_secs_f64());
@@ -122,6 +141,7 @@
         self.version_age
             .set(i64::try_from(status.age.as_millis()).unwrap_or(i64::MAX));
         self.waiting.set(to_i64(status.waiting as u64));
+        self.confined.set(to_i64(status.confined_queues as u64));
         page(&self.registry)
     }
 }
--- a/crates/core/tests/platform_crashes.rs
+++ b/crates/core/tests/platform_crashes.rs
@@ -87,7 +87,10 @@
         }
         // Either the entry or an agent is replaced between two attempts, not both at once.
         match round % 2 {
-            0 => platform.restart_entry(entry),
+            0 => {
+                platform.restart_entry(entry);
+                platform.entries[entry].listen_address("entry-http");
+            }
             _ => platform.workers[round / 2 % 4].restart_agent(),
         }
         platform.wait_until_serving(entry);
@@ -127,10 +130,10 @@
 fn crashes_that_no_task_caused_fail_no_job() {
     let platform = Platform::start(4, 2);
     let job = platform.spawn_submit(0, "0000000000000001", 8, 1_200);
-    for round in 0..4 {
-        poll(|| (platform.running() > 0).then_some(()));
+    for worker in &platform.workers {
+        poll(|| (platform.running() > 0 || job.is_finished()).then_some(()));
         thread::sleep(Duration::from_millis(150));
-        platform.workers[round].crash();
+        worker.crash();
         thread::sleep(Duration::from_millis(900));
     }
     let answer = job.join().expect("the thread does not panic");
--- a/crates/gentian/tests/fleet/entry.rs
+++ b/crates/gentian/tests/fleet/entry.rs
@@ -110,6 +110,7 @@
         };
         self.last_number += 1;
         let rank = Rank {
+            suspect: false,
             not_started: true,
             priority: 0,
             start_by: now + objective.max_wait(),
--- a/crates/limit/src/job_queue.rs
+++ b/crates/limit/src/job_queue.rs
@@ -5,7 +5,8 @@
 //! refused while its caller can still do something else. If the work queued ahead
 //! of a job would already make it wait that long, it is refused on arrival. Jobs
 //! with at least one started task go before all others, since little of their work
-//! remains and capacity has already been spent on them.
+//! remains and capacity has already been spent on them; jobs that may crash what runs them
+//! go last.
 
 use std::collections::BTreeMap;
 use std::ops::Bound;
@@ -47,6 +48,8 @@
 /// Position of a job in the queue; the smallest rank is served first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Rank {
+    /// Upstreams have crashed under a task of the job, and may do so again.
+    pub suspect: bool,
     /// No task of the job has started yet.
     pub not_started: bool,
     /// Priority of the job's queue; smaller is more urgent.
--- a/crates/limit/tests/job_queue.rs
+++ b/crates/limit/tests/job_queue.rs
@@ -11,6 +11,7 @@
 
 fn rank(not_started: bool, priority: u32, start_by: u64, arrival: u64) -> Rank {
     Rank {
+        suspect: false,
         not_started,
         priority,
         start_by: ms(start_by),
--- a/crates/route/src/bulkhead/mod.rs
+++ b/crates/route/src/bulkhead/mod.rs
@@ -8,10 +8,12 @@
 //! are served as before.
 //!
 //! The evidence is a sequential test for each queue. A task that crashes its upstream
-//! mostly does so at its start, so a crash shortly after a start of the queue speaks against
-//! it, the more the less often the queue starts tasks there; any other crash speaks for it.
-//! A crash under a task that had crashed another upstream before speaks against it
-//! too, unless something else had just started. Crashes at the same moment have a cause outside, and are ignored.
+//! mostly does so soon after its start. A crash shortly after a start of the queue therefore
+//! speaks against it, the more the less often the queue starts tasks there; a crash long
+//! after speaks for it. A crash under a task that had crashed another upstream before speaks
+//! against its queue too. One crash has one cause: it counts only against the queue that
+//! explains it best, together with the crashes before. Crashes of several upstreams at the
+//! same moment have a cause outside, and are ignored.
 
 mod pool;
 mod settings;
@@ -24,17 +26,27 @@
 pub use pool::Pool;
 pub use settings::{Builder, Settings};
 
-/// Probability of a crash shortly after a start of a queue whose tasks cause crashes.
-const FRESH_IF_GUILTY: f64 = 0.8;
+/// Share of the tasks that crash their upstream which do so soon after their start.
+const PROMPT_CRASHES: f64 = 0.8;
 
-/// Bounds of the probability that a start of a queue happens to be shortly before a crash.
-const FRESH_BY_CHANCE: std::ops::RangeInclusive<f64> = 0.01..=0.99;
+/// Bounds of the rate of starts, in jobs a second, by which chance is judged.
+const START_RATES: std::ops::RangeInclusive<f64> = 0.5..=200.0;
 
 /// Logarithm of the odds that a second crash under one task is no coincidence.
-const REPEATED: f64 = 3.0;
+const REPEATED: f64 = 1.5;
 
-/// Odds against confining a queue without cause, for each upstream that may crash by itself.
-const ODDS_PER_UPSTREAM: f64 = 3.0;
+/// Largest logarithm of the odds that one crash gives, so that one alone confines nobody.
+const MAX_GAIN: f64 = 1.9;
+
+/// Odds at which a queue is confined, for each upstream of its service: the more there are,
+/// the more of them crash by themselves.
+const ODDS_PER_UPSTREAM: f64 = 1.5;
+
+/// Least logarithm of the odds at which a queue is confined.
+const MIN_THRESHOLD: f64 = 2.0;
+
+/// Least evidence of a queue: how far it can be trusted in spite of later crashes.
+const MIN_LOG_ODDS: f64 = -3.0;
 
 /// A crash of an upstream, as far as it is evidence.
 #[derive(Clone, Debug)]
@@ -63,7 +75,7 @@
 /// Evidence against a queue.
 #[derive(Clone, Copy, Debug, Default)]
 struct Evidence {
-    /// Logarithm of the odds that its tasks cause crashes; not below 0.
+    /// Logarithm of the odds that its tasks cause crashes.
     log_odds: f64,
     updated_at: Duration,
 }
@@ -92,73 +104,93 @@
         }
     }
 
-    /// Takes a crash into account. `upstreams` are all of the service. Returns the queues
-    /// that are confined because of it.
-    pub fn observe(&mut self, crash: &Crash, upstreams: &[Node]) -> Vec<String> {
+    /// Takes a crash into account. `upstreams` are all of the service. Returns the queue
+    /// that is confined because of it.
+    pub fn observe(&mut self, crash: &Crash, upstreams: &[Node]) -> Option<String> {
         let simultaneous = self.last_crash.as_ref().is_some_and(|(upstream, at)| {
             *upstream != crash.upstream && at.abs_diff(crash.at) < self.settings.simultaneous
         });
         self.last_crash = Some((crash.upstream.clone(), crash.at));
         self.crashed_at.insert(crash.upstream.clone(), crash.at);
         if simultaneous {
-            return Vec::new();
+            return None;
         }
         let threshold = (ODDS_PER_UPSTREAM * upstreams.len() as f64).ln();
-        let mut guilty = Vec::new();
-        let any_fresh = crash.runs.iter().any(|run| self.is_fresh(run));
-        for (queue, rate) in &crash.starts_per_s {
-            let own = || crash.runs.iter().filter(|run| run.queue == *queue);
-            let fresh = own().any(|run| self.is_fresh(run));
-            // What has just started explains the crash better than what has run for a while.
-            let repeated = own().any(|run| run.repeated && (self.is_fresh(run) || !any_fresh));
-            let by_chance = self.chance_of_fresh(*rate);
-            let ratio = match fresh {
-                true => FRESH_IF_GUILTY / by_chance,
-                false => (1.0 - FRESH_IF_GUILTY) / (1.0 - by_chance),
-            };
-            let gain = match repeated {
-                true => ratio.ln().max(0.0) + REPEATED,
-                false => ratio.ln(),
-            };
-            let log_odds = self.update_evidence(queue, gain, crash.at, threshold);
-            if let Some(quiet_since) = self.confined.get_mut(queue) {
-                if own().next().is_some() {
-                    *quiet_since = crash.at.max(*quiet_since);
-                }
-            } else if log_odds >= threshold {
-                guilty.push(queue.clone());
-            }
-        }
-        guilty.retain(|queue| !self.confined.contains_key(queue));
-        for queue in &guilty {
+        let threshold = threshold.max(MIN_THRESHOLD);
+        let suspected = self.weigh(crash);
+        self.extend_confinement(crash);
+        let guilty = suspected
+            .filter(|queue| !self.is_confined(queue) && self.evidence[queue].log_odds >= threshold);
+        if let Some(queue) = &guilty {
             self.confined.insert(queue.clone(), crash.at);
+            // It explains what spoke against the others.
+            self.evidence.clear();
         }
         self.fill_pool(upstreams);
-        guilty.retain(|queue| self.confined.contains_key(queue));
-        guilty
+        guilty.filter(|queue| self.is_confined(queue))
     }
 
-    /// Adds to the evidence against a queue; returns the logarithm of the odds against it.
-    fn update_evidence(&mut self, queue: &str, gain: f64, at: Duration, threshold: f64) -> f64 {
-        let fade = self.settings.fade.as_secs_f64();
-        let evidence = self.evidence.entry(queue.to_owned()).or_default();
-        let elapsed = at.saturating_sub(evidence.updated_at).as_secs_f64();
-        let faded = evidence.log_odds * (-elapsed / fade).exp();
-        evidence.log_odds = (faded + gain).clamp(0.0, 2.0 * threshold.max(1.0));
-        evidence.updated_at = evidence.updated_at.max(at);
-        evidence.log_odds
+    /// Adds what a crash says about each queue. Returns the queue that explains it best.
+    fn weigh(&mut self, crash: &Crash) -> Option<String> {
+        let rates = crash.starts_per_s.iter();
+        let gains = rates.map(|(queue, rate)| (queue, self.gain(crash, queue, *rate)));
+        let gains: Vec<(&String, f64)> = gains.collect();
+        let odds = |(queue, gain): &(&String, f64)| self.log_odds(queue, crash.at) + gain;
+        let best = gains.iter().max_by(|a, b| odds(a).total_cmp(&odds(b)));
+        let best = best.map(|(queue, _)| (*queue).clone());
+        for (queue, gain) in gains {
+            let is_best = best.as_ref() == Some(queue);
+            let gain = if is_best { gain } else { gain.min(0.0) };
+            self.add_evidence(queue, gain, crash.at);
+        }
+        best
+    }
+
+    /// What a crash says about a queue: the logarithm of the odds that its tasks cause
+    /// crashes.
+    fn gain(&self, crash: &Crash, queue: &str, starts_per_s: f64) -> f64 {
+        let own = crash.runs.iter().filter(|run| run.queue == queue);
+        let gains = own.map(|run| {
+            let repeated = if run.repeated { REPEATED } else { 0.0 };
+            self.likelihood_ratio(run.age, starts_per_s).ln() + repeated
+        });
+        let unexplained = (1.0 - PROMPT_CRASHES).ln();
+        gains.fold(unexplained, f64::max).min(MAX_GAIN)
+    }
+
+    /// How many times likelier the time from a start to the crash is if the start caused
+    /// the crash than if it happened by chance.
+    fn likelihood_ratio(&self, age: Duration, starts_per_s: f64) -> f64 {
+        let prompt_rate = 1.0 / self.settings.crash_time.as_secs_f64();
+        let chance_rate = starts_per_s.clamp(*START_RATES.start(), *START_RATES.end());
+        let density = |rate: f64| rate * (-rate * age.as_secs_f64()).exp();
+        let prompt = density(prompt_rate) / density(chance_rate).max(f64::MIN_POSITIVE);
+        1.0 - PROMPT_CRASHES + PROMPT_CRASHES * prompt
+    }
+
+    /// Notes the crash for the confined queues that had runs there.
+    fn extend_confinement(&mut self, crash: &Crash) {
+        for run in &crash.runs {
+            if let Some(quiet_since) = self.confined.get_mut(&run.queue) {
+                *quiet_since = crash.at.max(*quiet_since);
+            }
+        }
     }
 
-    /// Probability that a start of a queue is fresh at a moment that has nothing to do with
-    /// it.
-    fn chance_of_fresh(&self, starts_per_s: f64) -> f64 {
-        let expected = starts_per_s * self.settings.fresh_age.as_secs_f64();
-        let chance = 1.0 - (-expected).exp();
-        chance.clamp(*FRESH_BY_CHANCE.start(), *FRESH_BY_CHANCE.end())
+    /// Evidence against a queue at a time.
+    fn log_odds(&self, queue: &str, at: Duration) -> f64 {
+        let Some(evidence) = self.evidence.get(queue) else {
+            return 0.0;
+        };
+        let elapsed = at.saturating_sub(evidence.updated_at).as_secs_f64();
+        evidence.log_odds * (-elapsed / self.settings.fade.as_secs_f64()).exp()
     }
 
-    fn is_fresh(&self, run: &CrashedRun) -> bool {
-        run.age <= self.settings.fresh_age
+    fn add_evidence(&mut self, queue: &str, gain: f64, at: Duration) {
+        let log_odds = (self.log_odds(queue, at) + gain).max(MIN_LOG_ODDS);
+        let evidence = self.evidence.entry(queue.to_owned()).or_default();
+        evidence.log_odds = log_odds;
+        evidence.updated_at = evidence.updated_at.max(at);
     }
 
     /// Releases the queues against which nothing has spoken for long enough; returns them.
@@ -192,9 +224,14 @@
         !self.confined.is_empty()
     }
 
-    /// The upstreams that a queue may use.
-    pub fn pool(&self, queue: &str) -> Pool<'_> {
-        match (self.is_confined(queue), self.pool.is_empty()) {
+    /// Number of confined queues.
+    pub fn confined_queues(&self) -> usize {
+        self.confined.len()
+    }
+
+    /// The upstreams that a confined queue may use, or one that is not.
+    pub fn pool(&self, confined: bool) -> Pool<'_> {
+        match (confined, self.pool.is_empty()) {
             (_, true) => Pool::All,
             (true, false) => Pool::Only(&self.pool),
             (false, false) => Pool::Except(&self.pool),
--- a/crates/route/src/bulkhead/settings.rs
+++ b/crates/route/src/bulkhead/settings.rs
@@ -5,7 +5,7 @@
 /// When queues are confined, where, and for how long.
 #[derive(Clone, Debug)]
 pub struct Settings {
-    pub(super) fresh_age: Duration,
+    pub(super) crash_time: Duration,
     pub(super) simultaneous: Duration,
     pub(super) fade: Duration,
     pub(super) quiet: Duration,
@@ -15,7 +15,7 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            fresh_age: Duration::from_millis(30),
+            crash_time: Duration::from_millis(20),
             simultaneous: Duration::from_millis(30),
             fade: Duration::from_secs(10),
             quiet: Duration::from_secs(5),
@@ -42,9 +42,9 @@
 pub struct Builder(Settings);
 
 impl Builder {
-    /// Longest time from a start to a crash that speaks against the start.
-    pub fn fresh_age(mut self, age: Duration) -> Builder {
-        self.0.fresh_age = age;
+    /// Mean time from the start of a task that crashes its upstream to the crash.
+    pub fn crash_time(mut self, time: Duration) -> Builder {
+        self.0.crash_time = time;
         self
     }
 
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -180,6 +180,19 @@
         })
     }
 
+    /// Whether any upstream in a pool of a service has the label that `constraints`
+    /// requires, whether it accepts runs now or not.
+    pub fn has_suitable(
+        &self,
+        service: &Service,
+        constraints: &Constraints,
+        pool: Pool<'_>,
+    ) -> bool {
+        let mut known = self.of_service(service);
+        known
+            .any(|(node, upstream)| pool.includes(node) && upstream.report.is_suitable(constraints))
+    }
+
     /// The agents of all upstreams of a service, whether they accept runs or not.
     pub fn nodes(&self, service: &Service) -> Vec<Node> {
         let known = self.of_service(service);
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -1,6 +1,7 @@
 //! Tests of the placement of tasks by resources.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use gentian_route::bulkhead::Pool;
@@ -378,3 +379,46 @@
         "many entries prefer the same upstream: {first_choices:?}"
     );
 }
+
+/// Places a task of a job that may run beside its own tasks only.
+fn place_alone(placer: &mut Placer, job: &Arc<str>) -> Option<Node> {
+    let constraints = Constraints::default();
+    let request = PlacementRequest {
+        alone_with: Some(job),
+        ..PlacementRequest::new(TASK, &constraints)
+    };
+    placer.place(&service(), &request)
+}
+
+#[test]
+fn a_task_that_must_be_alone_shares_its_upstream_with_its_own_job_only() {
+    let mut placer = placer_with(&[32, 32]);
+    let (first, second) = ("first".into(), "second".into());
+    let alone = place_alone(&mut placer, &first).expect("both are empty");
+    assert_eq!(Some(alone.clone()), place_alone(&mut placer, &first));
+    let other = place_one(&mut placer, &Constraints::default(), &[]);
+    assert!(other.is_some() && other != Some(alone.clone()));
+    assert_eq!(None, place_alone(&mut placer, &second));
+    placer.release(&alone, TASK);
+    assert_eq!(None, place_alone(&mut placer, &second));
+    placer.release(&alone, TASK);
+    assert_eq!(Some(alone), place_alone(&mut placer, &second));
+}
+
+#[test]
+fn tasks_stay_within_their_pool() {
+    let mut placer = placer_with(&[32, 32, 32]);
+    let constraints = Constraints::default();
+    let reserved = BTreeSet::from([node(1)]);
+    for (pool, count) in [(Pool::Only(&reserved), 10), (Pool::Except(&reserved), 20)] {
+        let request = PlacementRequest {
+            pool,
+            ..PlacementRequest::new(TASK, &constraints)
+        };
+        let placed: Vec<Node> = (0..50)
+            .map_while(|_| placer.place(&service(), &request))
+            .collect();
+        assert_eq!(count, placed.len());
+        assert!(placed.iter().all(|node| pool.includes(node)));
+    }
+}
