Tasks that may crash their upstream run beside few others

Callers saw: of each ten jobs that a confined queue got through, two or three were lost beside the one that crashed the upstream, and were then suspects themselves. Cause: a job's tasks were spread over the pool, and several jobs shared an upstream there, so each crash hit jobs that had nothing to do with it. Change: tasks of a confined queue go to one upstream a job, and the agent admits one job at a time, one more with each eight that were completed since the upstream's start; tasks under which an upstream crashed run alone, and not within a second after a job of the queue was refused: what may take away one more upstream waits for those that do not.

--- a/crates/claim/src/run/admission.rs
+++ b/crates/claim/src/run/admission.rs
@@ -1,28 +1,34 @@
 //! Which runs are admitted, and the capacity that they use.
 
+use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use gentian_wire::need::Need;
 
 use super::live::LiveRun;
-use super::{Owner, Refusal, Run, Runs, Start, MAX_LEASE};
+use super::{Isolation, Owner, Refusal, Run, Runs, Start, MAX_LEASE};
+
+/// Number of completed jobs after which an upstream takes one more of limited isolation
+/// at once.
+const COMPLETED_JOBS_A_STEP: u32 = 8;
 
 impl Runs {
-    /// Capacity that is used for the entries other than `owner`: by their runs, or all of
-    /// it if one of their runs must be alone.
+    /// Capacity used by the runs of all entries but `owner`; all of it while runs of no
+    /// further job may be there.
     pub fn used_by_others(&self, owner: &Owner) -> Need {
         let others = self.live.values().filter(|live| live.owner != *owner);
-        if others.clone().any(|live| live.alone) {
-            return self.capacity;
+        match self.takes_further_jobs() {
+            true => others.fold(Need::default(), |sum, live| sum.plus(live.need)),
+            false => self.capacity,
         }
-        others.fold(Need::default(), |sum, live| sum.plus(live.need))
     }
 
-    /// Capacity used by all runs; all of it if one of them must be alone.
+    /// Capacity used by all runs; all of it while runs of no further job may be there.
     pub fn used(&self) -> Need {
-        match self.live.values().any(|live| live.alone) {
-            true => self.capacity,
-            false => self.sum_of_needs(),
+        match self.takes_further_jobs() {
+            true => self.sum_of_needs(),
+            false => self.capacity,
         }
     }
 
@@ -76,13 +82,6 @@
         Ok(())
     }
 
-    /// Whether a run of another job is there that must run alone, or any while this one
-    /// must.
-    fn is_kept_apart(&self, start: &Start) -> bool {
-        let mut others = self.live.values().filter(|live| live.job != start.job);
-        others.any(|live| start.alone || live.alone)
-    }
-
     /// Runs of the same task that are, or may be, at the upstream.
     fn live_runs_of_task<'a>(&'a self, run: &'a Run) -> impl Iterator<Item = &'a Run> {
         let first = Run {
@@ -92,4 +91,35 @@
         let same = self.live.range(first..).map(|(live, _)| live);
         same.take_while(|live| live.task == run.task)
     }
+
+    /// Whether a run may not be beside those that are here, or they not beside it.
+    fn is_kept_apart(&self, start: &Start) -> bool {
+        let others = self.live.values().filter(|live| live.job != start.job);
+        let most_others = match start.isolation {
+            Isolation::Shared => usize::MAX,
+            Isolation::Limited => self.most_jobs() - 1,
+            Isolation::Alone => 0,
+        };
+        let jobs: BTreeSet<&Arc<str>> = others.clone().map(|live| &live.job).collect();
+        let mut others = others;
+        jobs.len() > most_others || others.any(|live| live.isolation == Isolation::Alone)
+    }
+
+    /// Whether the isolation of the runs that are here leaves room for another job.
+    fn takes_further_jobs(&self) -> bool {
+        let any = |isolation| self.live.values().any(|live| live.isolation == isolation);
+        if any(Isolation::Alone) {
+            return false;
+        }
+        if !any(Isolation::Limited) {
+            return true;
+        }
+        let jobs: BTreeSet<&Arc<str>> = self.live.values().map(|live| &live.job).collect();
+        jobs.len() < self.most_jobs()
+    }
+
+    /// Most jobs with runs of limited isolation that may be here at once.
+    fn most_jobs(&self) -> usize {
+        1 + (self.completed_jobs / COMPLETED_JOBS_A_STEP) as usize
+    }
 }
--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -5,7 +5,7 @@
 
 use gentian_wire::need::Need;
 
-use super::{Fate, Owner, Refusal, Start, STOP_RETRY_INTERVAL};
+use super::{Fate, Isolation, Owner, Refusal, Start, STOP_RETRY_INTERVAL};
 
 /// A run counts as slow, and its progress is reported, once it has taken this many
 /// times its estimated run time.
@@ -32,8 +32,7 @@
     pub(super) need: Need,
     pub(super) job: Arc<str>,
     pub(super) queue: Arc<str>,
-    /// Whether it may run beside runs of its own job only.
-    pub(super) alone: bool,
+    pub(super) isolation: Isolation,
     /// When the run was admitted.
     pub(super) admitted_at: Duration,
     /// When the order to start it was first sent to the upstream.
@@ -66,7 +65,7 @@
             need: start.need,
             job: start.job,
             queue: start.queue,
-            alone: start.alone,
+            isolation: start.isolation,
             admitted_at: now,
             sent_at: None,
             phase: Phase::Starting,
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -29,7 +29,9 @@
 use pace::Pace;
 use recent_ends::RecentEnds;
 
-pub use types::{Fate, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Start, StartAnswer};
+pub use types::{
+    Fate, Isolation, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Start, StartAnswer,
+};
 
 /// Longest lease of an upstream, and longest lease of an entry at an agent.
 pub const MAX_LEASE: Duration = Duration::from_millis(500);
@@ -85,6 +87,8 @@
     /// Runs that ended because the upstream's lease lapsed, and which it has not been
     /// heard of since. If it turns out to have crashed, they were there.
     lost_in_silence: Vec<CrashedRun>,
+    /// Number of jobs that were completed here by the present process of the upstream.
+    completed_jobs: u32,
     pace: Pace,
 }
 
@@ -333,6 +337,7 @@
         self.last_seen_end = 0;
         self.unknown_runs.clear();
         self.lost_in_silence.clear();
+        self.completed_jobs = 0;
         self.gone_at = Duration::ZERO;
         self.pending_grants.clear();
         self.pace = Pace::default();
@@ -384,6 +389,8 @@
     fn end(&mut self, run: &Run, fate: Fate, now: Duration) -> Option<RunEnd> {
         let live = self.live.remove(run)?;
         self.recent_ends.push(run.clone(), fate, now);
+        let is_last = !self.live.values().any(|other| other.job == live.job);
+        self.completed_jobs += u32::from(is_last && fate == Fate::Done);
         if !self.live.values().any(|other| other.owner == live.owner) {
             let expired = |until: &Duration| *until <= now;
             self.leases
--- a/crates/claim/src/run/types.rs
+++ b/crates/claim/src/run/types.rs
@@ -126,6 +126,19 @@
     pub job: Arc<str>,
     /// The queue that the job came from.
     pub queue: Arc<str>,
-    /// Whether it may run beside runs of its own job only.
-    pub alone: bool,
+    /// Which runs may be beside it.
+    pub isolation: Isolation,
+}
+
+/// Which runs may be beside a run.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Isolation {
+    /// All.
+    #[default]
+    Shared,
+    /// Those of a few jobs: one until jobs have been completed at the upstream, then more,
+    /// so that a crash hits few others.
+    Limited,
+    /// Those of its own job.
+    Alone,
 }
--- a/crates/claim/src/run/wire.rs
+++ b/crates/claim/src/run/wire.rs
@@ -2,7 +2,7 @@
 
 use gentian_wire::agent;
 
-use super::Run;
+use super::{Isolation, Run};
 
 impl From<&Run> for agent::Run {
     fn from(run: &Run) -> agent::Run {
@@ -21,3 +21,23 @@
         }
     }
 }
+
+impl From<Isolation> for agent::Isolation {
+    fn from(isolation: Isolation) -> agent::Isolation {
+        match isolation {
+            Isolation::Shared => agent::Isolation::Shared,
+            Isolation::Limited => agent::Isolation::Limited,
+            Isolation::Alone => agent::Isolation::Alone,
+        }
+    }
+}
+
+impl From<agent::Isolation> for Isolation {
+    fn from(message: agent::Isolation) -> Isolation {
+        match message {
+            agent::Isolation::Shared => Isolation::Shared,
+            agent::Isolation::Limited => Isolation::Limited,
+            agent::Isolation::Alone => Isolation::Alone,
+        }
+    }
+}
--- a/crates/claim/tests/crash.rs
+++ b/crates/claim/tests/crash.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use gentian_claim::crash::{Crash, CrashedRun, History, Process, StartRates, Verdict};
-use gentian_claim::run::{Owner, Refusal, Run, Runs, Start, StartAnswer, MAX_LEASE};
+use gentian_claim::run::{
+    Fate, Isolation, ListedEnd, Owner, Refusal, Run, Runs, Start, StartAnswer, MAX_LEASE,
+};
 use gentian_wire::id::{Incarnation, Node};
 use gentian_wire::need::Need;
 use test_case::test_case;
@@ -145,12 +147,12 @@
 }
 
 /// Admits a task of the job that its name begins with.
-fn admit(runs: &mut Runs, entry: &str, task: &str, alone: bool) -> Result<(), Refusal> {
+fn admit(runs: &mut Runs, entry: &str, task: &str, isolation: Isolation) -> Result<(), Refusal> {
     let start = Start {
         need: TASK,
         job: run(task).job,
         queue: "q".into(),
-        alone,
+        isolation,
     };
     runs.admit(&owner(entry), &numbered(task), start, ms(10))
 }
@@ -172,10 +174,16 @@
 #[test]
 fn a_run_that_must_be_alone_is_kept_apart_from_other_jobs() {
     let mut runs = upstream();
-    assert_eq!(Ok(()), admit(&mut runs, "e", "a.0", true));
-    assert_eq!(Ok(()), admit(&mut runs, "e", "a.1", true));
-    assert_eq!(Err(Refusal::Full), admit(&mut runs, "e", "b.0", false));
-    assert_eq!(Err(Refusal::Full), admit(&mut runs, "f", "c.0", true));
+    assert_eq!(Ok(()), admit(&mut runs, "e", "a.0", Isolation::Alone));
+    assert_eq!(Ok(()), admit(&mut runs, "e", "a.1", Isolation::Alone));
+    assert_eq!(
+        Err(Refusal::Full),
+        admit(&mut runs, "e", "b.0", Isolation::Shared)
+    );
+    assert_eq!(
+        Err(Refusal::Full),
+        admit(&mut runs, "f", "c.0", Isolation::Alone)
+    );
     assert_eq!(runs.capacity(), runs.used());
     assert_eq!(runs.capacity(), runs.used_by_others(&owner("f")));
 }
@@ -183,8 +191,11 @@
 #[test]
 fn a_run_that_must_be_alone_is_refused_while_another_job_runs() {
     let mut runs = upstream();
-    assert_eq!(Ok(()), admit(&mut runs, "f", "b.0", false));
-    assert_eq!(Err(Refusal::Full), admit(&mut runs, "e", "a.0", true));
+    assert_eq!(Ok(()), admit(&mut runs, "f", "b.0", Isolation::Shared));
+    assert_eq!(
+        Err(Refusal::Full),
+        admit(&mut runs, "e", "a.0", Isolation::Alone)
+    );
     assert_eq!(TASK, runs.used());
 }
 
@@ -193,7 +204,7 @@
 fn runs_that_had_not_been_sent_are_not_blamed() {
     let mut runs = upstream();
     for task in ["a.0", "b.0", "c.0", "d.0"] {
-        admit(&mut runs, "e", task, false).expect("capacity is free");
+        admit(&mut runs, "e", task, Isolation::Shared).expect("capacity is free");
     }
     runs.start_sent(&numbered("a.0"), ms(20));
     runs.apply_start_answer(&numbered("a.0"), StartAnswer::Running, ms(21));
@@ -212,7 +223,7 @@
 #[test]
 fn runs_that_were_lost_in_silence_are_told_of_a_crash() {
     let mut runs = upstream();
-    admit(&mut runs, "e", "a.0", false).expect("capacity is free");
+    admit(&mut runs, "e", "a.0", Isolation::Shared).expect("capacity is free");
     let grant = runs.begin_grant(MAX_LEASE, ms(10));
     runs.end_grant(grant, true);
     runs.start_sent(&numbered("a.0"), ms(10));
@@ -223,3 +234,45 @@
     runs.apply_poll(poll, &[], &[], ms(3_100));
     assert!(runs.crashed(ms(3_200)).is_empty());
 }
+
+/// Completes a job of one task, admitted and started before.
+fn complete(runs: &mut Runs, number: u64, task: &str) {
+    runs.start_sent(&numbered(task), ms(20));
+    runs.apply_start_answer(&numbered(task), StartAnswer::Running, ms(21));
+    let end = ListedEnd {
+        number,
+        run: numbered(task),
+        fate: Fate::Done,
+    };
+    let poll = runs.begin_poll();
+    assert_eq!(1, runs.apply_poll(poll, &[], &[end], ms(30)).len());
+}
+
+/// An upstream under which tasks may crash runs one job at first, and one more with each
+/// eight that were completed.
+#[test]
+fn jobs_of_limited_isolation_are_few_until_some_are_completed() {
+    let limited = Isolation::Limited;
+    let mut runs = upstream();
+    for number in 1..=8 {
+        let task = format!("j{number}.0");
+        assert_eq!(Ok(()), admit(&mut runs, "e", &task, limited));
+        assert_eq!(
+            Err(Refusal::Full),
+            admit(&mut runs, "f", "other.0", limited)
+        );
+        assert_eq!(runs.capacity(), runs.used_by_others(&owner("e")));
+        complete(&mut runs, number, &task);
+    }
+    assert_eq!(Ok(()), admit(&mut runs, "e", "a.0", limited));
+    assert_eq!(Ok(()), admit(&mut runs, "e", "a.1", limited));
+    assert_eq!(Ok(()), admit(&mut runs, "f", "b.0", limited));
+    assert_eq!(Err(Refusal::Full), admit(&mut runs, "f", "c.0", limited));
+    runs.upstream_replaced(ms(40));
+    for task in ["a.0", "a.1", "b.0"] {
+        let refused = StartAnswer::Refused(Refusal::Closed);
+        runs.apply_start_answer(&numbered(task), refused, ms(41));
+    }
+    assert_eq!(Ok(()), admit(&mut runs, "e", "d.0", limited));
+    assert_eq!(Err(Refusal::Full), admit(&mut runs, "f", "e.0", limited));
+}
--- a/crates/claim/tests/run.rs
+++ b/crates/claim/tests/run.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use gentian_claim::run::{
-    max_orphan_lifetime, Fate, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Runs, Start,
-    StartAnswer, MAX_LEASE,
+    max_orphan_lifetime, Fate, Isolation, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Runs,
+    Start, StartAnswer, MAX_LEASE,
 };
 use gentian_wire::id::Incarnation;
 use gentian_wire::need::Need;
@@ -27,7 +27,7 @@
         need: TASK,
         job: "j".into(),
         queue: "q".into(),
-        alone: false,
+        isolation: Isolation::Shared,
     }
 }
 
--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gentian::claim::run::{self, Fate, Owner, Refusal, Run, RunEnd, Start};
+use gentian::claim::run::{self, Fate, Isolation, Owner, Refusal, Run, RunEnd, Start};
 use gentian::wire::agent::{self, Orders, Reports};
 use gentian::wire::need::Need;
 use gentian_platform::order;
@@ -94,9 +94,9 @@
             // A batch without a need is one of tasks that need nothing.
             let start = Start {
                 need: Need::from(batch.need.unwrap_or_default()),
+                isolation: batch.isolation().into(),
                 job: batch.job.into(),
                 queue: batch.queue.into(),
-                alone: batch.alone,
             };
             let estimate = stream::duration(batch.estimate_ms.into());
             let mut any_admitted = false;
@@ -109,9 +109,9 @@
                     }
                     Err(refusal) => {
                         if refusal == Refusal::Full {
-                            let need = match start.alone {
-                                true => state.runs.capacity(),
-                                false => start.need,
+                            let need = match start.isolation {
+                                Isolation::Alone => state.runs.capacity(),
+                                Isolation::Shared | Isolation::Limited => start.need,
                             };
                             state.waiting.add(owner.clone(), need, now);
                         }
--- a/crates/core/src/entry/lease/link.rs
+++ b/crates/core/src/entry/lease/link.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use gentian::claim::run::{max_orphan_lifetime, Run};
+use gentian::claim::run::{max_orphan_lifetime, Isolation, Run};
 use gentian::wire::agent::{self, Batch, Orders};
 use gentian::wire::id::{Incarnation, Node};
 use gentian::wire::need::Need;
@@ -27,8 +27,8 @@
     pub(super) ordered_at: Instant,
     /// Last reported percentage, and when the percentage last changed.
     pub(super) progress: (u32, Instant),
-    /// Whether it may run beside tasks of its own job only.
-    pub(super) alone: bool,
+    /// Which runs may be beside it.
+    pub(super) isolation: Isolation,
     /// Whether a stop was ordered.
     pub(super) stop_ordered: bool,
     /// The agent's incarnation at the time of the order; 0 if the agent had not
@@ -93,14 +93,14 @@
             .pending_starts
             .last_mut()
             .filter(|batch| batch.spec.as_ptr() == spec.as_ptr() && batch.spec.len() == spec.len())
-            .filter(|batch| batch.alone == placed.alone);
+            .filter(|batch| batch.isolation() == placed.isolation.into());
         match same_job {
             Some(batch) => batch.runs.push(message),
             None => self.pending_starts.push(Batch {
                 service: job.service.to_string(),
                 job: job.id.to_string(),
                 queue: job.queue.name.clone(),
-                alone: placed.alone,
+                isolation: agent::Isolation::from(placed.isolation).into(),
                 spec: spec.clone(),
                 need: Some(placed.need.into()),
                 runs: vec![message],
--- a/crates/core/src/entry/lease/state/admission.rs
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -1,6 +1,6 @@
 //! Admission of jobs: their objectives, and refusals.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gentian::limit::job_queue::{JobQueue, Objective, Rank};
 use gentian::limit::retry_after::retry_after;
@@ -41,6 +41,20 @@
     /// The refusal of a job that no upstream can run or that would wait for too long;
     /// none if the job is admitted.
     pub(in crate::entry::lease) fn admission_refusal(
+        &mut self,
+        submission: &Submission,
+        objective: &Objective,
+        lane: &Lane,
+        rank: &Rank,
+    ) -> Option<Outcome> {
+        let refusal = self.find_refusal(submission, objective, lane, rank);
+        if lane.confined && refusal.is_some() {
+            self.refused_at.insert(lane.clone(), Instant::now());
+        }
+        refusal
+    }
+
+    fn find_refusal(
         &self,
         submission: &Submission,
         objective: &Objective,
@@ -77,13 +91,17 @@
 
     /// Counts and logs the refusal of a job in progress.
     pub(in crate::entry::lease) fn record_job_refusal(
-        &self,
+        &mut self,
         number: u64,
         cause: RefusalCause,
         after: Duration,
     ) {
-        if let Some(job) = self.jobs.get(&number) {
-            self.record_refusal(&job.submission, cause, after, job.arrived_at.elapsed());
+        let Some(job) = self.jobs.get(&number) else {
+            return;
+        };
+        self.record_refusal(&job.submission, cause, after, job.arrived_at.elapsed());
+        if job.lane.confined && !job.rank.suspect {
+            self.refused_at.insert(job.lane.clone(), Instant::now());
         }
     }
 
--- a/crates/core/src/entry/lease/state/crashes.rs
+++ b/crates/core/src/entry/lease/state/crashes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use gentian::claim::crash::{Crash, Verdict};
-use gentian::claim::run::Run;
+use gentian::claim::run::{Isolation, Run};
 use gentian::route::bulkhead::{self, Bulkhead, Pool};
 use gentian::route::placement::Placer;
 use gentian::wire::agent as wire;
@@ -71,13 +71,13 @@
         crashes.map(|crash| crash.to_wire(now)).collect()
     }
 
-    /// Whether a task may run beside tasks of its own job only: until it is known whether
-    /// it crashes upstreams, others are kept away from it.
-    pub(super) fn must_be_alone(&self, task: &str, lane: &Lane) -> bool {
-        match self.crashes.verdict(task) {
-            Verdict::Clear => false,
-            Verdict::Suspect => lane.confined,
-            Verdict::Isolate | Verdict::GiveUp => true,
+    /// Which runs may be beside a task's run: the likelier it is to crash its upstream, the
+    /// fewer.
+    pub(super) fn isolation(&self, task: &str, lane: &Lane) -> Isolation {
+        match (self.crashes.verdict(task), lane.confined) {
+            (Verdict::Clear | Verdict::Suspect, false) => Isolation::Shared,
+            (Verdict::Clear, true) => Isolation::Limited,
+            (Verdict::Suspect, true) | (Verdict::Isolate | Verdict::GiveUp, _) => Isolation::Alone,
         }
     }
 
--- a/crates/core/src/entry/lease/state/mod.rs
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -11,7 +11,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use gentian::claim::crash;
 use gentian::limit::job_queue::JobQueue;
@@ -42,6 +42,9 @@
     job_queues: BTreeMap<Lane, JobQueue>,
     /// Crashes of upstreams that this entry knows of.
     pub(super) crashes: crash::History,
+    /// When a job was last refused in a lane of confined queues, other than one under whose
+    /// tasks upstreams have crashed.
+    refused_at: BTreeMap<Lane, Instant>,
     /// Which configured queues of a service are confined to a part of its upstreams.
     bulkheads: BTreeMap<Service, Bulkhead>,
     /// Jobs in progress by number.
@@ -69,6 +72,7 @@
             placer: Placer::new(entry),
             job_queues: BTreeMap::new(),
             crashes: crash::History::default(),
+            refused_at: BTreeMap::new(),
             bulkheads: BTreeMap::new(),
             jobs: HashMap::new(),
             numbers_by_id: HashMap::new(),
--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -1,15 +1,18 @@
 //! The queues of waiting jobs, and the placement of their tasks.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use super::super::job::Lane;
 use super::super::link::PlacedRun;
 use super::{crashes, State};
 use crate::logging::is_sampled;
-use gentian::claim::run::Run;
+use gentian::claim::run::{Isolation, Run};
 use gentian::limit::job_queue::Rank;
 use gentian::route::placement::PlacementRequest;
 
+/// Time after a refusal for which tasks wait under which upstreams have crashed.
+const SUSPECT_DELAY: Duration = Duration::from_secs(1);
+
 impl State {
     pub(super) fn enqueue(&mut self, lane: &Lane, rank: Rank, work: f64) {
         self.job_queues
@@ -47,6 +50,9 @@
             let Some(rank) = next.copied() else {
                 return;
             };
+            if rank.suspect && self.is_pressed(lane) {
+                return;
+            }
             let number = rank.arrival;
             let blocked = loop {
                 let Some(index) = self.jobs[&number].waiting.front().copied() else {
@@ -63,27 +69,35 @@
             self.requeue(number);
             let job = &self.jobs[&number];
             let constraints = &job.step_of(index).constraints;
-            let alone = self.must_be_alone(&job.tasks[index].name, lane);
-            if !alone && !constraints.is_restrictive() {
+            let isolation = self.isolation(&job.tasks[index].name, lane);
+            if isolation != Isolation::Alone && !constraints.is_restrictive() {
                 return;
             }
             skipped = Some(rank);
         }
     }
 
+    /// Whether jobs were refused in a lane a moment ago. What may crash one more upstream
+    /// is not tried then.
+    fn is_pressed(&self, lane: &Lane) -> bool {
+        let refused_at = self.refused_at.get(lane);
+        refused_at.is_some_and(|at| at.elapsed() < SUSPECT_DELAY)
+    }
+
     /// Starts one task of a job; returns false if no upstream has room for it.
     pub(super) fn start_task(&mut self, number: u64, index: usize) -> bool {
         let job = &self.jobs[&number];
         let step = job.step_of(index);
         let (need, expected) = (step.need, self.expected(&job.submission, step.estimate));
         let task = &job.tasks[index];
-        let alone = self.must_be_alone(&task.name, &job.lane);
+        let isolation = self.isolation(&task.name, &job.lane);
         let pool = crashes::pool(&self.bulkheads, &self.placer, &job.lane, &step.constraints);
         let request = PlacementRequest {
             avoid: &task.avoided,
             excluded: &job.nodes_at_limit(index),
             pool,
-            alone_with: alone.then_some(&job.submission.id),
+            beside: (isolation != Isolation::Shared).then_some(&job.submission.id),
+            alone: isolation == Isolation::Alone,
             ..PlacementRequest::new(need, &step.constraints)
         };
         let Some(node) = self.placer.place(&job.submission.service, &request) else {
@@ -113,7 +127,7 @@
             far_from_data,
             ordered_at: Instant::now(),
             progress: (0, Instant::now()),
-            alone,
+            isolation,
             stop_ordered: false,
             incarnation: link.incarnation,
         };
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -49,6 +49,10 @@
 /// upstream's capacity: an entry fills its first upstreams before it uses the last.
 const ORDER_WEIGHT: f64 = 1.0;
 
+/// Score penalty for being apart from the tasks that a task is to run beside. It exceeds
+/// the entry's own order.
+const APART_WEIGHT: f64 = 5.0;
+
 /// Score penalty for being in another data centre, as a share of an upstream's capacity,
 /// for tasks that prefer a label.
 const REMOTE_WEIGHT: f64 = 0.02;
@@ -82,8 +86,10 @@
     pub excluded: &'a [Node],
     /// Upstreams that may be used.
     pub pool: Pool<'a>,
-    /// The job whose tasks may run beside the task; `None` if any may.
-    pub alone_with: Option<&'a Arc<str>>,
+    /// The job that the task belongs to, if it is to run beside its other tasks.
+    pub beside: Option<&'a Arc<str>>,
+    /// Whether it may run beside tasks of that job only.
+    pub alone: bool,
 }
 
 impl<'a> PlacementRequest<'a> {
@@ -95,7 +101,8 @@
             avoid: &[],
             excluded: &[],
             pool: Pool::All,
-            alone_with: None,
+            beside: None,
+            alone: false,
         }
     }
 }
--- a/crates/route/src/placement/upstream.rs
+++ b/crates/route/src/placement/upstream.rs
@@ -7,7 +7,8 @@
 use gentian_wire::need::{Constraints, Need};
 
 use super::{
-    PlacementRequest, ORDER_WEIGHT, REMOTE_WEIGHT, SLOWNESS_WEIGHT, SUSPECT_WEIGHT, TRIAL_TASKS,
+    PlacementRequest, APART_WEIGHT, ORDER_WEIGHT, REMOTE_WEIGHT, SLOWNESS_WEIGHT, SUSPECT_WEIGHT,
+    TRIAL_TASKS,
 };
 use crate::view::Standing;
 
@@ -73,8 +74,11 @@
     own_use: Need,
     /// Number of this entry's tasks.
     tasks: u32,
-    /// The job of this entry beside whose tasks no others may run; `None` if there is none.
-    alone_with: Option<Arc<str>>,
+    /// The last job whose tasks were to run beside each other here; `None` once all tasks
+    /// have ended.
+    last_job: Option<Arc<str>>,
+    /// Whether no tasks of others may run beside those of that job.
+    is_alone: bool,
     /// Moving average of the ratio of actual to expected run times, replaced by each ratio
     /// that the agent reports; `None` until one is known.
     pub(super) run_time_ratio: Option<f64>,
@@ -94,7 +98,8 @@
             suspect: false,
             own_use: Need::default(),
             tasks: 0,
-            alone_with: None,
+            last_job: None,
+            is_alone: false,
             run_time_ratio: report.run_time_ratio.map(clamp_ratio),
             report,
         }
@@ -129,12 +134,15 @@
 
     /// Whether a task may run beside those that are here, and they beside it.
     fn is_beside_allowed(&self, request: &PlacementRequest<'_>) -> bool {
-        match (&self.alone_with, request.alone_with) {
-            (Some(job), Some(of_task)) => job == of_task,
-            (Some(_), None) => false,
-            (None, Some(_)) => self.used() == Need::default(),
-            (None, None) => true,
+        if self.is_alone {
+            return self.runs_job(request);
         }
+        !request.alone || self.used() == Need::default()
+    }
+
+    /// Whether tasks of the request's job, which it is to run beside, are here.
+    fn runs_job(&self, request: &PlacementRequest<'_>) -> bool {
+        request.beside.is_some() && self.last_job.as_ref() == request.beside
     }
 
     /// Score for placing a task here; the smallest is best.
@@ -143,7 +151,11 @@
         let load = load.share_of(self.report.capacity);
         let slow = SLOWNESS_WEIGHT * (self.run_time_ratio.unwrap_or(1.0) - 1.0);
         let suspect = if self.suspect { SUSPECT_WEIGHT } else { 0.0 };
-        load + slow + suspect + self.order_penalty(request.constraints)
+        let apart = match request.beside {
+            Some(_) if !self.runs_job(request) => APART_WEIGHT,
+            _ => 0.0,
+        };
+        load + slow + suspect + apart + self.order_penalty(request.constraints)
     }
 
     /// Score penalty for the upstream's place in the entry's own order: first those in
@@ -161,14 +173,16 @@
     pub(super) fn add_task(&mut self, request: &PlacementRequest<'_>) {
         self.own_use = self.own_use.plus(request.need);
         self.tasks += 1;
-        self.alone_with = request.alone_with.cloned();
+        self.last_job = request.beside.cloned();
+        self.is_alone = request.alone;
     }
 
     pub(super) fn remove_task(&mut self, need: Need) {
         self.own_use = self.own_use.minus(need);
         self.tasks = self.tasks.saturating_sub(1);
         if self.tasks == 0 {
-            self.alone_with = None;
+            self.last_job = None;
+            self.is_alone = false;
         }
     }
 
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -384,7 +384,8 @@
 fn place_alone(placer: &mut Placer, job: &Arc<str>) -> Option<Node> {
     let constraints = Constraints::default();
     let request = PlacementRequest {
-        alone_with: Some(job),
+        beside: Some(job),
+        alone: true,
         ..PlacementRequest::new(TASK, &constraints)
     };
     placer.place(&service(), &request)
@@ -422,3 +423,20 @@
         assert!(placed.iter().all(|node| pool.includes(node)));
     }
 }
+
+/// Tasks that may crash their upstream are not spread over many.
+#[test]
+fn tasks_that_are_to_run_beside_each_other_share_an_upstream() {
+    let mut placer = placer_with(&[32, 32, 32]);
+    let constraints = Constraints::default();
+    for job in ["first", "second"] {
+        let job: Arc<str> = job.into();
+        let request = PlacementRequest {
+            beside: Some(&job),
+            ..PlacementRequest::new(TASK, &constraints)
+        };
+        let placed: BTreeSet<Option<Node>> =
+            (0..5).map(|_| placer.place(&service(), &request)).collect();
+        assert_eq!(1, placed.len(), "{placed:?}");
+    }
+}
