claim: crashes that come at any time of a run fail no job

Cause: on an idle system a job is always alone on its upstreams, so two crashes by chance under one task were taken as proof. Change: a task that crashes its upstream does so at about the same point of its run each time. Two crashes, one of them alone, count as proof only if both came after about the same time; else the task runs alone and is given up after a third such crash, or the fifth in any case, which is two starts after the third.

--- a/crates/claim/src/crash/mod.rs
+++ b/crates/claim/src/crash/mod.rs
@@ -1,9 +1,11 @@
 //! Crashes of upstreams, and the tasks that ran when they happened.
 //!
 //! A task may crash each upstream that starts it. One crash proves little: the task may
-//! have run beside the one that caused it, or the machine may have lost power. A task is
-//! therefore only given up after a crash while nothing but its own job ran there, or after
-//! a third crash. Until then it is tried again, after two crashes away from others.
+//! have run beside the one that caused it, or the machine may have lost power. A task that
+//! crashes its upstream does so at about the same point each time, whatever runs beside it.
+//! A task is therefore given up after a second crash if both came after about the same time
+//! and nothing but its own job ran there at one of them. Otherwise it is tried again, away
+//! from others, and given up after a third such crash, or after the fifth in any case.
 //!
 //! Agents notice crashes and tell all entries, so that every entry that gets a job knows
 //! how often upstreams crashed under its tasks, whichever entry started them.
@@ -31,11 +33,13 @@
 /// Largest number of runs kept of one crash: those that started last.
 const MAX_RUNS: usize = 256;
 
-/// Number of crashes after which a task is given up if it ran alone at one of them.
-const CRASHES_ALONE: u32 = 2;
-
 /// Number of crashes after which a task is given up in any case.
-const MAX_TASK_CRASHES: u32 = 3;
+const MAX_TASK_CRASHES: usize = 5;
+
+/// Largest difference between the ages of a task's runs at the crashes that it causes: a
+/// constant, and a share of the smallest.
+const AGE_SPREAD: Duration = Duration::from_millis(50);
+const AGE_SPREAD_SHARE: f64 = 0.5;
 
 /// Largest difference between two tellings of one crash, for upstreams that don't tell
 /// when they began.
@@ -120,30 +124,45 @@
     Clear,
     /// One upstream has crashed under it: it may be to blame.
     Suspect,
-    /// Two have, each while others ran beside it: it may run only away from them.
+    /// More have, but it may be chance: it may run only away from others.
     Isolate,
     /// It is not to be started again.
     GiveUp,
 }
 
-/// Crashes under one task.
-#[derive(Clone, Copy, Debug, Default)]
-struct TaskCrashes {
-    count: u32,
-    /// Of these, crashes while only its job ran there.
-    alone: u32,
+/// Crashes under one task, in the order in which they became known.
+#[derive(Clone, Debug, Default)]
+struct TaskCrashes(VecDeque<TaskCrash>);
+
+/// A crash under one task.
+#[derive(Clone, Copy, Debug)]
+struct TaskCrash {
+    /// Age of the task's run.
+    age: Duration,
+    /// Whether only its job ran there.
+    alone: bool,
 }
 
 impl TaskCrashes {
-    fn verdict(self) -> Verdict {
-        match self.count {
+    fn verdict(&self) -> Verdict {
+        let alone = self.0.iter().any(|crash| crash.alone);
+        match self.0.len() {
             0 => Verdict::Clear,
-            count if count >= MAX_TASK_CRASHES => Verdict::GiveUp,
-            count if count >= CRASHES_ALONE && self.alone > 0 => Verdict::GiveUp,
             1 => Verdict::Suspect,
+            2 if alone && self.ages_agree() => Verdict::GiveUp,
+            2 => Verdict::Isolate,
+            count if count >= MAX_TASK_CRASHES || self.ages_agree() => Verdict::GiveUp,
             _ => Verdict::Isolate,
         }
     }
+
+    /// Whether all crashes came after about the same time.
+    fn ages_agree(&self) -> bool {
+        let ages = || self.0.iter().map(|crash| crash.age);
+        let least = ages().min().unwrap_or_default();
+        let most = ages().max().unwrap_or_default();
+        most - least <= AGE_SPREAD + least.mul_f64(AGE_SPREAD_SHARE)
+    }
 }
 
 /// The crashes of the last two minutes, by task.
@@ -165,8 +184,10 @@
         crash.limit_runs();
         for crashed in &crash.runs {
             let task = self.tasks.entry(crashed.run.task.clone()).or_default();
-            task.count += 1;
-            task.alone += u32::from(crash.was_alone(&crashed.job));
+            task.0.push_back(TaskCrash {
+                age: crashed.age,
+                alone: crash.was_alone(&crashed.job),
+            });
         }
         self.crashes.push_back(crash);
         if self.crashes.len() > MAX_CRASHES {
@@ -176,14 +197,14 @@
     }
 
     /// Number of upstreams that crashed under a task.
-    pub fn count(&self, task: &str) -> u32 {
-        self.tasks.get(task).map_or(0, |task| task.count)
+    pub fn count(&self, task: &str) -> usize {
+        self.tasks.get(task).map_or(0, |task| task.0.len())
     }
 
     /// What to do with a task.
     pub fn verdict(&self, task: &str) -> Verdict {
-        let crashes = self.tasks.get(task).copied().unwrap_or_default();
-        crashes.verdict()
+        let crashes = self.tasks.get(task);
+        crashes.map_or(Verdict::Clear, TaskCrashes::verdict)
     }
 
     /// The crashes that are remembered.
@@ -206,9 +227,8 @@
             let Some(task) = self.tasks.get_mut(&crashed.run.task) else {
                 continue;
             };
-            task.count -= 1;
-            task.alone -= u32::from(crash.was_alone(&crashed.job));
-            if task.count == 0 {
+            task.0.pop_front();
+            if task.0.is_empty() {
                 self.tasks.remove(&crashed.run.task);
             }
         }
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -125,7 +125,7 @@
     /// for a reason other than a lack of capacity or an old run number.
     pub(super) avoided: Vec<Node>,
     /// Number of upstreams that crashed under it.
-    pub(super) crashes: u32,
+    pub(super) crashes: usize,
     /// Whether the run was ordered to stop so that the task can start elsewhere.
     pub(super) moving: bool,
 }
--- a/crates/core/src/entry/lease/state/crashes.rs
+++ b/crates/core/src/entry/lease/state/crashes.rs
@@ -155,7 +155,7 @@
 
     /// Counts and logs that a job is given up, or refused for good, for the crashes under
     /// one of its tasks.
-    fn record_given_up(&self, submission: &Submission, task: &str, crashes: u32) {
+    fn record_given_up(&self, submission: &Submission, task: &str, crashes: usize) {
         self.metrics.crashing();
         tracing::warn!(
             event = "given_up",
