entry: tasks of two steps that start together are told with the needs of each

Callers would see: an upstream that doesn't guard its capacity gets more than it can hold. Cause: consecutive starts of one job shared a batch if their texts lay at the same address; the batch carries one need, that of its first task. All jobs with an empty text share an address, too. Change: starts share a batch if job, need, isolation and estimate are equal. Evidence: steps_that_start_together_take_the_capacity_of_each, three tasks at once on a worker with room for two before (seen red), two now.

--- a/crates/core/src/entry/lease/link.rs
+++ b/crates/core/src/entry/lease/link.rs
@@ -86,25 +86,21 @@
         estimate: Duration,
     ) {
         let message = agent::Run::from(run);
-        let spec = &job.spec;
-        // Consecutive starts of one job share a batch. Its `spec` is compared by
-        // address, since all tasks of a job share one buffer.
-        let same_job = self
-            .pending_starts
-            .last_mut()
-            .filter(|batch| batch.spec.as_ptr() == spec.as_ptr() && batch.spec.len() == spec.len())
-            .filter(|batch| batch.isolation() == placed.isolation.into());
-        match same_job {
-            Some(batch) => batch.runs.push(message),
-            None => self.pending_starts.push(Batch {
-                service: job.service.to_string(),
-                job: job.id.to_string(),
-                queue: job.queue.name.clone(),
-                isolation: agent::Isolation::from(placed.isolation).into(),
-                spec: spec.clone(),
-                need: Some(placed.need.into()),
+        let batch = Batch {
+            service: job.service.to_string(),
+            job: job.id.to_string(),
+            queue: job.queue.name.clone(),
+            isolation: agent::Isolation::from(placed.isolation).into(),
+            spec: job.spec.clone(),
+            need: Some(placed.need.into()),
+            runs: Vec::new(),
+            estimate_ms: u32::try_from(estimate.as_millis()).unwrap_or(u32::MAX),
+        };
+        match self.pending_starts.last_mut() {
+            Some(last) if is_alike(last, &batch) => last.runs.push(message),
+            _ => self.pending_starts.push(Batch {
                 runs: vec![message],
-                estimate_ms: u32::try_from(estimate.as_millis()).unwrap_or(u32::MAX),
+                ..batch
             }),
         }
         self.runs.insert(run.clone(), placed);
@@ -190,3 +186,9 @@
         expired
     }
 }
+
+/// Whether starts of two batches may share one: those of one job, with equal needs.
+fn is_alike(a: &Batch, b: &Batch) -> bool {
+    let kind = |batch: &Batch| (batch.need, batch.isolation, batch.estimate_ms);
+    a.job == b.job && kind(a) == kind(b)
+}
--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -226,6 +226,26 @@
     assert!(platform.entries[0].wait().success());
 }
 
+/// The tasks of two steps that start together were told to the agent with the needs of the
+/// first step, so another entry could overfill the worker.
+#[test]
+fn steps_that_start_together_take_the_capacity_of_each() {
+    let platform = Platform::start(1, 2);
+    let step = |cpu: u64| json!({ "count": 1, "cpu": cpu, "mem-mb": 64, "estimate-ms": 1_500 });
+    let steps = json!([step(1_000), step(20_000)]);
+    let job = platform.spawn_submit_steps(0, "0000000000000001", 1_500, steps);
+    poll(|| (platform.running() == 2).then_some(()));
+    let other = platform.spawn_submit_steps(1, "0000000000000002", 500, json!([step(20_000)]));
+    while !job.is_finished() {
+        let running = platform.running();
+        assert!(running <= 2, "{running} tasks run at once");
+        thread::sleep(Duration::from_millis(2));
+    }
+    for job in [job, other] {
+        assert_eq!(200, job.join().expect("the thread does not panic").0);
+    }
+}
+
 #[test_case(Behavior::Normal; "at workers that answer")]
 #[test_case(Behavior::LosesAnswers; "at workers whose answers are lost")]
 fn steps_run_in_dependency_order_on_the_workers_they_require(behavior: Behavior) {
