agent: nothing is started at an upstream until it has listed what it runs

Callers would see: after a restart of its agent, an upstream that doesn't guard its capacity got new tasks beside those that the former agent had started, which go on until its lease lapses: 20 tasks at once on a worker with room for 10, in the test. Cause: an agent that restarts knows of no run, so it took the upstream for empty as soon as it reported. Ruled out: waiting for as long as a lease lasts; that would keep every restarted agent closed for more than a second, and a list tells the same in a millisecond. Change: an agent admits nothing before a poll that listed no run which it doesn't know; runs that it doesn't know are stopped, and asked for again. A process that replaces one that it knew has nothing of before. Evidence: a_restarted_agent_starts_nothing_beside_the_runs_of_the_one_before, red before (20 running at once), green now; the 16 tests of platform_faults are green.

--- a/crates/claim/src/run/admission.rs
+++ b/crates/claim/src/run/admission.rs
@@ -66,7 +66,7 @@
         start: &Start,
         now: Duration,
     ) -> Result<(), Refusal> {
-        if !self.open {
+        if !self.is_open() {
             return Err(Refusal::Closed);
         }
         if self.leases.get(owner).is_none_or(|until| *until <= now) {
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -65,6 +65,9 @@
     capacity: Need,
     /// Whether the upstream takes new runs.
     open: bool,
+    /// Whether all runs at the upstream are known here. An agent that has restarted doesn't
+    /// know what it had started before, nor what capacity that uses.
+    complete: bool,
     live: BTreeMap<Run, LiveRun>,
     /// Ends of the owners' leases.
     leases: BTreeMap<Owner, Duration>,
@@ -99,9 +102,15 @@
         self.open = open;
     }
 
-    /// Whether the upstream takes new runs.
+    /// Whether the upstream takes new runs. It takes none until a poll has listed no run
+    /// that is unknown here.
     pub fn is_open(&self) -> bool {
-        self.open
+        self.open && self.complete
+    }
+
+    /// Whether all runs at the upstream are known here.
+    pub fn is_complete(&self) -> bool {
+        self.complete
     }
 
     /// Capacity of the upstream.
@@ -266,6 +275,9 @@
             }
         }
         self.pace.observe(expected, actual, now);
+        self.complete |= running
+            .iter()
+            .all(|found| self.live.contains_key(&found.run));
         let listed: BTreeSet<&Run> = running.iter().map(|found| &found.run).collect();
         for (run, live) in &mut self.live {
             if !listed.contains(run) {
@@ -338,6 +350,8 @@
         self.unknown_runs.clear();
         self.lost_in_silence.clear();
         self.completed_jobs = 0;
+        // What the former process ran has ended with it.
+        self.complete = true;
         self.gone_at = Duration::ZERO;
         self.pending_grants.clear();
         self.pace = Pace::default();
--- a/crates/claim/tests/crash.rs
+++ b/crates/claim/tests/crash.rs
@@ -181,6 +181,8 @@
         accelerators: 0,
     };
     runs.set_upstream(capacity, true);
+    let poll = runs.begin_poll();
+    runs.apply_poll(poll, &[], &[], ms(0));
     for entry in ["e", "f"] {
         runs.renew_lease(&owner(entry), MAX_LEASE, ms(0));
     }
--- a/crates/claim/tests/run.rs
+++ b/crates/claim/tests/run.rs
@@ -53,6 +53,8 @@
 fn runs() -> Runs {
     let mut runs = Runs::default();
     runs.set_upstream(CAPACITY, true);
+    let poll = runs.begin_poll();
+    runs.apply_poll(poll, &[], &[], ms(0));
     runs.renew_lease(&owner("a"), MAX_LEASE, ms(0));
     runs
 }
@@ -136,6 +138,8 @@
 fn a_start_is_refused(open: bool, lease: bool, refusal: Refusal) {
     let mut runs = Runs::default();
     runs.set_upstream(CAPACITY, open);
+    let poll = runs.begin_poll();
+    runs.apply_poll(poll, &[], &[], ms(0));
     if lease {
         runs.renew_lease(&owner("a"), MAX_LEASE, ms(0));
     }
@@ -478,3 +482,19 @@
     runs.apply_poll(later, &[], &[], ms(90));
     assert_eq!(vec![run("t", 1)], runs.take_due_stops(ms(90)));
 }
+
+#[test]
+fn an_upstream_takes_nothing_while_it_may_run_what_is_not_known_here() {
+    let mut runs = Runs::default();
+    runs.set_upstream(CAPACITY, true);
+    runs.renew_lease(&owner("a"), MAX_LEASE, ms(0));
+    let mut admit = |runs: &mut Runs| runs.admit(&owner("a"), &run("t", 1), start(), ms(1));
+    assert_eq!(Err(Refusal::Closed), admit(&mut runs));
+    let poll = runs.begin_poll();
+    runs.apply_poll(poll, &[listed_run("old", 7, 50)], &[], ms(2));
+    assert_eq!(vec![run("old", 7)], runs.take_due_stops(ms(2)));
+    assert_eq!(Err(Refusal::Closed), admit(&mut runs));
+    let poll = runs.begin_poll();
+    runs.apply_poll(poll, &[], &[], ms(60));
+    assert_eq!(Ok(()), admit(&mut runs));
+}
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -156,7 +156,8 @@
             let mut state = supervisor.state();
             let has_runs = !state.runs.is_empty();
             let has_unacknowledged_ends = state.runs.last_seen_end() > state.acknowledged;
-            match has_runs || has_unacknowledged_ends {
+            let is_unlisted = state.is_unlisted();
+            match has_runs || has_unacknowledged_ends || is_unlisted {
                 true => supervisor.next_order(&mut state).map(|order| {
                     let wait = if has_runs { POLL_WAIT } else { Duration::ZERO };
                     (
@@ -186,7 +187,7 @@
             Err(error) => supervisor.handle_failed_order(&mut supervisor.state(), &order, &error),
         };
         supervisor.end_lapsed_runs();
-        if !again {
+        if !again || supervisor.state().is_unlisted() {
             tokio::time::sleep(POLL_RETRY_DELAY).await;
         }
     }
@@ -251,8 +252,9 @@
         let any_ended = !ends.is_empty();
         self.report_ends(&mut state, ends);
         self.report_progress(&mut state, now);
+        let opened = state.open_has_changed();
         drop(state);
-        if any_ended {
+        if any_ended || opened {
             self.room_changed.notify_one();
         }
         true
--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -220,7 +220,7 @@
 impl State {
     /// Whether the upstream has begun or ceased to take new runs since the entries were
     /// last told.
-    fn open_has_changed(&self) -> bool {
+    pub(super) fn open_has_changed(&self) -> bool {
         self.upstream.is_some() && self.told_open != self.runs.is_open()
     }
 
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -136,11 +136,14 @@
                     "upstream {} incarnation {born}: first heartbeat, ready {ready}",
                     incarnation.id
                 );
-                if let Some(previous) = &previous {
-                    self.record_crash(&mut state, previous);
-                }
                 state.acknowledged = 0;
-                state.runs.upstream_replaced(self.now())
+                match &previous {
+                    Some(previous) => {
+                        self.record_crash(&mut state, previous);
+                        state.runs.upstream_replaced(self.now())
+                    }
+                    None => Vec::new(),
+                }
             }
         };
         state.update_admission(now);
@@ -202,6 +205,13 @@
 }
 
 impl State {
+    /// Whether the upstream could take runs, but has to be asked first which it has.
+    pub(super) fn is_unlisted(&self) -> bool {
+        let upstream = self.upstream.as_ref();
+        let could = upstream.is_some_and(|upstream| upstream.is_open(Instant::now()));
+        could && !self.runs.is_complete()
+    }
+
     /// Recomputes whether the upstream takes new runs.
     pub(super) fn update_admission(&mut self, now: Instant) {
         let Some(upstream) = &self.upstream else {
--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -199,6 +199,34 @@
     platform.assert_no_concurrent_runs();
 }
 
+/// What the agent before it had started goes on for as long as its lease, and fills a worker
+/// that accepts whatever it is told to start.
+#[test]
+fn a_restarted_agent_starts_nothing_beside_the_runs_of_the_one_before() {
+    let mut platform = Platform::start(1, 2);
+    for round in 0..4 {
+        let id = format!("000000000000000{round}");
+        let _filling = platform.spawn_submit_id(0, id, 10, 1_500);
+        poll(|| (platform.running() == 10).then_some(()));
+        platform.workers[0].restart_agent();
+        let until = Instant::now() + Duration::from_millis(1_500);
+        let mut others = Vec::new();
+        while Instant::now() < until {
+            if others.len() < 60 {
+                let id = format!("{:016x}", 0x1000 * (round + 1) + others.len());
+                others.push(platform.spawn_submit_id(1, id, 4, 100));
+            }
+            let running = platform.running();
+            assert!(running <= 10, "{running} tasks run at once");
+            thread::sleep(Duration::from_millis(5));
+        }
+        others.into_iter().for_each(|job| {
+            job.join().expect("the thread does not panic");
+        });
+    }
+    platform.assert_no_concurrent_runs();
+}
+
 /// A worker that restarts under its id used to carry out orders that the agent had sent
 /// before it learned of the restart. The agent took these tasks for lost and started
 /// them elsewhere as well. Found by seed 53 of the soak test.
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -226,14 +226,25 @@
         count: usize,
         millis: u64,
     ) -> JoinHandle<(u16, String)> {
-        self.spawn_submit_steps(entry, id, millis, job(count, millis)["steps"].take())
+        self.spawn_submit_id(entry, id.to_owned(), count, millis)
+    }
+
+    /// Like [`Platform::spawn_submit`], for an id that is made up.
+    pub(crate) fn spawn_submit_id(
+        &self,
+        entry: usize,
+        id: String,
+        count: usize,
+        millis: u64,
+    ) -> JoinHandle<(u16, String)> {
+        self.spawn_submit_steps(entry, &id, millis, job(count, millis)["steps"].take())
     }
 
     /// Submits a job of several steps, whose tasks take `millis` each, from a new thread.
     pub(crate) fn spawn_submit_steps(
         &self,
         entry: usize,
-        id: &'static str,
+        id: &str,
         millis: u64,
         steps: Value,
     ) -> JoinHandle<(u16, String)> {
