Replay of jobs that crash upstreams, and a faster start of confined upstreams

Cause: an upstream of the pool took one more job at once only after eight were completed. Change: one more with each completed job (slow start). gentian/tests/crashing replays the load with the product's own decisions, the naive version and the count alone beside them.

--- a/crates/claim/src/run/admission.rs
+++ b/crates/claim/src/run/admission.rs
@@ -9,10 +9,6 @@
 use super::live::LiveRun;
 use super::{Isolation, Owner, Refusal, Run, Runs, Start, MAX_LEASE};
 
-/// Number of completed jobs after which an upstream takes one more of limited isolation
-/// at once.
-const COMPLETED_JOBS_A_STEP: u32 = 8;
-
 impl Runs {
     /// Capacity used by the runs of all entries but `owner`; all of it while runs of no
     /// further job may be there.
@@ -118,8 +114,9 @@
         jobs.len() < self.most_jobs()
     }
 
-    /// Most jobs with runs of limited isolation that may be here at once.
+    /// Most jobs with runs of limited isolation that may be here at once: one more with
+    /// each job that was completed (slow start).
     fn most_jobs(&self) -> usize {
-        1 + (self.completed_jobs / COMPLETED_JOBS_A_STEP) as usize
+        1 + self.completed_jobs as usize
     }
 }
--- a/crates/claim/src/run/types.rs
+++ b/crates/claim/src/run/types.rs
@@ -136,8 +136,8 @@
     /// All.
     #[default]
     Shared,
-    /// Those of a few jobs: one until jobs have been completed at the upstream, then more,
-    /// so that a crash hits few others.
+    /// Those of a few jobs: one after the upstream's start, then one more with each job that
+    /// was completed there, so that a crash hits few others.
     Limited,
     /// Those of its own job.
     Alone,
--- /dev/null
+++ b/crates/gentian/tests/crashing/cluster.rs
@@ -0,0 +1,561 @@
+//! One scheduler, its upstreams, and the events between them in virtual time.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+
+use gentian::claim::crash::{Crash, CrashedRun, History, Process, StartRates, Verdict};
+use gentian::claim::run::{
+    Fate, Isolation, ListedEnd, ListedRun, Owner, Run, Runs, Start, StartAnswer, MAX_LEASE,
+};
+use gentian::limit::job_queue::Objective;
+use gentian::route::bulkhead::{self, Bulkhead, Pool};
+use gentian::route::placement::{PlacementRequest, Placer, UpstreamReport};
+use gentian::wire::id::{Incarnation, Node, Service};
+use gentian::wire::need::{Constraints, Need};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// A configured queue and its load.
+pub(crate) struct Queue {
+    pub(crate) name: &'static str,
+    jobs_per_s: f64,
+    tasks: usize,
+    run: Duration,
+}
+
+pub(crate) const QUEUES: [Queue; 3] = [
+    Queue {
+        name: "short",
+        jobs_per_s: 34.0,
+        tasks: 8,
+        run: Duration::from_millis(60),
+    },
+    Queue {
+        name: "long",
+        jobs_per_s: 6.0,
+        tasks: 4,
+        run: Duration::from_millis(900),
+    },
+    Queue {
+        name: "frequent",
+        jobs_per_s: 100.0,
+        tasks: 2,
+        run: Duration::from_millis(200),
+    },
+];
+
+const UPSTREAMS: usize = 11;
+const CAPACITY: Need = Need {
+    cpu: 80_000,
+    memory: 1_000_000,
+    accelerators: 0,
+};
+const TASK: Need = Need {
+    cpu: 6_000,
+    memory: 64,
+    accelerators: 0,
+};
+/// Time from the start of a bad task to the crash, and until the agent has told of it.
+const CRASH_TIME: Duration = Duration::from_millis(10);
+const NOTICE: Duration = Duration::from_millis(20);
+const DOWNTIME: Duration = Duration::from_millis(3_300);
+/// Time from a crash until the runs that were there count as lost.
+const LAPSE: Duration = Duration::from_millis(630);
+const DEADLINE: Duration = Duration::from_millis(1_500);
+const BAD_JOBS: std::ops::Range<Duration> = Duration::from_secs(5)..Duration::from_secs(15);
+const LENGTH: Duration = Duration::from_secs(25);
+const RELEASE_CHECK: Duration = Duration::from_millis(50);
+
+/// What is done about crashes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Policy {
+    /// Lost runs are started again.
+    Naive,
+    /// Tasks are given up after a few crashes.
+    CountOnly,
+    /// Besides, queues are confined whose tasks crash upstreams.
+    Confined,
+}
+
+/// When jobs must arrive to be counted: from a second after the first bad ones until all
+/// have time to end.
+const COUNTED: std::ops::Range<Duration> = Duration::from_secs(6)..Duration::from_secs(23);
+
+/// What became of the jobs.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outcome {
+    /// Sound jobs that ended in time, and all, by queue, of those that are counted.
+    sound: [(u32, u32); 3],
+    pub(crate) sound_jobs_failed: u32,
+    pub(crate) most_crashes_of_a_task: usize,
+    pub(crate) confinements: u32,
+}
+
+impl Outcome {
+    pub(crate) fn in_time(&self, queue: usize) -> f64 {
+        let (in_time, all) = self.sound[queue];
+        f64::from(in_time) / f64::from(all)
+    }
+}
+
+struct Job {
+    queue: usize,
+    is_bad: bool,
+    arrived_at: Duration,
+    /// Number of each task's last run.
+    runs: Vec<u64>,
+    waiting: VecDeque<usize>,
+    unfinished: usize,
+    started: bool,
+}
+
+struct Upstream {
+    runs: Runs,
+    rates: StartRates,
+    /// What runs there.
+    running: Vec<ListedRun>,
+    is_up: bool,
+    born: u64,
+    last_end: u64,
+}
+
+enum Event {
+    Submit {
+        queue: usize,
+    },
+    Expire {
+        job: u64,
+        deadline: bool,
+    },
+    Done {
+        upstream: usize,
+        born: u64,
+        job: u64,
+        run: Run,
+    },
+    Crash {
+        upstream: usize,
+        born: u64,
+    },
+    Told {
+        crash: Box<Crash>,
+    },
+    Lost {
+        job: u64,
+        run: Run,
+    },
+    Restart {
+        upstream: usize,
+    },
+    CheckRelease,
+}
+
+pub(crate) struct Cluster {
+    policy: Policy,
+    bad_share: f64,
+    now: Duration,
+    events: BTreeMap<(Duration, u64), Event>,
+    last_event: u64,
+    service: Service,
+    owner: Owner,
+    nodes: Vec<Node>,
+    upstreams: Vec<Upstream>,
+    placer: Placer,
+    history: History,
+    bulkhead: Bulkhead,
+    jobs: BTreeMap<u64, Job>,
+    last_job: u64,
+    outcome: Outcome,
+    rng: Pcg64,
+}
+
+impl Cluster {
+    pub(crate) fn new(policy: Policy, bad_share: f64, seed: u64) -> Cluster {
+        let node = |name: String| -> Node { name.parse().expect("a valid name") };
+        let entry = node("entry".to_owned());
+        let upstreams = (0..UPSTREAMS).map(|_| Upstream {
+            runs: Runs::default(),
+            rates: StartRates::default(),
+            running: Vec::new(),
+            is_up: false,
+            born: 0,
+            last_end: 0,
+        });
+        let mut cluster = Cluster {
+            policy,
+            bad_share,
+            now: Duration::ZERO,
+            events: BTreeMap::new(),
+            last_event: 0,
+            service: "desk".parse().expect("a valid name"),
+            owner: Owner {
+                entry: entry.clone(),
+                incarnation: Incarnation(1),
+            },
+            nodes: (0..UPSTREAMS)
+                .map(|i| node(format!("agent-{i:02}")))
+                .collect(),
+            upstreams: upstreams.collect(),
+            placer: Placer::new(&entry),
+            history: History::default(),
+            bulkhead: Bulkhead::default(),
+            jobs: BTreeMap::new(),
+            last_job: 0,
+            outcome: Outcome::default(),
+            rng: Pcg64::seed_from_u64(seed),
+        };
+        (0..UPSTREAMS).for_each(|upstream| cluster.restart(upstream));
+        (0..QUEUES.len()).for_each(|queue| cluster.schedule_submit(queue));
+        cluster.schedule(RELEASE_CHECK, Event::CheckRelease);
+        cluster
+    }
+
+    pub(crate) fn run(mut self) -> Outcome {
+        while let Some(first) = self.events.first_entry() {
+            if first.key().0 > LENGTH {
+                break;
+            }
+            let ((at, _), event) = first.remove_entry();
+            self.now = at;
+            self.handle(event);
+        }
+        self.outcome
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.last_event += 1;
+        self.events
+            .insert((self.now + delay, self.last_event), event);
+    }
+
+    fn schedule_submit(&mut self, queue: usize) {
+        let uniform = self.rng.random::<f64>().max(f64::MIN_POSITIVE);
+        let gap = Duration::from_secs_f64(-uniform.ln() / QUEUES[queue].jobs_per_s);
+        self.schedule(gap, Event::Submit { queue });
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Submit { queue } => self.submit(queue),
+            Event::Expire { job, deadline } => {
+                let started = self.jobs.get(&job).is_some_and(|job| job.started);
+                if deadline || !started {
+                    self.finish(job, false);
+                }
+            }
+            Event::Done {
+                upstream,
+                born,
+                job,
+                run,
+            } => self.done(upstream, born, job, &run),
+            Event::Crash { upstream, born } => self.crash(upstream, born),
+            Event::Told { crash } => self.told(*crash),
+            Event::Lost { job, run } => self.lost(job, &run),
+            Event::Restart { upstream } => self.restart(upstream),
+            Event::CheckRelease => {
+                let pool = Pool::Only(self.bulkhead.reserved());
+                let any = Constraints::default();
+                let is_tested = self.placer.serves(&self.service, &any, pool);
+                self.bulkhead.release(is_tested, self.now);
+                self.schedule(RELEASE_CHECK, Event::CheckRelease);
+            }
+        }
+        self.place();
+    }
+
+    fn submit(&mut self, queue: usize) {
+        self.schedule_submit(queue);
+        self.last_job += 1;
+        let may_be_bad = queue == 0 && BAD_JOBS.contains(&self.now);
+        let is_bad = may_be_bad && self.rng.random_bool(self.bad_share);
+        let tasks = QUEUES[queue].tasks;
+        let job = Job {
+            queue,
+            is_bad,
+            arrived_at: self.now,
+            runs: vec![0; tasks],
+            waiting: (0..tasks).collect(),
+            unfinished: tasks,
+            started: false,
+        };
+        let is_counted = !is_bad && COUNTED.contains(&self.now);
+        self.outcome.sound[queue].1 += u32::from(is_counted);
+        self.jobs.insert(self.last_job, job);
+        let wait = objective(queue).max_wait();
+        let job = self.last_job;
+        self.schedule(
+            wait,
+            Event::Expire {
+                job,
+                deadline: false,
+            },
+        );
+        self.schedule(
+            DEADLINE,
+            Event::Expire {
+                job,
+                deadline: true,
+            },
+        );
+    }
+
+    /// Starts waiting tasks, oldest job first, until one finds no room; those of confined
+    /// queues hold nobody else up.
+    fn place(&mut self) {
+        let mut full = [false; 2];
+        let numbers: Vec<u64> = self.jobs.keys().copied().collect();
+        for number in numbers {
+            let queue = QUEUES[self.jobs[&number].queue].name;
+            let confined = self.bulkhead.is_confined(queue);
+            while let Some(task) = self.jobs[&number].waiting.front().copied() {
+                if full[usize::from(confined)] {
+                    break;
+                }
+                if !self.start(number, task, confined) {
+                    let suspect = self.history.count(&name(number, task)) > 0;
+                    full[usize::from(confined)] = !suspect;
+                    break;
+                }
+            }
+        }
+    }
+
+    fn start(&mut self, number: u64, task: usize, confined: bool) -> bool {
+        let task_name: Arc<str> = name(number, task).into();
+        let isolation = match (self.history.verdict(&task_name), confined) {
+            (Verdict::Clear | Verdict::Suspect, false) => Isolation::Shared,
+            (Verdict::Clear, true) => Isolation::Limited,
+            _ => Isolation::Alone,
+        };
+        let isolation = if self.policy == Policy::Naive {
+            Isolation::Shared
+        } else {
+            isolation
+        };
+        self.update_placer();
+        let job_name: Arc<str> = number.to_string().into();
+        let constraints = Constraints::default();
+        let request = PlacementRequest {
+            pool: self.bulkhead.pool(confined),
+            beside: (isolation != Isolation::Shared).then_some(&job_name),
+            alone: isolation == Isolation::Alone,
+            ..PlacementRequest::new(TASK, &constraints)
+        };
+        let Some(node) = self.placer.place(&self.service, &request) else {
+            return false;
+        };
+        let upstream = self.nodes.iter().position(|known| *known == node);
+        let upstream = upstream.expect("a known upstream");
+        let job = self.jobs.get_mut(&number).expect("a job in progress");
+        job.runs[task] += 1;
+        let run = Run {
+            task: task_name,
+            number: job.runs[task],
+        };
+        let queue: Arc<str> = QUEUES[job.queue].name.into();
+        let start = Start {
+            need: TASK,
+            job: job_name,
+            queue: queue.clone(),
+            isolation,
+        };
+        let there = &mut self.upstreams[upstream];
+        there
+            .runs
+            .renew_lease(&self.owner, self.now + MAX_LEASE, self.now);
+        if there
+            .runs
+            .admit(&self.owner, &run, start, self.now)
+            .is_err()
+        {
+            self.placer.release(&node, TASK);
+            return false;
+        }
+        there.runs.start_sent(&run, self.now);
+        there
+            .runs
+            .apply_start_answer(&run, StartAnswer::Running, self.now);
+        there.rates.record(&queue, self.now);
+        there.running.push(ListedRun {
+            run: run.clone(),
+            percent: 0,
+        });
+        let born = there.born;
+        let (is_bad, time) = (job.is_bad && task == 0, QUEUES[job.queue].run);
+        job.waiting.pop_front();
+        job.started = true;
+        match is_bad {
+            true => self.schedule(CRASH_TIME, Event::Crash { upstream, born }),
+            false => {
+                let job = number;
+                self.schedule(
+                    time,
+                    Event::Done {
+                        upstream,
+                        born,
+                        job,
+                        run,
+                    },
+                );
+            }
+        }
+        true
+    }
+
+    fn update_placer(&mut self) {
+        for (node, upstream) in self.nodes.iter().zip(&self.upstreams) {
+            let report = UpstreamReport {
+                service: self.service.clone(),
+                capacity: CAPACITY,
+                used_by_others: upstream.runs.used_by_others(&self.owner),
+                accepts_runs: upstream.is_up,
+                run_time_ratio: None,
+                labels: Vec::new(),
+            };
+            self.placer.update(node, Incarnation(1), true, report);
+        }
+    }
+
+    fn done(&mut self, upstream: usize, born: u64, number: u64, run: &Run) {
+        let there = &mut self.upstreams[upstream];
+        if there.born != born || !there.is_up {
+            return;
+        }
+        there.last_end += 1;
+        let end = ListedEnd {
+            number: there.last_end,
+            run: run.clone(),
+            fate: Fate::Done,
+        };
+        there.running.retain(|listed| listed.run != *run);
+        let poll = there.runs.begin_poll();
+        there
+            .runs
+            .apply_poll(poll, &there.running, &[end], self.now);
+        self.placer.release(&self.nodes[upstream], TASK);
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        job.unfinished -= 1;
+        if job.unfinished == 0 {
+            self.finish(number, true);
+        }
+    }
+
+    fn finish(&mut self, number: u64, completed: bool) {
+        let Some(job) = self.jobs.remove(&number) else {
+            return;
+        };
+        let in_time = self.now - job.arrived_at <= objective(job.queue).time_limit();
+        let is_counted = !job.is_bad && COUNTED.contains(&job.arrived_at);
+        if completed && in_time && is_counted {
+            self.outcome.sound[job.queue].0 += 1;
+        }
+    }
+
+    fn crash(&mut self, upstream: usize, born: u64) {
+        let there = &mut self.upstreams[upstream];
+        if there.born != born || !there.is_up {
+            return;
+        }
+        there.is_up = false;
+        let crash = Crash {
+            agent: self.nodes[upstream].clone(),
+            process: Process {
+                upstream: upstream.to_string(),
+                born_ms: born,
+            },
+            at: self.now,
+            runs: there.runs.crashed(self.now),
+            rates: there.rates.rates(self.now),
+        };
+        for crashed in &crash.runs {
+            let job = crashed.job.parse().expect("a number");
+            let run = crashed.run.clone();
+            self.schedule(LAPSE, Event::Lost { job, run });
+            self.placer.release(&self.nodes[upstream], TASK);
+        }
+        self.schedule(DOWNTIME, Event::Restart { upstream });
+        self.schedule(
+            NOTICE,
+            Event::Told {
+                crash: Box::new(crash),
+            },
+        );
+    }
+
+    fn told(&mut self, crash: Crash) {
+        if self.policy == Policy::Naive {
+            return;
+        }
+        let evidence = bulkhead::Crash {
+            upstream: crash.agent.clone(),
+            at: crash.at,
+            runs: crash.runs.iter().map(|run| self.as_evidence(run)).collect(),
+            starts_per_s: crash
+                .rates
+                .iter()
+                .map(|rate| (rate.queue.to_string(), rate.starts_per_s))
+                .collect(),
+        };
+        self.history.record(crash.clone(), self.now);
+        for crashed in &crash.runs {
+            let crashes = self.history.count(&crashed.run.task);
+            let most = &mut self.outcome.most_crashes_of_a_task;
+            *most = crashes.max(*most);
+            if self.history.verdict(&crashed.run.task) == Verdict::GiveUp {
+                let job = crashed.job.parse().expect("a number");
+                let is_sound = self.jobs.get(&job).is_some_and(|job| !job.is_bad);
+                self.outcome.sound_jobs_failed += u32::from(is_sound);
+                self.finish(job, false);
+            }
+        }
+        if self.policy == Policy::Confined {
+            let confined = self.bulkhead.observe(&evidence, &self.nodes);
+            self.outcome.confinements += u32::from(confined.is_some());
+        }
+    }
+
+    fn as_evidence(&self, crashed: &CrashedRun) -> bulkhead::CrashedRun {
+        bulkhead::CrashedRun {
+            queue: crashed.queue.to_string(),
+            age: crashed.age,
+            repeated: self.history.count(&crashed.run.task) > 0,
+        }
+    }
+
+    fn lost(&mut self, number: u64, run: &Run) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        let task = job.runs.iter().enumerate();
+        let task = task
+            .map(|(task, _)| task)
+            .find(|task| *name(number, *task) == *run.task);
+        job.waiting.extend(task);
+    }
+
+    fn restart(&mut self, upstream: usize) {
+        let there = &mut self.upstreams[upstream];
+        there.born += 1;
+        there.is_up = true;
+        there.last_end = 0;
+        there.running.clear();
+        there.runs.upstream_replaced(self.now);
+        there.runs.set_upstream(CAPACITY, true);
+    }
+}
+
+fn objective(queue: usize) -> Objective {
+    Objective {
+        critical_path: QUEUES[queue].run,
+        stretch: 1.6,
+        target: Duration::from_millis(60),
+    }
+}
+
+fn name(job: u64, task: usize) -> String {
+    format!("{job}.0.0.{task}")
+}
