A process that a panic has made useless ends, so that it is started again

Callers would see: an entry, an agent or a control instance that accepts connections and answers nothing. Cause: a panic poisons the lock of the state it was changing, and each later request panics in turn; a panic in a task that the others wait for (polls, reports, streams, renewals) ends it without a trace. Ruled out: ending the process on each panic. Change: locks of shared state abort the process once poisoned, and essential tasks hold a guard that does; the replica's thread had one of its own.

--- a/crates/core/src/agent/claims.rs
+++ b/crates/core/src/agent/claims.rs
@@ -3,7 +3,7 @@
 //! caller: the clock, and the wake-up of calls that wait for a task's end.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::MutexGuard;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use gentian::claim::gate::{self, ByteSize, Gate, Waiter};
@@ -16,6 +16,7 @@
 use gentian::wire::size::Bytes;
 use tokio::sync::oneshot;
 
+use crate::panics::Mutex;
 use crate::renew::{LeaseState, VIEW_GRACE};
 
 /// Most memory used by the answers of finished tasks, which are kept for later
@@ -156,7 +157,7 @@
 
     /// Locks the state and advances the gate and the home to the current time.
     fn state(&self) -> MutexGuard<'_, State> {
-        let mut state = self.state.lock().expect("no thread panics with this lock");
+        let mut state = self.state.lock();
         let now = unix_time();
         state.gate.advance(now);
         state.home.advance(now);
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -14,6 +14,7 @@
 use super::supervisor::{State, Supervisor};
 use crate::client;
 use crate::logging::is_sampled;
+use crate::panics::AbortOnPanic;
 
 /// How long the upstream may hold back its answer to a poll until a run ends.
 const POLL_WAIT: Duration = Duration::from_millis(60);
@@ -33,6 +34,7 @@
 
 /// Starts a run at the upstream.
 pub(super) async fn start_run(supervisor: Arc<Supervisor>, run: Run, spec: Bytes) {
+    let _essential = AbortOnPanic("a start at the upstream");
     let _permit = supervisor.start_permits.acquire().await;
     let Ok(spec) = std::str::from_utf8(&spec) else {
         return handle_start_answer(&supervisor, &run, StartAnswer::Refused(Refusal::Invalid));
@@ -151,6 +153,7 @@
 /// Polls the upstream while it has runs or unacknowledged ends. The polls also
 /// renew its lease.
 pub(super) async fn poll_upstream(supervisor: Arc<Supervisor>) {
+    let _essential = AbortOnPanic("the polls of the upstream");
     loop {
         let due = {
             let mut state = supervisor.state();
--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -13,6 +13,7 @@
 use super::stream::{self, Sender};
 use super::supervisor::{State, Supervisor};
 use crate::logging::is_sampled;
+use crate::panics::AbortOnPanic;
 
 /// Minimum time between two reports of free capacity to the entries.
 const MIN_ROOM_REPORT_INTERVAL: Duration = Duration::from_millis(25);
@@ -242,6 +243,7 @@
 /// Reports the free capacity to all entries when it has changed, at most once in each
 /// [`room_report_interval`]; but at once if the upstream takes runs again or no longer.
 pub(super) async fn report_room(supervisor: Arc<Supervisor>) {
+    let _essential = AbortOnPanic("the reports to the entries");
     let mut due = tokio::time::Instant::now();
     loop {
         supervisor.room_changed.notified().await;
@@ -260,6 +262,7 @@
 /// Offers free capacity to the next entry that waits for some, when the one before has
 /// had time to use it.
 pub(super) async fn repeat_offers(supervisor: Arc<Supervisor>) {
+    let _essential = AbortOnPanic("the offers to the entries");
     loop {
         supervisor.room_offered.notified().await;
         tokio::time::sleep(OFFER_INTERVAL).await;
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -1,7 +1,7 @@
 //! State that the calls to the upstream and the entries' streams share.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant, SystemTime};
 
 use gentian::claim::crash::{History, StartRates};
@@ -16,6 +16,7 @@
 use super::upstream::{Update, UpstreamState};
 use crate::client::Client;
 use crate::metrics;
+use crate::panics::Mutex;
 use crate::renew::Announce;
 
 /// Most starts in flight at once; each takes a connection.
@@ -111,7 +112,7 @@
     }
 
     pub(super) fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no thread panics with this lock")
+        self.state.lock()
     }
 
     /// Handles a heartbeat of the upstream.
--- a/crates/core/src/agent/pool.rs
+++ b/crates/core/src/agent/pool.rs
@@ -2,8 +2,9 @@
 //! the upstream allows.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 
+use crate::panics::Mutex;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -94,7 +95,7 @@
     }
 
     fn idle(&self) -> std::sync::MutexGuard<'_, Vec<Connection>> {
-        self.idle.lock().expect("no thread panics with this lock")
+        self.idle.lock()
     }
 
     async fn connect(&self) -> Result<Connection> {
--- a/crates/core/src/agent/upstreams.rs
+++ b/crates/core/src/agent/upstreams.rs
@@ -5,7 +5,7 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
 use gentian::wire::agent::Load;
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use super::pool::Pool;
+use crate::panics::Mutex;
 use crate::renew::Announce;
 use crate::settings::Agent;
 
@@ -132,7 +133,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no thread panics with this lock")
+        self.state.lock()
     }
 }
 
@@ -261,9 +262,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<id::Service, Arc<Upstream>>> {
-        self.upstreams
-            .lock()
-            .expect("no thread panics with this lock")
+        self.upstreams.lock()
     }
 }
 
--- a/crates/core/src/control/replica/mod.rs
+++ b/crates/core/src/control/replica/mod.rs
@@ -14,7 +14,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::path::Path;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -35,6 +35,8 @@
 use thread::{Event, EventSender, ReplicaThread};
 use transport::{Outbox, MAX_BATCH_BYTES};
 
+use crate::panics::Mutex;
+
 /// Capacity of the queue of events for the replica's thread.
 const EVENT_QUEUE_CAPACITY: usize = 4096;
 
--- a/crates/core/src/control/replica/repair.rs
+++ b/crates/core/src/control/replica/repair.rs
@@ -125,8 +125,6 @@
     }
 
     fn repair(&self) -> MutexGuard<'_, MembershipRepair> {
-        self.repair
-            .lock()
-            .expect("no thread panics while it holds this lock")
+        self.repair.lock()
     }
 }
--- a/crates/core/src/control/replica/status.rs
+++ b/crates/core/src/control/replica/status.rs
@@ -1,7 +1,7 @@
 //! The replica's status, as shared with other threads.
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use gentian::quorum::id::Member;
@@ -10,6 +10,7 @@
 use rand::Rng;
 
 use super::clock;
+use crate::panics::Mutex;
 
 /// The replica's status after its last event.
 #[derive(Clone, Debug)]
@@ -112,8 +113,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Status> {
-        self.0
-            .lock()
-            .expect("no thread panics while it holds this lock")
+        self.0.lock()
     }
 }
--- a/crates/core/src/control/replica/thread.rs
+++ b/crates/core/src/control/replica/thread.rs
@@ -22,6 +22,7 @@
 use super::status::SharedStatus;
 use super::transport::Outbox;
 use super::{clock, Error, Result};
+use crate::panics::AbortOnPanic;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time between a store error and the next attempt to open the store.
@@ -86,6 +87,7 @@
 
 impl<M: StateMachine> ReplicaThread<M> {
     pub(super) fn run(mut self, events: &Receiver<Event>) {
+        let _essential = AbortOnPanic("the replica");
         let mut next_tick = clock::now();
         self.run_actions();
         loop {
@@ -328,13 +330,3 @@
         self.shared_status.set(&self.replica, address);
     }
 }
-
-/// Aborts the process if the thread panics: without its replica the instance could
-/// serve no request.
-impl<M> Drop for ReplicaThread<M> {
-    fn drop(&mut self) {
-        if std::thread::panicking() {
-            std::process::abort();
-        }
-    }
-}
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -5,7 +5,7 @@
 //! committed before the request arrived.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant, SystemTime};
 
 use gentian::claim::key_window::{MAX_CLOCK_SKEW, RETENTION};
@@ -30,6 +30,7 @@
     AppliedState, Error, Leader, LeaderState, ReplicatedLog, SharedState, LEASE_DURATION,
     LOAN_DURATION,
 };
+use crate::panics::Mutex;
 use crate::renew::VIEW_GRACE;
 
 /// How long a view is kept after the next one came into force: the retention of keys,
@@ -158,9 +159,7 @@
     }
 
     fn leader_state(&self) -> MutexGuard<'_, LeaderState> {
-        self.leader_state
-            .lock()
-            .expect("no thread panics while it holds this lock")
+        self.leader_state.lock()
     }
 
     fn handle_renew(&self, request: &RenewRequest) -> Result<RenewReply, Status> {
--- a/crates/core/src/control/state/mod.rs
+++ b/crates/core/src/control/state/mod.rs
@@ -4,9 +4,10 @@
 mod leader_state;
 mod replicated_log;
 
-use std::sync::{Arc, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use std::sync::{Arc, RwLockReadGuard, RwLockWriteGuard};
 use std::time::{Duration, Instant};
 
+use crate::panics::RwLock;
 use gentian::config::document::Document;
 use gentian::member::state::State;
 use gentian::member::view::ViewAges;
@@ -54,9 +55,7 @@
 
     /// Locks the state for reading.
     pub(crate) fn read(&self) -> RwLockReadGuard<'_, AppliedState> {
-        self.applied
-            .read()
-            .expect("no thread panics while it holds this lock")
+        self.applied.read()
     }
 
     /// Returns the view before which all views were replaced at least `keep` ago, if
@@ -68,9 +67,7 @@
     }
 
     fn write(&self) -> RwLockWriteGuard<'_, AppliedState> {
-        self.applied
-            .write()
-            .expect("no thread panics while it holds this lock")
+        self.applied.write()
     }
 }
 
--- a/crates/core/src/entry/agent_client.rs
+++ b/crates/core/src/entry/agent_client.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashMap;
 use std::error::Error as _;
-use std::sync::{Arc, RwLock};
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::panics::RwLock;
 use gentian::wire::agent::agent_client::AgentClient;
 use gentian::wire::agent::{self, Reason, StartReply, StartRequest};
 use gentian::wire::outcome::Outcome;
@@ -43,19 +44,13 @@
 
     /// The client of an address; none if the address is malformed.
     pub(crate) fn get(&self, address: &str) -> Option<AgentClient<Channel>> {
-        let clients = self
-            .clients
-            .read()
-            .expect("no thread panics while it holds this lock");
+        let clients = self.clients.read();
         if let Some(client) = clients.get(address) {
             return Some(client.clone());
         }
         drop(clients);
         let client = connect(address)?;
-        let mut clients = self
-            .clients
-            .write()
-            .expect("no thread panics while it holds this lock");
+        let mut clients = self.clients.write();
         Some(clients.entry(address.to_owned()).or_insert(client).clone())
     }
 }
--- a/crates/core/src/entry/job/placement.rs
+++ b/crates/core/src/entry/job/placement.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use gentian::claim::coordinator::{Plan, TaskAgents};
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use super::{not_run, Result};
+use crate::panics::Mutex;
 use crate::renew::{LeaseState, VIEW_GRACE};
 use crate::serve::Problem;
 
@@ -134,9 +135,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .expect("no thread panics while it holds this lock")
+        self.state.lock()
     }
 }
 
--- a/crates/core/src/entry/job/registry.rs
+++ b/crates/core/src/entry/job/registry.rs
@@ -1,12 +1,13 @@
 //! This entry's attempts at jobs: those in progress and the most recently answered.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::MutexGuard;
 
 use gentian::wire::id::Job;
 use tokio::sync::watch;
 
 use super::answer::JobResponse;
+use crate::panics::Mutex;
 
 /// Number of answered jobs that are kept for callers that submit a key again.
 const MAX_ANSWERED: usize = 32;
@@ -116,8 +117,6 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Job, Attempt>> {
-        self.jobs
-            .lock()
-            .expect("no thread panics while it holds this lock")
+        self.jobs.lock()
     }
 }
--- a/crates/core/src/entry/lease/agents.rs
+++ b/crates/core/src/entry/lease/agents.rs
@@ -12,6 +12,7 @@
 
 use super::dispatcher::Dispatcher;
 use super::stream;
+use crate::panics::AbortOnPanic;
 use crate::renew::LeaseState;
 
 /// How long the stream to an agent is kept after control has stopped listing the
@@ -35,6 +36,7 @@
     mut held: watch::Receiver<Arc<LeaseState>>,
     dispatcher: Arc<Dispatcher>,
 ) {
+    let _essential = AbortOnPanic("the list of agents");
     let mut agents: BTreeMap<Node, ListedAgent> = BTreeMap::new();
     loop {
         let latest = held.borrow_and_update().clone();
@@ -64,6 +66,7 @@
 /// Counts the runs of agents that no longer answer or have restarted as lost, once
 /// their leases have lapsed for certain, so that their tasks can start elsewhere.
 pub(super) async fn expire_lost_runs(dispatcher: Arc<Dispatcher>) {
+    let _essential = AbortOnPanic("the expiry of runs");
     loop {
         tokio::time::sleep(EXPIRY_CHECK_PERIOD).await;
         dispatcher.expire_runs();
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -3,7 +3,7 @@
 //! One lock guards the whole state. It is held for decisions only, never while
 //! waiting for the network.
 
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
 use gentian::claim::run::Run;
@@ -18,6 +18,7 @@
 use super::link::{Link, PlacedRun};
 use super::state::State;
 use crate::metrics;
+use crate::panics::Mutex;
 
 /// Shared access to the jobs in progress, the queues and the links to agents.
 #[derive(Debug)]
@@ -62,9 +63,7 @@
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
-        self.state
-            .lock()
-            .expect("no thread panics while it holds this lock")
+        self.state.lock()
     }
 
     fn now(&self) -> Duration {
--- a/crates/core/src/entry/lease/stream.rs
+++ b/crates/core/src/entry/lease/stream.rs
@@ -14,6 +14,7 @@
 use tonic::Streaming;
 
 use super::dispatcher::Dispatcher;
+use crate::panics::AbortOnPanic;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two lease renewals while this entry has runs at the agent.
@@ -31,6 +32,7 @@
 
 /// Keeps a stream to an agent open until the task that runs this is aborted.
 pub(super) async fn run(dispatcher: Arc<Dispatcher>, node: Node, address: SocketAddr) {
+    let _essential = AbortOnPanic("the stream to an agent");
     let mut delay = RECONNECT_DELAY;
     loop {
         let cause = stream(&dispatcher, &node, address).await;
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -11,6 +11,7 @@
 mod local;
 mod logging;
 mod metrics;
+mod panics;
 mod reload;
 mod renew;
 mod report;
--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -13,6 +13,8 @@
 use gentian::wire::control::{Node, RenewReply, RenewRequest, Upstream};
 use tokio::sync::watch;
 
+use crate::panics::AbortOnPanic;
+
 pub(crate) use control_peers::ControlPeers;
 pub(crate) use log_changes::log_changes;
 pub(crate) use state::LeaseState;
@@ -109,6 +111,7 @@
 
     /// Renews until `stop` turns true.
     pub(crate) async fn run(mut self, mut stop: watch::Receiver<bool>) {
+        let _essential = AbortOnPanic("the renewal of the lease");
         loop {
             let pause = match self.renew().await {
                 Renewal::Granted if self.is_stable() => self.period,
