Resent jobs with a suspect task wait behind others; names and files after a reading

Callers would see: at another entry, a job under whose task an upstream had crashed was tried before the others of its queue. Cause: the rank went by crashes that this entry had seen during the job, not by what all entries know. The rank asks the history now, and the count at the task is gone. From the reading: the pool is filled by a search in a sorted list instead of one list in the other, which took the square of the upstreams; a run is handed on instead of looked up again; test files are split.

--- a/crates/claim/tests/capacity.rs
+++ b/crates/claim/tests/capacity.rs
@@ -151,7 +151,8 @@
             isolation: Isolation::Shared,
         };
         let before = self.runs.used().cpu;
-        if self.runs.admit(&self.owner, &run, start, self.now).is_err() {
+        if let Err(refusal) = self.runs.admit(&self.owner, &run, start, self.now) {
+            assert_eq!(Refusal::Full, refusal);
             assert!(
                 before + need.cpu > self.told,
                 "refused though there was room"
--- a/crates/core/src/agent/lease/crashes.rs
+++ b/crates/core/src/agent/lease/crashes.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use gentian::claim::crash::{Crash, Process};
+use gentian::claim::run::Owner;
 use gentian::wire::agent::{self, Reports};
 
 use super::order::Order;
@@ -74,7 +75,7 @@
     pub(super) fn exchange_crashes(
         &self,
         state: &mut State,
-        owner: &gentian::claim::run::Owner,
+        owner: &Owner,
         known: &[agent::Crash],
     ) {
         let now = self.now();
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -124,8 +124,6 @@
     /// Agents to avoid, where earlier runs failed, were lost or stopped, or were refused
     /// for a reason other than a lack of capacity or an old run number.
     pub(super) avoided: Vec<Node>,
-    /// Number of upstreams that crashed under it.
-    pub(super) crashes: usize,
     /// Whether the run was ordered to stop so that the task can start elsewhere.
     pub(super) moving: bool,
 }
@@ -174,7 +172,6 @@
             failures: 0,
             run: None,
             avoided: Vec::new(),
-            crashes: 0,
             moving: false,
         });
         let mut job = Job {
--- a/crates/core/src/entry/lease/state/crashes.rs
+++ b/crates/core/src/entry/lease/state/crashes.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use gentian::claim::crash::{Crash, Verdict};
-use gentian::claim::run::{Isolation, Run};
+use gentian::claim::crash::{Crash, CrashedRun, Verdict};
+use gentian::claim::run::Isolation;
 use gentian::route::bulkhead::{self, Bulkhead, Pool};
 use gentian::route::placement::Placer;
 use gentian::wire::agent as wire;
@@ -71,6 +71,12 @@
         crashes.map(|crash| crash.to_wire(now)).collect()
     }
 
+    /// Whether upstreams have crashed under a task of the job, whichever entry had it then.
+    pub(super) fn has_suspect(&self, submission: &Submission) -> bool {
+        let mut tasks = submission.task_names();
+        tasks.any(|task| self.crashes.count(task) > 0)
+    }
+
     /// Which runs may be beside a task's run: the likelier it is to crash its upstream, the
     /// fewer.
     pub(super) fn isolation(&self, task: &str, lane: &Lane) -> Isolation {
@@ -95,7 +101,7 @@
             return;
         }
         for crashed in &crash.runs {
-            self.run_crashed(&crash, &crashed.run);
+            self.run_crashed(&crash, crashed);
         }
         if let Some(service) = self.placer.service(node).cloned() {
             self.observe_crash(&service, &evidence);
@@ -120,35 +126,28 @@
         }
     }
 
-    /// Counts a crash under a task of a job in progress, and gives the job up if it was one
+    /// Logs a crash under a task of a job in progress, and gives the job up if it was one
     /// too many.
-    fn run_crashed(&mut self, crash: &Crash, run: &Run) {
-        let Some(crashed) = crash.runs.iter().find(|crashed| crashed.run == *run) else {
-            return;
-        };
+    fn run_crashed(&mut self, crash: &Crash, crashed: &CrashedRun) {
         let number = self.numbers_by_id.get(&crashed.job).copied();
-        let Some((number, job)) = number.and_then(|n| Some((n, self.jobs.get_mut(&n)?))) else {
+        let Some((number, job)) = number.and_then(|n| Some((n, self.jobs.get(&n)?))) else {
             return;
         };
-        let Some(task) = job.tasks.iter_mut().find(|task| task.name == run.task) else {
-            return;
-        };
-        task.crashes = self.crashes.count(&run.task);
+        let task = &crashed.run.task;
+        let crashes = self.crashes.count(task);
         tracing::info!(
             event = "crashed_under",
             request = %crashed.job,
-            run = %run,
+            run = %crashed.run,
             agent = %crash.agent,
             upstream = crash.process.upstream,
             born_ms = crash.process.born_ms,
-            crashes = task.crashes,
+            crashes,
             beside = crash.runs.len() - 1,
             alone = crash.was_alone(&crashed.job),
         );
-        if self.crashes.verdict(&run.task) == Verdict::GiveUp {
-            let crashes = task.crashes;
-            let submission = &self.jobs[&number].submission;
-            self.record_given_up(submission, &run.task, crashes);
+        if self.crashes.verdict(task) == Verdict::GiveUp {
+            self.record_given_up(&job.submission, task, crashes);
             self.finish_job(number, Outcome::Failed);
         }
     }
--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -2,13 +2,14 @@
 
 use std::time::{Duration, Instant};
 
+use gentian::claim::run::{Isolation, Run};
+use gentian::limit::job_queue::Rank;
+use gentian::route::placement::PlacementRequest;
+
 use super::super::job::Lane;
 use super::super::link::PlacedRun;
 use super::{crashes, State};
 use crate::logging::is_sampled;
-use gentian::claim::run::{Isolation, Run};
-use gentian::limit::job_queue::Rank;
-use gentian::route::placement::PlacementRequest;
 
 /// Time after a refusal for which tasks wait under which upstreams have crashed.
 const SUSPECT_DELAY: Duration = Duration::from_secs(1);
@@ -153,15 +154,17 @@
     /// Updates a job's position in its service's queue, and the amount of work that it
     /// has waiting there.
     pub(super) fn requeue(&mut self, number: u64) {
-        let Some(lane) = self.jobs.get(&number).map(|job| self.lane(&job.submission)) else {
+        let Some(job) = self.jobs.get(&number) else {
             return;
         };
+        let lane = self.lane(&job.submission);
+        let suspect = lane.confined && self.has_suspect(&job.submission);
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
         };
         let before = job.rank;
         job.rank.not_started = !job.started;
-        job.rank.suspect = lane.confined && job.tasks.iter().any(|task| task.crashes > 0);
+        job.rank.suspect = suspect;
         let (rank, work) = (job.rank, job.work());
         let left = std::mem::replace(&mut job.lane, lane.clone());
         self.dequeue(&left, &before);
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod cluster;
+mod hosts;
 pub(crate) mod observations;
 pub(crate) mod platform;
 pub(crate) mod system;
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -2,9 +2,8 @@
 //! with simulated workers, and calls as its operators and callers make them.
 
 use std::io::Write;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::path::Path;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
@@ -12,6 +11,7 @@
 use oxhttp::model::{Body, Request, StatusCode};
 use serde_json::{json, Value};
 
+use super::hosts::Hosts;
 use super::observations::Observations;
 use super::system::poll;
 use super::worker::Worker;
@@ -462,28 +462,3 @@
         "limits": { "max-header-bytes": 16_384, "max-body-bytes": 262_144 },
     })
 }
-
-/// Loopback addresses that no other system of the tests uses, in this process or another
-/// one that runs now. The ports of the control instances must be known before they start, so
-/// they can't be left to the kernel.
-#[derive(Debug)]
-struct Hosts(String);
-
-impl Hosts {
-    fn new() -> Hosts {
-        static SYSTEMS: AtomicU32 = AtomicU32::new(0);
-        let process = std::process::id() % 200;
-        let system = SYSTEMS.fetch_add(1, Ordering::Relaxed) % 250;
-        Hosts(format!("127.{}.{}", process + 2, system + 1))
-    }
-
-    fn get(&self, index: usize) -> String {
-        format!("{}.{}", self.0, index + 1)
-    }
-
-    /// Returns ports that were free at the first host when it looked.
-    fn free_ports(&self) -> [u16; 2] {
-        let listeners = [0; 2].map(|_| TcpListener::bind((self.get(0), 0)).expect("a free port"));
-        listeners.map(|listener| listener.local_addr().expect("an address").port())
-    }
-}
--- a/crates/gentian/tests/crashing/main.rs
+++ b/crates/gentian/tests/crashing/main.rs
@@ -6,8 +6,10 @@
 //! has time for the ten jobs between two bad ones, not more.
 
 mod cluster;
+mod load;
 
-use cluster::{Cluster, Outcome, Policy, QUEUES};
+use cluster::Cluster;
+use load::{Outcome, Policy, QUEUES};
 use test_case::test_case;
 
 /// Index of the queue with the bad jobs.
--- a/crates/route/src/bulkhead/mod.rs
+++ b/crates/route/src/bulkhead/mod.rs
@@ -4,8 +4,8 @@
 //! such tasks a second are enough to take down a small service, even if none of them is
 //! tried again. Nothing tells which task of a queue is bad before it runs. What is known is
 //! the queue: once the evidence against it is strong, its tasks run in a pool of upstreams
-//! that no other queue uses. There they crash no more than the pool, and the other queues
-//! are served as before.
+//! that no other queue uses. There they crash nothing else, and the other queues go on with
+//! the rest.
 //!
 //! The evidence is a sequential test for each queue. A task that crashes its upstream
 //! mostly does so soon after its start. A crash shortly after a start of the queue therefore
@@ -104,8 +104,8 @@
         }
     }
 
-    /// Takes a crash into account. `upstreams` are all of the service. Returns the queue
-    /// that is confined because of it.
+    /// Takes a crash into account. `upstreams` are all of the service, sorted. Returns the
+    /// queue that is confined because of it.
     pub fn observe(&mut self, crash: &Crash, upstreams: &[Node]) -> Option<String> {
         let simultaneous = self.last_crash.as_ref().is_some_and(|(upstream, at)| {
             *upstream != crash.upstream && at.abs_diff(crash.at) < self.settings.simultaneous
@@ -254,8 +254,9 @@
         if size == 0 {
             self.confined.clear();
         }
-        self.pool.retain(|node| upstreams.contains(node));
-        self.crashed_at.retain(|node, _| upstreams.contains(node));
+        let is_known = |node: &Node| upstreams.binary_search(node).is_ok();
+        self.pool.retain(is_known);
+        self.crashed_at.retain(|node, _| is_known(node));
         let candidates = upstreams.iter().filter(|node| !self.pool.contains(*node));
         let mut candidates: Vec<&Node> = candidates.collect();
         candidates.sort_by_key(|node| {
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -200,7 +200,7 @@
             .any(|(node, upstream)| pool.includes(node) && upstream.report.is_suitable(constraints))
     }
 
-    /// The agents of all upstreams of a service, whether they accept runs or not.
+    /// The agents of all upstreams of a service, sorted, whether they accept runs or not.
     pub fn nodes(&self, service: &Service) -> Vec<Node> {
         let known = self.of_service(service);
         known.map(|(node, _)| node.clone()).collect()
