--- a/crates/claim/src/crash/mod.rs
+++ b/crates/claim/src/crash/mod.rs
@@ -1,7 +1,7 @@
 //! Crashes of upstreams, and the tasks that ran when they happened.
 //!
 //! A task may crash each upstream that starts it. One crash proves little: the task may
-//! have run beside the one that caused it, or the machine may have lost power. A task that
+//! have run beside the one that caused it, or the instance may have lost power. A task that
 //! crashes its upstream does so at about the same point each time, whatever runs beside it.
 //! A task is therefore given up after a second crash if both came after about the same time
 //! and nothing but its own job ran there at one of them. Otherwise it is tried again, away
