Drain of a data centre: operators' orders, obeyed by entries and agents

Cause: nothing knew a data centre that takes no work; evacuation orders were answered 404. On the lease path the configuration's allow and deny lists were not obeyed either.

Agents refuse starts as denied, and start nothing before they know the configuration; entries place nothing there. Releases and drains share one way to amend the document in force.

--- a/crates/claim/src/run/admission.rs
+++ b/crates/claim/src/run/admission.rs
@@ -62,6 +62,9 @@
         start: &Start,
         now: Duration,
     ) -> Result<(), Refusal> {
+        if self.denied {
+            return Err(Refusal::Denied);
+        }
         if !self.is_open() {
             return Err(Refusal::Closed);
         }
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -65,6 +65,8 @@
     capacity: Need,
     /// Whether the upstream takes new runs.
     open: bool,
+    /// Whether the configuration gives the upstream no work, or is not known yet.
+    denied: bool,
     /// Whether all runs at the upstream are known here. An agent that has restarted doesn't
     /// know what it had started before, nor what capacity that uses.
     complete: bool,
@@ -102,10 +104,21 @@
         self.open = open;
     }
 
-    /// Whether the upstream takes new runs. It takes none until a poll has listed no run
-    /// that is unknown here.
+    /// Sets whether the configuration gives the upstream no work, or is not known yet.
+    /// Runs that were admitted before go on.
+    pub fn set_denied(&mut self, denied: bool) {
+        self.denied = denied;
+    }
+
+    /// Whether the configuration gives the upstream no work, or is not known yet.
+    pub fn is_denied(&self) -> bool {
+        self.denied
+    }
+
+    /// Whether new runs are admitted. None are until a poll has listed no run that is
+    /// unknown here.
     pub fn is_open(&self) -> bool {
-        self.open && self.complete
+        self.open && self.complete && !self.denied
     }
 
     /// Whether all runs at the upstream are known here.
--- a/crates/claim/src/run/types.rs
+++ b/crates/claim/src/run/types.rs
@@ -61,6 +61,8 @@
     Full,
     /// The upstream is leaving, unknown, or has been replaced.
     Closed,
+    /// The configuration gives the upstream no work, or is not known yet.
+    Denied,
     /// The order came after the lease of its owner had ended.
     Expired,
     /// This run or a later one of the task was admitted before.
--- a/crates/claim/tests/run.rs
+++ b/crates/claim/tests/run.rs
@@ -149,6 +149,23 @@
     );
 }
 
+#[test]
+fn a_denied_upstream_finishes_its_runs_and_takes_no_more() {
+    let mut runs = running();
+    runs.set_denied(true);
+    assert!(!runs.is_open());
+    let refused = runs.admit(&owner("a"), &run("u", 1), start(), ms(10));
+    assert_eq!(Err(Refusal::Denied), refused);
+    let poll = runs.begin_poll();
+    let ends = runs.apply_poll(poll, &[], &[listed_end(1, "t", Fate::Done)], ms(20));
+    assert_eq!(vec![Fate::Done], fates(&ends));
+    runs.set_denied(false);
+    assert_eq!(
+        Ok(()),
+        runs.admit(&owner("a"), &run("u", 1), start(), ms(30))
+    );
+}
+
 #[test]
 fn an_order_that_arrives_after_its_lease_is_refused() {
     let mut runs = runs();
--- a/crates/config/src/document/mod.rs
+++ b/crates/config/src/document/mod.rs
@@ -163,7 +163,7 @@
     }
 }
 
-/// Which upstreams may be given work: those allowed and not denied.
+/// Which upstreams may be given work: those allowed, neither denied nor drained.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Upstreams {
@@ -171,13 +171,17 @@
     pub allow: Selector,
     /// Upstreams to deny; takes precedence over `allow`.
     pub deny: Selector,
+    /// Data centres that operators have drained; takes precedence over `allow`.
+    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+    pub drained: BTreeSet<id::DataCenter>,
 }
 
 impl Upstreams {
     /// Whether the upstream of the given agent may be given work.
     pub fn admits(&self, node: &id::Node, data_center: &id::DataCenter, rack: &id::Rack) -> bool {
         let allowed = self.allow.is_empty() || self.allow.matches(node, data_center, rack);
-        allowed && !self.deny.matches(node, data_center, rack)
+        let denied = self.deny.matches(node, data_center, rack);
+        allowed && !denied && !self.drained.contains(data_center)
     }
 }
 
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -42,6 +42,8 @@
 #[test_case(json!({"allow": {"racks": ["r1"]}}), true ; "allowed by rack")]
 #[test_case(json!({"allow": {"racks": ["r2"]}}), false ; "not allowed")]
 #[test_case(json!({"allow": {"nodes": ["n1"]}, "deny": {"data_centers": ["d1"]}}), false ; "deny takes precedence")]
+#[test_case(json!({"allow": {"nodes": ["n1"]}, "drained": ["d1"]}), false ; "drained")]
+#[test_case(json!({"drained": ["d2"]}), true ; "another data centre is drained")]
 fn upstreams_are_admitted_by_selectors(upstreams: Value, admitted: bool) {
     let document = Document::read(&json!({ "upstreams": upstreams })).expect("a valid document");
     let parse = |text: &str| text.parse().expect("a valid name");
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -42,6 +42,10 @@
     let ordered_at = Instant::now();
     // Retries with a raised token if the upstream rejects the token as too low.
     for _ in 0..8 {
+        // The configuration may have changed while the start waited for its permit.
+        if supervisor.state().runs.is_denied() {
+            return handle_start_answer(&supervisor, &run, StartAnswer::Refused(Refusal::Denied));
+        }
         let order = supervisor.next_order(&mut supervisor.state());
         let Some(order) = order.filter(|order| order.authority.until.is_some()) else {
             return handle_start_answer(&supervisor, &run, StartAnswer::Refused(Refusal::Expired));
--- a/crates/core/src/agent/lease/mod.rs
+++ b/crates/core/src/agent/lease/mod.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod http;
 mod order;
+mod permission;
 mod reports;
 mod stream;
 mod supervisor;
@@ -47,8 +48,11 @@
     let name = format!("node {}", node.name);
     let metrics = Arc::new(metrics::Runs::new());
     let supervisor = Arc::new(Supervisor::new(&node, metrics.clone()));
-    let renewal = renew::Loop::new(node, supervisor.clone(), control);
+    let renewal = renew::Loop::new(node.clone(), supervisor.clone(), control);
     tokio::spawn(renew::log_changes(name, renewal.subscribe()));
+    let permission =
+        permission::follow_configuration(node, supervisor.clone(), renewal.subscribe());
+    tokio::spawn(permission);
     let (drained, drain) = watch::channel(false);
     let mut closed = drain.clone();
     let service = stream::Service::new(supervisor.clone());
--- /dev/null
+++ b/crates/core/src/agent/lease/permission.rs
@@ -0,0 +1,67 @@
+//! Whether the configuration gives this agent's upstream work.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use gentian::wire::{control, id};
+use tokio::sync::watch;
+
+use super::supervisor::Supervisor;
+use crate::panics::AbortOnPanic;
+use crate::renew::LeaseState;
+
+/// Where the agent runs, which decides whether it may be given work.
+#[derive(Clone, Debug)]
+struct Location {
+    node: id::Node,
+    data_center: id::DataCenter,
+    rack: id::Rack,
+}
+
+impl Location {
+    fn new(node: &control::Node) -> id::Result<Location> {
+        Ok(Location {
+            node: node.name.parse()?,
+            data_center: node.data_center.parse()?,
+            rack: node.rack.parse()?,
+        })
+    }
+
+    /// Whether the configuration gives the upstream no work, or is not known yet.
+    fn is_denied(&self, state: &LeaseState) -> bool {
+        let Location {
+            node,
+            data_center,
+            rack,
+        } = self;
+        let known = state.age(Instant::now()).is_some();
+        !known || !state.document.upstreams.admits(node, data_center, rack)
+    }
+}
+
+/// Admits runs, or refuses them, as each configuration says, for as long as the process
+/// renews its lease.
+pub(super) async fn follow_configuration(
+    node: control::Node,
+    supervisor: Arc<Supervisor>,
+    mut held: watch::Receiver<Arc<LeaseState>>,
+) {
+    let _essential = AbortOnPanic("the configuration's word on the upstream");
+    let location = Location::new(&node).expect("the settings hold valid names");
+    loop {
+        let latest = held.borrow_and_update().clone();
+        let denied = location.is_denied(&latest);
+        if supervisor.set_denied(denied) {
+            log::info!(
+                "configuration version {} {} new runs at data centre {}; it was confirmed {} ms ago",
+                latest.version,
+                if denied { "denies" } else { "allows" },
+                location.data_center,
+                latest.age(Instant::now()).unwrap_or_default().as_millis(),
+            );
+        }
+        if held.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -329,6 +329,7 @@
     match refusal {
         Refusal::Full => agent::Refusal::Full,
         Refusal::Closed => agent::Refusal::Closed,
+        Refusal::Denied => agent::Refusal::Denied,
         Refusal::Expired => agent::Refusal::Expired,
         Refusal::OldRun => agent::Refusal::OldRun,
         Refusal::Unhealthy => agent::Refusal::Unhealthy,
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -75,6 +75,8 @@
         // Higher than the token of every earlier agent process, unless the machine's
         // clock was set back.
         let token = since_epoch.unwrap_or_default().as_millis() as u64;
+        let mut runs = Runs::default();
+        runs.set_denied(true);
         Supervisor {
             node: node
                 .name
@@ -83,7 +85,7 @@
             incarnation: node.incarnation,
             origin: Instant::now(),
             state: Mutex::new(State {
-                runs: Runs::default(),
+                runs,
                 crashes: History::default(),
                 start_rates: StartRates::default(),
                 upstream: None,
@@ -177,6 +179,20 @@
         self.room_changed.notify_one();
     }
 
+    /// Sets whether the configuration gives the upstream no work; returns whether that
+    /// has changed. It counts as denied until this is called.
+    pub(super) fn set_denied(&self, denied: bool) -> bool {
+        let mut state = self.state();
+        let changed = state.runs.is_denied() != denied;
+        state.runs.set_denied(denied);
+        drop(state);
+        if changed {
+            self.room_changed.notify_one();
+            self.poll_wakeup.notify_one();
+        }
+        changed
+    }
+
     /// Closes the streams of all entries.
     pub(super) fn close_streams(&self) {
         self.state().streams.clear();
--- a/crates/core/src/args/mod.rs
+++ b/crates/core/src/args/mod.rs
@@ -6,6 +6,7 @@
 
 mod check;
 mod config;
+mod drain;
 mod error;
 mod explain;
 mod load;
@@ -55,6 +56,12 @@
     /// Reads and changes the versioned configuration
     #[command(subcommand)]
     Config(config::Command),
+    /// Gives a data centre no new work; what runs there goes on to its end
+    Drain(drain::Args),
+    /// Gives a drained data centre work again
+    Undrain(drain::Args),
+    /// Lists the drained data centres
+    Drains(drain::ListArgs),
     /// Shows the status of entries, agents and control instances
     Status(status::Args),
     /// Reports how fast services and teams use up their error budgets
@@ -86,6 +93,9 @@
             Command::Local(args) => args.run(),
             Command::CheckSettings(args) => args.run(),
             Command::Config(command) => command.run(),
+            Command::Drain(args) => args.drain(),
+            Command::Undrain(args) => args.undrain(),
+            Command::Drains(args) => args.run(),
             Command::Status(args) => args.run(),
             Command::Report(args) => args.run(),
             Command::Members(command) => command.run(),
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! The control role: replicates the membership views and the configuration, and
 //! grants leases to nodes and loans of quotas to entries.
 
+mod amendment;
+mod drain;
 mod members_api;
 mod operator_api;
 mod release_api;
@@ -20,6 +22,7 @@
 use crate::serve::{self, Server};
 use crate::settings::Controller;
 
+use drain::{DrainApi, Drains};
 use members_api::MembersApi;
 use operator_api::OperatorApi;
 use release_api::ReleaseApi;
@@ -95,7 +98,11 @@
         let api = MembersApi::new(self.replica.clone(), api);
         let dialect = self.section.dialect;
         let port = self.section.http.port();
-        let api = Arc::new(ReleaseApi::new(service.clone(), dialect, port, api));
+        let configured = self.section.data_centers.clone();
+        let drains = Arc::new(Drains::new(service.clone(), configured));
+        let api = DrainApi::new(drains.clone(), api);
+        let api = ReleaseApi::new(service.clone(), drains, dialect, port, api);
+        let api = Arc::new(api);
         let ticking = tokio::spawn(tick(service.clone(), stop.clone()));
         let peer = tonic::transport::Server::builder()
             .add_service(self.replica.server())
--- a/crates/core/src/control/operator_api.rs
+++ b/crates/core/src/control/operator_api.rs
@@ -10,6 +10,7 @@
 use http::{Method, StatusCode};
 use serde_json::{json, Value};
 
+use super::drain;
 use super::service::Service;
 use super::state::{Error, Leader, ReplicatedLog};
 use crate::metrics;
@@ -101,6 +102,7 @@
             version: applied.state.ledger().version().0,
             view: window.number().0,
             members: window.members().len(),
+            drained: drain::drained(&applied).len(),
         })
     }
 
--- a/crates/core/src/control/release_api.rs
+++ b/crates/core/src/control/release_api.rs
@@ -1,4 +1,5 @@
-//! The HTTP API for releases: complete configurations, numbered by an operator.
+//! The platform's HTTP API for its operators: releases, which are complete configurations
+//! with a number of their own, and drains of data centres.
 //!
 //! A release replaces any with a lower number. If it or a later one is already in
 //! force, it is acknowledged without effect. It is applied as a patch to the version
@@ -6,36 +7,34 @@
 //! handles these requests; other instances redirect to it.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use gentian::config::ledger::Answer;
-use gentian::config::patch::{Id, Patch, MAX_PATCH_BYTES};
+use gentian::config::patch::MAX_PATCH_BYTES;
 use gentian_platform::operator::Config;
 use gentian_platform::path::Call;
 use http::StatusCode;
 use http_body_util::Full;
-use uuid::Uuid;
+use serde_json::Value;
 
+use super::drain::{Drains, Order};
 use super::service::Service;
-use super::state::{Error, Leader, ReplicatedLog};
+use super::state::{AppliedState, Leader, ReplicatedLog};
 use crate::serve::{self, Handler, Problem, Request, Response};
 use crate::settings::Dialect;
 
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-const AUTHOR: &str = "operator";
-
-/// Maximum number of attempts to apply a release when other changes replace the version
-/// that it is based on.
-const MAX_ATTEMPTS: usize = 16;
 
 /// The result of a request, whose error is sent as the response.
 type Result<T> = std::result::Result<T, Problem>;
 
-/// Handles releases if the dialect has them, and passes other requests to `next`.
+/// Handles the platform's operator calls if the dialect has them, and passes other requests
+/// to `next`.
 #[derive(Debug)]
 pub(crate) struct ReleaseApi<L, H> {
     service: Service<L>,
+    drains: Arc<Drains<L>>,
     dialect: Dialect,
     /// HTTP port, which is the same on every control instance.
     port: u16,
@@ -43,9 +42,16 @@
 }
 
 impl<L: ReplicatedLog, H: Handler> ReleaseApi<L, H> {
-    pub(crate) fn new(service: Service<L>, dialect: Dialect, port: u16, next: H) -> Self {
+    pub(crate) fn new(
+        service: Service<L>,
+        drains: Arc<Drains<L>>,
+        dialect: Dialect,
+        port: u16,
+        next: H,
+    ) -> Self {
         ReleaseApi {
             service,
+            drains,
             dialect,
             port,
             next,
@@ -58,53 +64,19 @@
             log::info!("release refused: {error}");
             Problem::bad(&error.to_string())
         })?;
-        for _ in 0..MAX_ATTEMPTS {
-            match self.try_put(&config).await? {
-                Some(Answer::Conflict { .. }) => {}
-                Some(Answer::Invalid { problems }) => {
-                    log::info!("release {} refused: {problems:?}", config.release.number);
-                    return Err(Problem::bad(&format!("{problems:?}")));
-                }
-                Some(Answer::Accepted { version, .. }) => {
-                    let number = config.release.number;
-                    log::info!("release {number} accepted as version {version}");
-                    return Ok(serve::text("accepted\n"));
-                }
-                Some(Answer::Reused) => {
-                    return Err(Problem::busy("the generated patch id is already in use"))
-                }
-                None => return Ok(serve::text("in force\n")),
-            }
-        }
-        Err(Problem::busy(&format!(
-            "other changes were accepted first in each of {MAX_ATTEMPTS} attempts"
-        )))
-    }
-
-    /// Proposes the release. Returns `None` if it or a later one is in force.
-    async fn try_put(&self, config: &Config) -> Result<Option<Answer>> {
-        let patch = self.service.read(|applied| {
-            let ledger = applied.state.ledger();
-            let known = applied.document.as_ref().and_then(|d| d.release.as_ref());
-            if known.is_some_and(|release| release.number >= config.release.number) {
-                return None;
+        let number = config.release.number;
+        let accepted = self
+            .service
+            .amend(|applied| next_document(applied, &config));
+        match accepted.await {
+            Ok(Some(version)) => {
+                log::info!("release {number} accepted as version {version}");
+                Ok(serve::text("accepted\n"))
             }
-            let (from, to) = (ledger.document(), config.document(ledger.document()));
-            let id = Id(Uuid::new_v4());
-            Some(Patch::between(id, ledger.version(), AUTHOR, from, &to))
-        });
-        let Some(patch) = patch.ok_or_else(|| self.not_leader())? else {
-            return Ok(None);
-        };
-        match self.service.patch(patch).await {
-            Ok(answer) => Ok(Some(answer)),
-            Err(Error::NotLeader) => Err(self.not_leader()),
-            Err(error @ Error::Unknown) => {
-                log::warn!(
-                    "release {} is not confirmed: {error}",
-                    config.release.number
-                );
-                Err(Problem::new(503, "not known", &error.to_string()))
+            Ok(None) => Ok(serve::text("in force\n")),
+            Err(error) => {
+                log::warn!("release {number} is not accepted: {error}");
+                Err(error.into())
             }
         }
     }
@@ -123,6 +95,11 @@
         }
     }
 
+    async fn drain(&self, order: Order, data_center: &str) -> Result<Response> {
+        self.drains.carry_out(order, data_center).await?;
+        Ok(serve::text("in force\n"))
+    }
+
     fn not_leader(&self) -> Problem {
         Problem::busy("this control instance is not the leader")
     }
@@ -150,12 +127,23 @@
         let result = match call {
             Some(Call::PutConfig) => self.put(request).await,
             Some(Call::GetConfig) => self.get(),
+            Some(Call::Drain(name)) => self.drain(Order::Drain, name).await,
+            Some(Call::Undrain(name)) => self.drain(Order::Undrain, name).await,
             _ => Err(Problem::new(404, "not found", "unknown method or path")),
         };
         result.unwrap_or_else(|problem| problem.respond())
     }
 }
 
+/// The document in force with this release in it; `None` if it or a later one is in force.
+fn next_document(applied: &AppliedState, config: &Config) -> Option<Value> {
+    let known = applied.document.as_ref().and_then(|d| d.release.as_ref());
+    if known.is_some_and(|release| release.number >= config.release.number) {
+        return None;
+    }
+    Some(config.document(applied.state.ledger().document()))
+}
+
 fn redirect(to: SocketAddr, path: &str) -> Response {
     http::Response::builder()
         .status(StatusCode::TEMPORARY_REDIRECT)
--- a/crates/core/src/entry/lease/agents.rs
+++ b/crates/core/src/entry/lease/agents.rs
@@ -1,6 +1,6 @@
 //! Keeps a stream open to each agent that control lists.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -43,9 +43,11 @@
         // After a restart of the whole cluster, the view lists agents that the
         // control leader has not heard from yet.
         let in_view = latest.window.members().values();
-        for member in latest.present.iter().chain(in_view) {
+        let listed = latest.present.iter().chain(in_view);
+        for member in listed.clone() {
             update_agent(&mut agents, member, &dispatcher);
         }
+        dispatcher.deny(denied_nodes(&latest, listed));
         agents.retain(|node, agent| {
             let kept = agent.listed_at.elapsed() < UNLISTED_GRACE || dispatcher.is_connected(node);
             if !kept {
@@ -63,6 +65,17 @@
     }
 }
 
+/// Those of the listed agents whose upstreams the configuration gives no work.
+fn denied_nodes<'a>(
+    state: &LeaseState,
+    listed: impl Iterator<Item = &'a Member>,
+) -> BTreeSet<Node> {
+    let upstreams = &state.document.upstreams;
+    let denied =
+        listed.filter(|member| !upstreams.admits(&member.node, &member.data_center, &member.rack));
+    denied.map(|member| member.node.clone()).collect()
+}
+
 /// Counts the runs of agents that no longer answer or have restarted as lost, once
 /// their leases have lapsed for certain, so that their tasks can start elsewhere.
 pub(super) async fn expire_lost_runs(dispatcher: Arc<Dispatcher>) {
--- a/crates/core/src/entry/lease/api.rs
+++ b/crates/core/src/entry/lease/api.rs
@@ -85,6 +85,7 @@
             age: held.age(Instant::now()).unwrap_or_default(),
             waiting: self.dispatcher.jobs_waiting(),
             confined_queues: self.dispatcher.confined_queues(),
+            denied_upstreams: self.dispatcher.denied_upstreams(),
         })
     }
 
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -3,6 +3,7 @@
 //! One lock guards the whole state. It is held for decisions only, never while
 //! waiting for the network.
 
+use std::collections::BTreeSet;
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -214,6 +215,19 @@
         link.or_insert_with(|| Link::new(member.node.clone(), same_data_center));
     }
 
+    /// Sets the agents whose upstreams the configuration gives no work.
+    pub(super) fn deny(&self, nodes: BTreeSet<Node>) {
+        let mut state = self.state();
+        if state.placer.deny(nodes) {
+            state.schedule_all();
+        }
+    }
+
+    /// Number of known upstreams that the configuration gives no work.
+    pub(super) fn denied_upstreams(&self) -> usize {
+        self.state().placer.denied()
+    }
+
     /// Removes an agent and counts its runs as lost.
     pub(super) fn remove_agent(&self, node: &Node) {
         let mut state = self.state();
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -88,6 +88,8 @@
 pub(super) enum RefusalCause {
     /// No upstream that accepts runs meets the requirements of one of its tasks.
     NoUpstream,
+    /// Only upstreams that the configuration gives no work could run one of its tasks.
+    Denied,
     /// One of its tasks needs more than any upstream's whole capacity.
     TooLarge,
     /// The work queued ahead of the job would make it wait for too long.
--- a/crates/core/src/entry/lease/state/admission.rs
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -14,6 +14,9 @@
 /// Retry delay for callers whose jobs only crashed upstreams could take: about the time
 /// that an upstream takes to restart.
 const CONFINED_RETRY_AFTER: Duration = Duration::from_secs(3);
+/// Retry delay for callers whose jobs only drained upstreams could take: operators, not
+/// load, decide how long that lasts.
+const DENIED_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 impl State {
     /// How long a job may wait and take, by the settings of its queue and its expected
@@ -71,9 +74,11 @@
             }
             let pool = crashes::pool(&self.bulkheads, &self.placer, lane, &step.constraints);
             if !self.placer.serves(service, &step.constraints, pool) {
-                return Some(match lane.confined {
-                    true => Outcome::Refused(CONFINED_RETRY_AFTER, RefusalCause::Confined),
-                    false => Outcome::Refused(DEFAULT_RETRY_AFTER, RefusalCause::NoUpstream),
+                let denied = self.placer.is_denied(service, &step.constraints);
+                return Some(match (lane.confined, denied) {
+                    (true, _) => Outcome::Refused(CONFINED_RETRY_AFTER, RefusalCause::Confined),
+                    (_, true) => Outcome::Refused(DENIED_RETRY_AFTER, RefusalCause::Denied),
+                    _ => Outcome::Refused(DEFAULT_RETRY_AFTER, RefusalCause::NoUpstream),
                 });
             }
         }
--- a/crates/core/src/entry/lease/state/runs.rs
+++ b/crates/core/src/entry/lease/state/runs.rs
@@ -115,7 +115,7 @@
                 }
             }
             Fate::Refused if end.refusal() == Refusal::OldRun => task.last_run += RUN_NUMBER_STEP,
-            Fate::Refused if end.refusal() == Refusal::Full => {}
+            Fate::Refused if matches!(end.refusal(), Refusal::Full | Refusal::Denied) => {}
             Fate::Refused | Fate::Lost | Fate::Stopped | Fate::Unspecified => {
                 task.avoided.push(node.clone());
             }
--- a/crates/core/src/metrics/control.rs
+++ b/crates/core/src/metrics/control.rs
@@ -16,6 +16,7 @@
     version: IntGauge,
     view: IntGauge,
     members: IntGauge,
+    drained: IntGauge,
     patches: IntCounterVec,
 }
 
@@ -30,6 +31,8 @@
     pub(crate) view: u64,
     /// Number of agents in that view.
     pub(crate) members: usize,
+    /// Number of data centres that are drained.
+    pub(crate) drained: usize,
 }
 
 impl Control {
@@ -55,6 +58,10 @@
             version: gauge("gentian_control_version", "Last version that it holds"),
             view: gauge("gentian_control_view", "Last membership view that it holds"),
             members: gauge("gentian_control_agents", "Agents in that view"),
+            drained: gauge(
+                "gentian_control_drained_data_centers",
+                "Data centres that operators have drained",
+            ),
             patches,
             registry,
         }
@@ -78,6 +85,7 @@
         self.version.set(to_i64(status.version));
         self.view.set(to_i64(status.view));
         self.members.set(to_i64(status.members as u64));
+        self.drained.set(to_i64(status.drained as u64));
         page(&self.registry)
     }
 }
--- a/crates/core/src/metrics/jobs.rs
+++ b/crates/core/src/metrics/jobs.rs
@@ -24,6 +24,7 @@
     crashing: IntCounter,
     waiting: IntGauge,
     confined: IntGauge,
+    denied: IntGauge,
     version: IntGauge,
     version_age: IntGauge,
 }
@@ -40,6 +41,8 @@
     /// Number of configured queues whose tasks use only some upstreams, since they crash
     /// them.
     pub(crate) confined_queues: usize,
+    /// Number of known upstreams that the configuration gives no work.
+    pub(crate) denied_upstreams: usize,
 }
 
 impl Jobs {
@@ -90,6 +93,10 @@
                 "gentian_queues_confined",
                 "Queues that use only some upstreams, since their tasks crash them",
             ),
+            denied: gauge(
+                "gentian_upstreams_denied",
+                "Known upstreams that the configuration gives no work",
+            ),
             version: gauge(
                 "gentian_job_config_version",
                 "Configuration version in force",
@@ -142,6 +149,7 @@
             .set(i64::try_from(status.age.as_millis()).unwrap_or(i64::MAX));
         self.waiting.set(to_i64(status.waiting as u64));
         self.confined.set(to_i64(status.confined_queues as u64));
+        self.denied.set(to_i64(status.denied_upstreams as u64));
         page(&self.registry)
     }
 }
--- a/crates/core/src/settings/mod.rs
+++ b/crates/core/src/settings/mod.rs
@@ -128,6 +128,9 @@
     /// manages its membership itself. If none, operators manage the membership.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub(crate) tolerates: Option<u64>,
+    /// Data centres that may be drained, besides those that agents run in.
+    #[serde(skip_serializing_if = "BTreeSet::is_empty")]
+    pub(crate) data_centers: BTreeSet<id::DataCenter>,
 }
 
 /// Format of log lines.
--- a/crates/core/src/settings/raw.rs
+++ b/crates/core/src/settings/raw.rs
@@ -81,6 +81,7 @@
         data: Value,
         found: Value,
         tolerates: Value,
+        data_centers: Value,
     }
 }
 
--- a/crates/core/src/settings/validate.rs
+++ b/crates/core/src/settings/validate.rs
@@ -152,6 +152,15 @@
         let tolerates = self.optional("controller.tolerates", tolerates, None, &allowed, |v| {
             v.as_u64().filter(|n| *n <= MAX_TOLERATED).map(Some)
         });
+        let allowed = "a list of names such as [\"east\", \"west\"]";
+        let none = BTreeSet::new();
+        let data_centers = self.optional(
+            "controller.data_centers",
+            raw.data_centers,
+            none,
+            allowed,
+            |v| v.as_array()?.iter().map(parse).collect(),
+        );
         Some(Controller {
             http: http?,
             peer: peer?,
@@ -159,6 +168,7 @@
             data: data?,
             found: found?,
             tolerates: tolerates?,
+            data_centers: data_centers?,
         })
     }
 
--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -3,8 +3,8 @@
 //!
 //! It checks what callers and workers observe: no task runs more than once at the same
 //! time, a refused job has started no task, a completed job has completed all its
-//! tasks, and no read returns a configuration older than one that was acknowledged more than
-//! two seconds before. A seed decides the faults and their times, but not how the
+//! tasks, no read returns a configuration older than one that was acknowledged more than
+//! two seconds before, and nothing starts in a drained data centre. A seed decides the faults and their times, but not how the
 //! processes interleave, so a run with the same seed may end differently.
 //!
 //! `SOAK_SEEDS=20..30 cargo test -p gentiancove --test soak` runs other seeds.
@@ -21,10 +21,12 @@
 use rand_pcg::Pcg64;
 use serde_json::Value;
 use support::observations::Observations;
-use support::platform::{call_control, config, job, Platform};
+use support::platform::{call_control, config, job, DrainOrder, Platform};
 use support::worker::Behavior;
 use support::{try_call, NO_ANSWER};
 
+/// Data centres of the workers; the last one is drained at some time.
+const DATA_CENTERS: [&str; WORKERS] = ["d", "d", "e"];
 const WORKERS: usize = 3;
 const ENTRIES: usize = 2;
 const CONTROLS: usize = 3;
@@ -38,6 +40,10 @@
 /// older one.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
 
+/// Time after the acknowledgement of a drain from which nothing starts there; the faults
+/// may keep agents from control for a part of it.
+const DRAINED_WITHIN: Duration = Duration::from_secs(5);
+
 /// Seeds that are run when `SOAK_SEEDS` is not set: a first one, and those that have
 /// failed before.
 ///
@@ -226,9 +232,21 @@
     Ok(())
 }
 
+/// Checks that nothing has started in the drained data centre for a while.
+fn check_drained(platform: &Platform, drained_at: Instant) -> Result<(), String> {
+    let observed = platform.observed.lock().expect("the lock is not poisoned");
+    let worker = format!("i-{}", WORKERS - 1);
+    let after = observed.last_start.get(&worker);
+    let after = after.map(|at| at.saturating_duration_since(drained_at));
+    match after.filter(|after| *after > DRAINED_WITHIN) {
+        Some(after) => Err(format!("a run began {after:?} after the drain")),
+        None => Ok(()),
+    }
+}
+
 /// Starts a system, runs clients, operator and faults, and checks the outcome.
 fn run_seed(seed: u64) -> Result<(), String> {
-    let mut platform = Platform::start(WORKERS, ENTRIES);
+    let mut platform = Platform::start_in(&DATA_CENTERS, ENTRIES);
     let stop = Arc::new(AtomicBool::new(false));
     let failure = Arc::default();
     let clients: Vec<JoinHandle<Vec<JobResult>>> = (0..CLIENTS)
@@ -246,17 +264,26 @@
         thread::spawn(move || run_operator(seed, controls, stop, failure))
     };
     let mut rng = Pcg64::seed_from_u64(seed);
-    for _ in 0..FAULTS_PER_SEED {
+    let drained_after = Pcg64::seed_from_u64(!seed).random_range(0..FAULTS_PER_SEED / 2);
+    let mut drained_at = Instant::now();
+    for number in 0..FAULTS_PER_SEED {
         thread::sleep(Duration::from_millis(rng.random_range(50..600)));
         let fault = inject_fault(&mut platform, &mut rng);
         println!("seed {seed}: {fault}");
+        if number == drained_after {
+            platform.drain("e", DrainOrder::Start);
+            drained_at = Instant::now();
+        }
     }
+    thread::sleep((DRAINED_WITHIN + Duration::from_secs(1)).saturating_sub(drained_at.elapsed()));
     stop.store(true, Ordering::Relaxed);
     let results = clients
         .into_iter()
         .flat_map(|client| client.join().expect("the thread does not panic"));
     let results: Vec<JobResult> = results.collect();
     let acknowledged = operator.join().expect("the thread does not panic");
+    check_drained(&platform, drained_at)?;
+    platform.drain("e", DrainOrder::End);
     (0..ENTRIES).for_each(|entry| platform.wait_until_serving(entry));
     let read = platform.read_config()["version"].as_u64();
     if read.is_none_or(|read| read < acknowledged) {
--- a/crates/core/tests/support/observations.rs
+++ b/crates/core/tests/support/observations.rs
@@ -1,6 +1,7 @@
 //! What simulated workers have seen of the tasks that they ran.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Instant;
 
 /// What the workers, taken together, have observed of the tasks.
 #[derive(Debug, Default)]
@@ -13,6 +14,8 @@
     pub(crate) overlapping_steps: BTreeSet<String>,
     /// All runs that began: the task, the number of the run and the id of the worker.
     pub(crate) runs: Vec<(String, u64, String)>,
+    /// When a run last began, by worker.
+    pub(crate) last_start: BTreeMap<String, Instant>,
     /// Most runs of a step at one worker at the same time, by worker and step.
     pub(crate) most_at_once: BTreeMap<(String, String), usize>,
     /// Number of current runs, by task.
@@ -38,6 +41,7 @@
     ) {
         *self.starts.entry(task.to_owned()).or_default() += 1;
         self.runs.push((task.to_owned(), run_id, worker.to_owned()));
+        self.last_start.insert(worker.to_owned(), Instant::now());
         let step = step_of(task);
         let of_same_step = others.filter(|other| step_of(other) == step).count();
         let key = (worker.to_owned(), step.to_owned());
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -53,6 +53,15 @@
         entries: usize,
         entry_log: Option<&Path>,
     ) -> Platform {
+        Platform::start_with(&vec!["d"; workers], entries, entry_log)
+    }
+
+    /// Like [`Platform::start`], with one worker in each of these data centres.
+    pub(crate) fn start_in(data_centers: &[&str], entries: usize) -> Platform {
+        Platform::start_with(data_centers, entries, None)
+    }
+
+    fn start_with(data_centers: &[&str], entries: usize, entry_log: Option<&Path>) -> Platform {
         let hosts = Hosts::new();
         let [http, peer] = hosts.free_ports();
         let seeds = (0..3).map(|i| format!("{}:{peer}", hosts.get(i)));
@@ -79,6 +88,7 @@
                 "controller": {
                     "http": platform.control_http_addresses[index], "peer": seed, "dialect": "platform",
                     "data": folder.path().join("control"), "found": true, "tolerates": 1,
+                    "data_centers": data_centers,
                 },
             });
             platform
@@ -87,9 +97,9 @@
             platform.control_settings.push(settings);
             platform.data_folders.push(folder);
         }
-        for index in 0..workers {
+        for (index, data_center) in data_centers.iter().enumerate() {
             let log = platform.log("agent", index);
-            let worker = Worker::start(index, &seeds, &log, &platform.observed);
+            let worker = Worker::start(index, data_center, &seeds, &log, &platform.observed);
             platform.workers.push(worker);
         }
         for index in 0..entries {
@@ -200,6 +210,17 @@
         call_control(&self.control_http_addresses[index], method, path, body)
     }
 
+    /// Drains a data centre, or ends its drain, at any control instance, and waits for the
+    /// acknowledgement.
+    pub(crate) fn drain(&self, data_center: &str, order: DrainOrder) {
+        let path = drain_path(data_center, order);
+        let mut turn = 0;
+        poll(|| {
+            turn += 1;
+            (self.call_control(turn % 3, "POST", &path, "").0 == 200).then_some(())
+        });
+    }
+
     /// Reads the configuration from each control instance in turn until one returns it.
     pub(crate) fn read_config(&self) -> Value {
         let mut turn = 0;
@@ -438,6 +459,22 @@
     )
 }
 
+/// What an operator orders for a data centre.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum DrainOrder {
+    Start,
+    End,
+}
+
+/// Path of an order to drain a data centre.
+pub(crate) fn drain_path(data_center: &str, order: DrainOrder) -> String {
+    let verb = match order {
+        DrainOrder::Start => "start",
+        DrainOrder::End => "end",
+    };
+    format!("/-/evacuation/{data_center}/{verb}")
+}
+
 /// A job with one step, of `count` tasks that take `millis` each.
 pub(crate) fn job(count: usize, millis: u64) -> Value {
     json!({
--- a/crates/core/tests/support/worker.rs
+++ b/crates/core/tests/support/worker.rs
@@ -289,7 +289,7 @@
 pub(crate) struct Worker {
     pub(crate) agent: Process,
     pub(super) agent_http: String,
-    agent_peer: String,
+    pub(crate) agent_peer: String,
     settings: Value,
     state: Arc<Mutex<State>>,
     /// Takes the orders of the agent.
@@ -299,12 +299,13 @@
 impl Worker {
     pub(super) fn start(
         index: usize,
+        data_center: &str,
         control: &[String],
         log: &Value,
         observed: &Arc<Mutex<Observations>>,
     ) -> Worker {
         let settings = json!({
-            "name": format!("agent-{index}"), "data_center": "d", "rack": "r", "region": "x",
+            "name": format!("agent-{index}"), "data_center": data_center, "rack": "r", "region": "x",
             "control": control, "log": log,
             "agent": { "http": "127.0.0.1:0", "peer": "127.0.0.1:0", "dialect": "platform" },
         });
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -16,7 +16,7 @@
 mod upstream;
 mod wanted_labels;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -114,6 +114,8 @@
     /// Hash of the entry's name, which decides the upstreams that it prefers.
     seed: u64,
     upstreams: BTreeMap<Node, Upstream>,
+    /// Agents whose upstreams the configuration gives no work, known here or not.
+    denied: BTreeSet<Node>,
     wanted_labels: WantedLabels,
     detectors: BTreeMap<Service, Detector>,
 }
@@ -143,7 +145,8 @@
             Some(upstream) => upstream.update(in_own_data_center, report),
             None => {
                 let preference = preference(self.seed, node);
-                let upstream = Upstream::new(in_own_data_center, preference, report);
+                let mut upstream = Upstream::new(in_own_data_center, preference, report);
+                upstream.denied = self.denied.contains(node);
                 self.upstreams.insert(node.clone(), upstream);
             }
         }
@@ -157,6 +160,32 @@
         }
     }
 
+    /// Sets the agents whose upstreams are given no tasks; returns whether they are others
+    /// than before.
+    pub fn deny(&mut self, nodes: BTreeSet<Node>) -> bool {
+        if self.denied == nodes {
+            return false;
+        }
+        self.denied = nodes;
+        for (node, upstream) in &mut self.upstreams {
+            upstream.denied = self.denied.contains(node);
+        }
+        true
+    }
+
+    /// Number of upstreams that are given no tasks.
+    pub fn denied(&self) -> usize {
+        let upstreams = self.upstreams.values();
+        upstreams.filter(|upstream| upstream.denied).count()
+    }
+
+    /// Whether an upstream of a service with the label that `constraints` requires is given
+    /// no tasks.
+    pub fn is_denied(&self, service: &Service, constraints: &Constraints) -> bool {
+        self.of_service(service)
+            .any(|(_, upstream)| upstream.denied && upstream.report.is_suitable(constraints))
+    }
+
     /// Removes the upstream of an agent.
     pub fn remove(&mut self, node: &Node) {
         let Some(upstream) = self.upstreams.remove(node) else {
--- a/crates/route/src/placement/upstream.rs
+++ b/crates/route/src/placement/upstream.rs
@@ -66,6 +66,8 @@
     /// Position in the entry's own order of the upstreams, from 0 for the first to 1.
     preference: f64,
     pub(super) reachable: bool,
+    /// Whether the configuration gives it no work.
+    pub(super) denied: bool,
     pub(super) standing: Standing,
     /// Whether enough runs in a row failed for an ejection. Matters while the upstream
     /// stays in rotation because too many others are ejected already.
@@ -94,6 +96,7 @@
             in_own_data_center,
             preference,
             reachable: true,
+            denied: false,
             standing: Standing::Normal,
             suspect: false,
             own_use: Need::default(),
@@ -115,7 +118,7 @@
 
     /// Whether the upstream can be given runs, regardless of its standing.
     pub(super) fn is_available(&self) -> bool {
-        self.report.accepts_runs && self.reachable
+        self.report.accepts_runs && self.reachable && !self.denied
     }
 
     pub(super) fn is_open(&self) -> bool {
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -70,6 +70,30 @@
     placed
 }
 
+/// A data centre leaves and comes back: its upstreams get nothing and count for nothing
+/// meanwhile, also one that reports for the first time then.
+#[test]
+fn denied_upstreams_get_no_tasks_and_count_for_nothing() {
+    let mut placer = placer_with(&[32, 32]);
+    let any = Constraints::default();
+    assert!(placer.deny(BTreeSet::from([node(1), node(2)])));
+    placer.update(&node(2), Incarnation(1), true, report(32));
+    assert_eq!(2, placer.denied());
+    assert_eq!(32_000, placer.own_share(&service(), Pool::All).cpu);
+    assert_eq!(
+        vec![node(0)],
+        place_up_to(&mut placer, 30).into_keys().collect::<Vec<_>>()
+    );
+    assert!(placer.serves(&service(), &any, Pool::All));
+    placer.deny(BTreeSet::from([node(0), node(1), node(2)]));
+    assert!(!placer.serves(&service(), &any, Pool::All));
+    assert!(placer.is_denied(&service(), &any));
+    assert!(placer.deny(BTreeSet::new()));
+    assert!(!placer.deny(BTreeSet::new()));
+    let back = place_up_to(&mut placer, 30);
+    assert_eq!(vec![node(1), node(2)], back.into_keys().collect::<Vec<_>>());
+}
+
 #[test]
 fn tasks_spread_in_proportion_to_free_resources() {
     let mut placer = placer_with(&[32, 32, 48]);
