route: an ejected upstream is the last resort of a task that only it can run

Cause: whether ejected upstreams may be used was decided over the whole pool. A task that requires a label waited until it was refused while the only upstream with that label was ejected.

Change: it is decided over the upstreams that may run the task.

Test: seen to fail before.

--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -264,16 +264,16 @@
     /// Chooses an upstream for one task and reserves the task's resources there. Returns
     /// `None` if no upstream can take the task now.
     pub fn place(&mut self, service: &Service, request: &PlacementRequest<'_>) -> Option<Node> {
-        // If every upstream that could be given runs is ejected, an ejected one is used
+        let suitable = |(node, upstream): &(&Node, &Upstream)| {
+            request.pool.includes(node)
+                && upstream.report.is_suitable(request.constraints)
+                && !request.excluded.contains(node)
+        };
+        let suitable = || self.of_service(service).filter(suitable);
+        // If every upstream that could be given the task is ejected, an ejected one is used
         // rather than none.
-        let in_pool = |(node, _): &(&Node, &Upstream)| request.pool.includes(node);
-        let known = || self.of_service(service).filter(in_pool);
-        let last_resort = !known().any(|(_, upstream)| upstream.is_open());
-        let fitting = known().filter(|(node, upstream)| {
-            let suitable = upstream.report.is_suitable(request.constraints)
-                && !request.excluded.contains(node);
-            suitable && upstream.can_take(request, last_resort)
-        });
+        let last_resort = !suitable().any(|(_, upstream)| upstream.is_open());
+        let fitting = suitable().filter(|(_, upstream)| upstream.can_take(request, last_resort));
         let scored = fitting.map(|(node, upstream)| {
             let avoided = if request.avoid.contains(node) {
                 AVOIDED_WEIGHT
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -231,6 +231,29 @@
     );
 }
 
+/// The only upstream with a label that a task requires is ejected, while others are not.
+#[test]
+fn an_ejected_upstream_is_the_last_resort_of_a_task_that_only_it_can_run() {
+    let mut placer = placer_with(&[32, 32, 32]);
+    let labelled = UpstreamReport {
+        labels: vec!["b".to_owned()],
+        ..report(32)
+    };
+    placer.update(&node(0), Incarnation(1), true, labelled);
+    let mut rng = Pcg64::seed_from_u64(1);
+    for _ in 0..40 {
+        placer.observe(&node(0), Observation::Bad, Duration::ZERO, &mut rng);
+    }
+    let only_labelled = Constraints {
+        required_label: Some("b".to_owned()),
+        ..Constraints::default()
+    };
+    let placed = place_one(&mut placer, &only_labelled, &[]);
+    assert_eq!(Some(node(0)), placed);
+    let placed = place_one(&mut placer, &Constraints::default(), &[]);
+    assert_ne!(Some(node(0)), placed, "others have upstreams in rotation");
+}
+
 /// Once no other upstream can be reached, an ejected one is used.
 #[test]
 fn an_ejected_upstream_is_the_last_resort() {
