--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -64,6 +64,25 @@
     platform.assert_no_concurrent_runs();
 }
 
+/// The worker is late to end a run whose lease is over, and so is no witness that the run
+/// went on beside the next one.
+#[test]
+fn a_run_counts_until_its_lease_ends_however_late_the_worker_notices() {
+    let platform = Platform::start(2, 1);
+    let job = platform.spawn_submit(0, "0000000000000001", 12, 600);
+    poll(|| (platform.workers[0].running() > 0).then_some(()));
+    platform.workers[0].set_behavior(Behavior::Stalled);
+    platform.workers[0].agent.signal(libc::SIGSTOP);
+    let answer = job.join().expect("the thread does not panic");
+    assert_eq!((200, COMPLETED.to_owned()), answer);
+    assert!(
+        platform.workers[0].running() > 0,
+        "the worker has not noticed"
+    );
+    platform.workers[0].agent.signal(libc::SIGCONT);
+    platform.assert_no_concurrent_runs();
+}
+
 #[test]
 fn tasks_stop_when_the_caller_disconnects() {
     let platform = Platform::start(1, 1);
