agent: a crash before a start is not counted against it

Cause: an agent that learns of a restart from the answer to a start took the moment of that answer for the crash, and the run for one that the former process had.

Ruled out: bounding the crash by the new process's clock, which need not begin at 0.

Change: without a sign of its end, a process ended when it was last heard of.

--- a/crates/core/src/agent/lease/crashes.rs
+++ b/crates/core/src/agent/lease/crashes.rs
@@ -50,7 +50,10 @@
             return;
         }
         let now = self.now();
-        let at = ended.ended_at().unwrap_or(now);
+        // Without a sign of its end it may have ended right after it was last heard of. What
+        // was sent later may never have reached it.
+        let last_heard = now.saturating_sub(ended.silent_for());
+        let at = ended.ended_at().unwrap_or(last_heard);
         let incarnation = ended.incarnation();
         let crash = Crash {
             agent: self.node.clone(),
--- a/crates/core/src/agent/lease/upstream.rs
+++ b/crates/core/src/agent/lease/upstream.rs
@@ -115,6 +115,11 @@
         Some(self.broken_at.map_or(down_at, |at| at.min(down_at)))
     }
 
+    /// Time since it was last heard of.
+    pub(super) fn silent_for(&self) -> Duration {
+        self.last_clock_at.elapsed()
+    }
+
     /// Whether it announced its end.
     pub(super) fn is_ending(&self) -> bool {
         self.gone || !self.report.ready
--- a/crates/core/tests/platform_crashes.rs
+++ b/crates/core/tests/platform_crashes.rs
@@ -140,3 +140,24 @@
     assert_eq!((200, COMPLETED.to_owned()), answer);
     platform.assert_no_concurrent_runs();
 }
+
+/// An agent learns that its worker has restarted from the answer to a start, which was sent
+/// to the new process: the former one can't have crashed under that task. Two workers that
+/// restarted like that used to make a sound job fail.
+#[test]
+fn a_crash_before_a_start_is_not_counted_against_it() {
+    const JOB: &str = "0000000000000001";
+    let platform = Platform::start(1, 1);
+    platform.workers[0].set_silent(true);
+    platform.workers[0].restart_worker();
+    let job = platform.spawn_submit(0, JOB, 1, 50);
+    thread::sleep(Duration::from_millis(500));
+    platform.workers[0].set_silent(false);
+    assert_eq!(
+        (200, COMPLETED.to_owned()),
+        job.join().expect("the thread does not panic")
+    );
+    let lines = platform.explain(JOB, "answered");
+    let mut events = lines.iter().map(|line| &line["event"]);
+    assert!(events.all(|event| event != "crashed_under"), "{lines:#?}");
+}
