quorum: the answer to a late heartbeat of an earlier term confirms nothing

Cause: a member that led a term before leads again, and its rounds count from 0. A heartbeat of the former term that arrives now is rejected in the new term, and the rejection named the round of the request, a higher one. The leader took all its rounds up to that number for answered, and so held a lease that nobody had confirmed, beside that of the next leader: reads of an older configuration were possible.

Change: a rejection of an earlier term names no round.

--- a/crates/quorum/src/replica/follower.rs
+++ b/crates/quorum/src/replica/follower.rs
@@ -18,7 +18,7 @@
     ) {
         let round = request.round;
         if !self.accept_leader(from, term) {
-            self.reject(from, round);
+            self.reject(from);
             return;
         }
         let prev = request.prev_index;
@@ -45,7 +45,7 @@
     ) {
         let round = request.round;
         if !self.accept_leader(from, term) {
-            self.reject(from, round);
+            self.reject(from);
             return;
         }
         let snapshot = request.snapshot;
@@ -126,8 +126,10 @@
         self.respond(to, true, index, round);
     }
 
-    fn reject(&mut self, to: id::Member, round: u64) {
-        self.respond(to, false, 0, round);
+    /// Rejects a request of an earlier term. Its round says nothing of the rounds of this
+    /// term, so the response names none.
+    fn reject(&mut self, to: id::Member) {
+        self.respond(to, false, 0, 0);
     }
 
     fn respond(&mut self, to: id::Member, ok: bool, index: u64, round: u64) {
--- a/crates/quorum/tests/common/mod.rs
+++ b/crates/quorum/tests/common/mod.rs
@@ -446,6 +446,20 @@
         }
     }
 
+    /// Delivers a heartbeat of this round that `from` has sent in the term before this one.
+    pub(crate) fn deliver_late_heartbeat(&mut self, from: Member, to: Member, round: u64) {
+        let replica = &self.nodes[&from].replica;
+        let message = Message {
+            cluster: replica.cluster().unwrap(),
+            term: replica.term() - 1,
+            body: message::Body::AppendRequest(message::AppendRequest {
+                round,
+                ..Default::default()
+            }),
+        };
+        self.schedule(0, to, Event::Deliver { from, message });
+    }
+
     fn is_cut_off(&self, from: Member, to: Member) -> bool {
         let (from_inside, to_inside) = (self.cut_off.contains(&from), self.cut_off.contains(&to));
         from_inside != to_inside && (!self.one_way || from_inside)
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -210,6 +210,25 @@
     }
 }
 
+/// The number of a heartbeat round counts in one term only. A member that led before leads
+/// again; a heartbeat of its former term, with a higher round, is late and is answered in the
+/// new one. That used to confirm rounds of the new term that nobody had answered, and so a
+/// lease beside that of the next leader.
+#[test]
+fn the_answer_to_a_late_heartbeat_of_an_earlier_term_confirms_nothing() {
+    let mut simulation = Simulation::with_leader(12, 3, DriverFault::None);
+    let leader = simulation.leader().unwrap();
+    let [follower, other] = simulation.followers();
+    simulation.deliver_late_heartbeat(leader, follower, 1_000);
+    simulation.run(50);
+    simulation.cut_off(&[leader]);
+    simulation.run_until(5_000, |simulation| {
+        simulation.is_leader(follower) || simulation.is_leader(other)
+    });
+    simulation.run(1_000);
+    simulation.assert_agreement();
+}
+
 #[test]
 fn a_leader_that_is_cut_off_steps_down() {
     let mut simulation = Simulation::with_leader(9, 3, DriverFault::None);
