quorum: the former leader leads again at once after all have restarted

Cause: a member that has restarted can't know whose lease it has confirmed, so it voted for nobody for 400 ms.

Change: the leader of the term is part of the hard state.

Ruled out: the member it has voted for (another may have won the term), and a majority that says it has restarted (docs/design/restart.md). With the check of the sender taken out, a_restarted_member_does_not_vote_ before_the_lease_ends fails.

--- a/crates/core/src/control/replica/transport.rs
+++ b/crates/core/src/control/replica/transport.rs
@@ -17,11 +17,19 @@
 use tokio::runtime;
 use tokio::sync::mpsc;
 use tonic::transport::{Channel, Endpoint};
-use tonic::{Request, Response, Status};
+use tonic::{Code, Request, Response, Status};
 
 use super::thread::{Event, EventSender};
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Connect timeouts of the attempts to reach a member, in turn. The short ones notice soon
+/// that a machine without power is back, since a connection that was begun before is not
+/// answered for a second; the long one reaches distant members.
+const CONNECT_TIMEOUTS: [Duration; 4] = [
+    Duration::from_millis(100),
+    Duration::from_millis(100),
+    Duration::from_millis(100),
+    Duration::from_millis(600),
+];
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Maximum number of messages that wait for one receiver.
 const QUEUE_CAPACITY: usize = 1024;
@@ -86,7 +94,9 @@
 
 /// Sends the messages of a queue until its sender is dropped.
 async fn deliver(address: String, route: Route, mut queue: mpsc::Receiver<Message>) {
-    let Ok(mut client) = client(&address) else {
+    let mut timeouts = CONNECT_TIMEOUTS.into_iter().cycle();
+    let mut connect = || client(&address, timeouts.next().unwrap_or(CONNECT_TIMEOUTS[0]));
+    let Ok(mut client) = connect() else {
         return log::error!(
             "control member {} has the invalid address {address:?}, dropping its messages",
             route.to
@@ -108,13 +118,20 @@
                 "control member {} at {address} is unreachable, dropping a batch: {status}",
                 route.to
             );
+            let answered = matches!(status.code(), Code::NotFound | Code::InvalidArgument);
+            if !answered {
+                client = connect().unwrap_or(client);
+            }
         }
     }
 }
 
-fn client(address: &str) -> Result<QuorumClient<Channel>, tonic::transport::Error> {
+fn client(
+    address: &str,
+    connect_timeout: Duration,
+) -> Result<QuorumClient<Channel>, tonic::transport::Error> {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))?
-        .connect_timeout(CONNECT_TIMEOUT)
+        .connect_timeout(connect_timeout)
         .timeout(CALL_TIMEOUT)
         .tcp_nodelay(true);
     Ok(QuorumClient::new(endpoint.connect_lazy()))
@@ -122,7 +139,8 @@
 
 /// Queries the member id of the instance at `address`.
 pub(super) async fn identify(address: &str) -> Result<Member, Status> {
-    let client = client(address);
+    let [.., connect_timeout] = CONNECT_TIMEOUTS;
+    let client = client(address, connect_timeout);
     let mut client = client.map_err(|error| Status::invalid_argument(error.to_string()))?;
     let reply = client.exchange(Envelope::default()).await?.into_inner();
     Member::new(reply.from).ok_or_else(|| Status::unavailable("the instance has no member id"))
--- a/crates/quorum/src/entry.rs
+++ b/crates/quorum/src/entry.rs
@@ -52,6 +52,9 @@
     /// An index known to be committed; it may lag behind the commit index.
     #[prost(uint64, tag = "4")]
     pub commit: u64,
+    /// Raw id of the leader of `term`, or 0 if this member has not heard from it.
+    #[prost(uint64, tag = "5")]
+    pub leader: u64,
 }
 
 impl HardState {
@@ -60,6 +63,11 @@
         id::Member::new(self.vote)
     }
 
+    /// The leader of this term, if this member has heard from it.
+    pub fn leader(&self) -> Option<id::Member> {
+        id::Member::new(self.leader)
+    }
+
     /// The cluster this member belongs to.
     pub fn cluster(&self) -> Option<id::Cluster> {
         id::Cluster::new(self.cluster)
--- a/crates/quorum/src/replica/election.rs
+++ b/crates/quorum/src/replica/election.rs
@@ -45,6 +45,7 @@
         if !pre_vote {
             self.set_term(self.hard_state.term + 1);
             self.hard_state.vote = self.id.get();
+            self.reset_election_deadline();
         }
         let votes = BTreeSet::from([self.id]);
         self.set_state(State::Candidate(Candidate { pre_vote, votes }));
@@ -81,7 +82,7 @@
     }
 
     pub(super) fn on_vote_request(&mut self, from: id::Member, term: u64, request: VoteRequest) {
-        if self.has_live_leader() {
+        if self.has_live_leader() && !self.has_stepped_down(from, term) {
             return;
         }
         if term > self.hard_state.term && !request.pre_vote {
@@ -127,6 +128,17 @@
             || self.now < self.last_leader_contact + self.settings.election_timeout
     }
 
+    /// Whether a request for votes in `term` shows that its sender is the leader of this
+    /// member's term, and leads no longer: a leader asks for no votes.
+    ///
+    /// Nobody else holds a lease that this member has confirmed. The leader of an earlier
+    /// term lost its lease before that one was elected, and this member knows no later term.
+    /// It knows the leader of its term even after a restart, since it syncs that before it
+    /// confirms anything.
+    fn has_stepped_down(&self, from: id::Member, term: u64) -> bool {
+        term > self.hard_state.term && self.hard_state.leader() == Some(from)
+    }
+
     /// Whether no other member got this member's vote in the current term.
     fn may_vote_for(&self, from: id::Member, request: VoteRequest) -> bool {
         request.pre_vote || self.hard_state.vote().is_none_or(|voted| voted == from)
--- a/crates/quorum/src/replica/follower.rs
+++ b/crates/quorum/src/replica/follower.rs
@@ -79,6 +79,7 @@
             "two leaders in one term"
         );
         self.become_follower(term, Some(from));
+        self.set_term_leader(from);
         self.last_leader_contact = self.now;
         self.reset_election_deadline();
         true
--- a/crates/quorum/src/replica/leader.rs
+++ b/crates/quorum/src/replica/leader.rs
@@ -58,6 +58,7 @@
             unconfirmed_rounds: VecDeque::new(),
             next_heartbeat: self.now,
         }));
+        self.set_term_leader(self.id);
         self.append_local(None);
         self.start_heartbeat_round();
     }
--- a/crates/quorum/src/replica/mod.rs
+++ b/crates/quorum/src/replica/mod.rs
@@ -51,6 +51,10 @@
     Halted,
 }
 
+/// Election timeouts after its start for which a former leader asks for votes at short
+/// intervals: the others take some time to start, too.
+const RECLAIM_TIMEOUTS: u32 = 3;
+
 /// One member of the cluster.
 #[derive(Debug)]
 pub struct Replica<R> {
@@ -69,6 +73,8 @@
     last_leader_contact: Duration,
     /// When a member that doesn't lead starts an election.
     election_deadline: Duration,
+    /// Until when a member that led before its restart asks for votes at short intervals.
+    reclaims_until: Duration,
     /// Last index that is synced here.
     durable_index: u64,
     /// Number of each unsynced write, and the last index that is durable once it is synced.
@@ -114,6 +120,7 @@
             now,
             last_leader_contact: now,
             election_deadline: now,
+            reclaims_until: now + RECLAIM_TIMEOUTS * settings.election_timeout,
             durable_index,
             unsynced_writes: VecDeque::new(),
             last_write: 0,
@@ -361,6 +368,7 @@
         assert!(term > self.hard_state.term, "term must grow");
         self.hard_state.term = term;
         self.hard_state.vote = 0;
+        self.hard_state.leader = 0;
         self.hard_state_changed = true;
     }
 
@@ -371,8 +379,25 @@
         self.set_state(State::Follower { leader });
     }
 
-    /// Draws a new election deadline, one to two election timeouts from now.
+    /// Records who leads this term. A message that depends on it is sent after the sync.
+    fn set_term_leader(&mut self, leader: id::Member) {
+        self.hard_state_changed |= self.hard_state.leader != leader.get();
+        self.hard_state.leader = leader.get();
+    }
+
+    /// Whether this member led the latest term that it knows, and has restarted so lately
+    /// that the others may have restarted with it.
+    fn may_reclaim(&self) -> bool {
+        self.hard_state.leader() == Some(self.id) && self.now < self.reclaims_until
+    }
+
+    /// Draws a new election deadline, one to two election timeouts from now. A member that
+    /// may reclaim its leadership tries again soon.
     fn reset_election_deadline(&mut self) {
+        if self.may_reclaim() {
+            self.election_deadline = self.now + self.settings.heartbeat_interval;
+            return;
+        }
         let timeout = self.settings.election_timeout;
         let extra = timeout.mul_f64(self.rng.random::<f64>());
         self.election_deadline = self.now + timeout + extra;
--- a/crates/quorum/tests/common/mod.rs
+++ b/crates/quorum/tests/common/mod.rs
@@ -77,6 +77,8 @@
 /// All instances, their network, and the operator who changes the members.
 pub(crate) struct Simulation {
     pub(crate) fault: DriverFault,
+    /// Factor by which syncs take longer than usual.
+    pub(crate) sync_slowness: u64,
     /// Probability that a message is lost.
     pub(crate) loss: f64,
     /// Drops append requests with an entry of the sender's current term.
@@ -117,6 +119,7 @@
         let message_bytes = if seed.is_multiple_of(2) { 1 } else { 1 << 20 };
         let mut simulation = Self {
             fault: DriverFault::None,
+            sync_slowness: 1,
             loss: 0.0,
             drop_own_term_entries: false,
             settings: Settings::builder()
@@ -383,7 +386,7 @@
     fn write(&mut self, id: Member, write: &gentian_quorum::store::Write) {
         self.node(id).store.write(write).unwrap();
         let (incarnation, number) = (self.nodes[&id].incarnation, write.number);
-        let mut delay = self.rng.random_range(500..20_000);
+        let mut delay = self.rng.random_range(500..20_000) * self.sync_slowness;
         if self.fault == DriverFault::EarlySync {
             delay *= 50;
             self.schedule(
--- a/crates/quorum/tests/faults.rs
+++ b/crates/quorum/tests/faults.rs
@@ -210,6 +210,62 @@
     }
 }
 
+/// All members lose power. The former leader holds no lease any more, and the others know
+/// that it was the leader, so they need not wait for the lease of anybody.
+fn restart_all_members(voters: usize) {
+    for seed in 0..20 {
+        let mut simulation = Simulation::with_leader(seed, voters, DriverFault::None);
+        let leader = simulation.leader();
+        let term = simulation.term();
+        simulation.crash_all(50);
+        simulation.run(250);
+        assert_eq!(simulation.leader(), leader, "seed {seed}");
+        assert!(simulation.term() > term);
+        simulation.assert_agreement();
+    }
+}
+
+macro_rules! restart_tests {
+    ($($name:ident: $voters:literal voters;)*) => {
+        $(#[test]
+        fn $name() {
+            restart_all_members($voters);
+        })*
+    };
+}
+
+restart_tests! {
+    a_sole_voter_leads_at_once_after_a_restart: 1 voters;
+    the_leader_of_three_leads_again_soon_after_all_have_restarted: 3 voters;
+    the_leader_of_seven_leads_again_soon_after_all_have_restarted: 7 voters;
+}
+
+/// A vote takes two syncs. The former leader, which asks again soon while nobody answers,
+/// must not begin anew before the votes can come.
+#[test]
+fn the_former_leader_waits_for_votes_on_slow_disks() {
+    for seed in 0..20 {
+        let mut simulation = Simulation::with_leader(seed, 5, DriverFault::None);
+        let leader = simulation.leader();
+        simulation.sync_slowness = 8;
+        simulation.crash_all(50);
+        simulation.run(600);
+        assert_eq!(simulation.leader(), leader, "seed {seed}");
+        simulation.assert_agreement();
+    }
+}
+
+/// The former leader has lost its disk or stays away: the others elect one of them.
+#[test]
+fn others_lead_if_the_former_leader_does_not_come_back() {
+    let mut simulation = Simulation::with_leader(11, 5, DriverFault::None);
+    let leader = simulation.leader().unwrap();
+    simulation.crash_all(50);
+    simulation.crash(leader, 60_000);
+    simulation.run_until(3_000, |simulation| simulation.leader().is_some());
+    simulation.assert_agreement();
+}
+
 /// The number of a heartbeat round counts in one term only. A member that led before leads
 /// again; a heartbeat of its former term, with a higher round, is late and is answered in the
 /// new one. That used to confirm rounds of the new term that nobody had answered, and so a
