Backfill, and placement by how fast upstreams are for good

Cause: the first waiting job that found no room stopped those behind it; nobody kept the speed of an upstream, so tasks were placed where they were sure to be late, and the run times learned for a queue were those of its slow upstreams, so jobs could wait for 1.4 times too long.

Change: limit::backfill, route::speed, and placement by when a task is due.

--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -50,6 +50,18 @@
         }
         ends.into_iter().max().unwrap_or_default()
     }
+
+    /// Declared run time of the longest chain of steps behind each step.
+    fn paths_after(&self) -> Vec<Duration> {
+        let mut paths = vec![Duration::ZERO; self.steps.len()];
+        for (index, step) in self.steps.iter().enumerate().rev() {
+            let path = paths[index].saturating_add(step.estimate);
+            for on in &step.after {
+                paths[*on] = path.max(paths[*on]);
+            }
+        }
+        paths
+    }
 }
 
 /// How a job ended.
@@ -155,6 +167,8 @@
     /// Number of tasks of each step that are not done.
     unfinished: Vec<usize>,
     step_states: Vec<StepState>,
+    /// Declared run time of the longest chain of steps behind each step.
+    paths_after: Vec<Duration>,
     /// Whether any task was ordered to start.
     pub(super) started: bool,
     pub(super) arrived_at: Instant,
@@ -188,6 +202,7 @@
                 .collect(),
             step_states: vec![StepState::Blocked; submission.steps.len()],
             tasks: tasks.collect(),
+            paths_after: submission.paths_after(),
             started: false,
             arrived_at: Instant::now(),
             callers: BTreeMap::new(),
@@ -242,6 +257,14 @@
         &self.submission.steps[self.tasks[index].step]
     }
 
+    /// Time until a task is to have ended, so that the steps that depend on it can end in
+    /// time too.
+    pub(super) fn time_left(&self, index: usize) -> Duration {
+        let limit = self.objective.time_limit();
+        let left = limit.saturating_sub(self.arrived_at.elapsed());
+        left.saturating_sub(self.paths_after[self.tasks[index].step])
+    }
+
     /// Agents that already run as many tasks of this task's step as the step allows
     /// on one upstream.
     pub(super) fn nodes_at_limit(&self, index: usize) -> Vec<Node> {
--- a/crates/core/src/entry/lease/state/admission.rs
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -30,8 +30,9 @@
         }
     }
 
-    /// Expected run time of tasks that were declared to run for `declared`: scaled by
-    /// the median ratio of measured to declared run times in the job's queue.
+    /// Expected run time, at an average upstream, of tasks that were declared to run for
+    /// `declared`: scaled by the median ratio of measured to declared run times in the job's
+    /// queue.
     pub(super) fn expected(&self, submission: &Submission, declared: Duration) -> Duration {
         let ratio = self
             .run_time_ratios
--- a/crates/core/src/entry/lease/state/runs.rs
+++ b/crates/core/src/entry/lease/state/runs.rs
@@ -40,7 +40,8 @@
         if end.fate() != Fate::Done {
             self.metrics.returned(end.fate().as_str_name());
         }
-        if end.fate() != Fate::Done || is_sampled(&placed.id) {
+        let usual = end.fate() == Fate::Done || end.refusal() == Refusal::Full;
+        if !usual || is_sampled(&placed.id) {
             tracing::info!(
                 event = "run_over",
                 request = %placed.id,
@@ -78,7 +79,7 @@
             }
         }
         if end.fate() == Fate::Done && declared > 0.0 && !placed.far_from_data {
-            let ratio = ran.as_secs_f64() / declared;
+            let ratio = ran.as_secs_f64() / declared / self.placer.run_time_ratio(node);
             self.run_time_ratios
                 .observe(queue, Duration::from_secs_f64(ratio));
         }
--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use gentian::claim::run::{Isolation, Run};
+use gentian::limit::backfill::Backfill;
 use gentian::limit::job_queue::Rank;
-use gentian::route::placement::PlacementRequest;
+use gentian::route::placement::{self, Blocked, Due, PlacementRequest};
 
 use super::super::job::Lane;
 use super::super::link::PlacedRun;
@@ -40,44 +41,62 @@
         }
     }
 
-    /// Starts waiting tasks of one lane in order of their jobs' ranks, until no upstream
-    /// has room for the next task. A task that only some upstreams may run, or only an
-    /// empty one, doesn't block the jobs behind it.
+    /// Starts waiting tasks of one lane in order of their jobs' ranks. A job whose next task
+    /// finds no room is passed over, which [`Backfill`] bounds; one whose task only some
+    /// upstreams may run, or only an empty one, is passed over in any case.
     pub(in crate::entry::lease) fn schedule(&mut self, lane: &Lane) {
-        let mut skipped: Option<Rank> = None;
+        let mut pass = Backfill::default();
+        let mut passed: Option<Rank> = None;
         loop {
             let job_queue = self.job_queues.get(lane);
-            let next = job_queue.and_then(|queue| queue.next(skipped.as_ref()));
+            let next = job_queue.and_then(|queue| queue.next(passed.as_ref()));
             let Some(rank) = next.copied() else {
                 return;
             };
             if rank.suspect && self.is_pressed(lane) {
                 return;
             }
-            let number = rank.arrival;
-            let blocked = loop {
-                let Some(index) = self.jobs[&number].waiting.front().copied() else {
-                    break None;
-                };
-                if !self.start_task(number, index) {
-                    break Some(index);
-                }
-            };
-            let Some(index) = blocked else {
+            let Some(index) = self.start_tasks(rank.arrival, &mut pass) else {
                 self.dequeue(lane, &rank);
                 continue;
             };
-            self.requeue(number);
-            let job = &self.jobs[&number];
-            let constraints = &job.step_of(index).constraints;
-            let isolation = self.isolation(&job.tasks[index].name, lane);
-            if isolation != Isolation::Alone && !constraints.is_restrictive() {
+            self.requeue(rank.arrival);
+            if !self.is_restricted(rank.arrival, index) && !pass.pass_over() {
                 return;
             }
-            skipped = Some(rank);
+            passed = Some(rank);
         }
     }
 
+    /// Starts the waiting tasks of a job in turn. Returns the first that can't be started.
+    fn start_tasks(&mut self, number: u64, pass: &mut Backfill) -> Option<usize> {
+        loop {
+            let job = &self.jobs[&number];
+            let index = job.waiting.front().copied()?;
+            let need = job.step_of(index).need;
+            let restricted = self.is_restricted(number, index);
+            if !restricted && !pass.may_fit(need) {
+                return Some(index);
+            }
+            match self.start_task(number, index) {
+                Ok(()) => {}
+                Err(Blocked::NoRoom) if !restricted => {
+                    pass.record_no_room(need);
+                    return Some(index);
+                }
+                Err(Blocked::NoRoom | Blocked::Late) => return Some(index),
+            }
+        }
+    }
+
+    /// Whether a task may run only at some upstreams, or beside some tasks, so that it says
+    /// nothing of others if there is no room for it.
+    fn is_restricted(&self, number: u64, index: usize) -> bool {
+        let job = &self.jobs[&number];
+        let isolation = self.isolation(&job.tasks[index].name, &job.lane);
+        isolation == Isolation::Alone || job.step_of(index).constraints.is_restrictive()
+    }
+
     /// Whether jobs were refused in a lane a moment ago. What may crash one more upstream
     /// is not tried then.
     fn is_pressed(&self, lane: &Lane) -> bool {
@@ -85,8 +104,8 @@
         refused_at.is_some_and(|at| at.elapsed() < SUSPECT_DELAY)
     }
 
-    /// Starts one task of a job; returns false if no upstream has room for it.
-    pub(super) fn start_task(&mut self, number: u64, index: usize) -> bool {
+    /// Starts one task of a job.
+    pub(super) fn start_task(&mut self, number: u64, index: usize) -> placement::Result<()> {
         let job = &self.jobs[&number];
         let step = job.step_of(index);
         let (need, expected) = (step.need, self.expected(&job.submission, step.estimate));
@@ -99,11 +118,13 @@
             pool,
             beside: (isolation != Isolation::Shared).then_some(&job.submission.id),
             alone: isolation == Isolation::Alone,
+            due: Some(Due {
+                left: job.time_left(index),
+                expected,
+            }),
             ..PlacementRequest::new(need, &step.constraints)
         };
-        let Some(node) = self.placer.place(&job.submission.service, &request) else {
-            return false;
-        };
+        let node = self.placer.place(&job.submission.service, &request)?;
         let far_from_data = !self.placer.is_near(&node, &step.constraints);
         let job = self
             .jobs
@@ -148,7 +169,7 @@
             self.metrics.waited(job.arrived_at.elapsed());
         }
         job.started = true;
-        true
+        Ok(())
     }
 
     /// Updates a job's position in its service's queue, and the amount of work that it
--- a/crates/gentian/tests/crashing/cluster.rs
+++ b/crates/gentian/tests/crashing/cluster.rs
@@ -264,7 +264,7 @@
             alone: isolation == Isolation::Alone,
             ..PlacementRequest::new(TASK, &constraints)
         };
-        let Some(node) = self.placer.place(&self.service, &request) else {
+        let Ok(node) = self.placer.place(&self.service, &request) else {
             return false;
         };
         let upstream = self.nodes.iter().position(|known| *known == node);
--- a/crates/gentian/tests/fleet/agent.rs
+++ b/crates/gentian/tests/fleet/agent.rs
@@ -5,16 +5,40 @@
 use gentian::limit::waiting_list::WaitingList;
 use gentian::wire::need::Need;
 
-pub(crate) const CAPACITY: Need = Need {
-    cpu: 32_000,
-    memory: 131_072,
-    accelerators: 0,
-};
+/// An upstream's processor, in thousandths of a core, and its memory in MiB.
+pub(crate) const CPU: u32 = 32_000;
+const MEMORY: u32 = 131_072;
+
+/// One kind of upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Kind {
+    /// How much faster than declared it runs tasks.
+    pub(crate) speed: f64,
+    /// Its capacity, as a multiple of the usual.
+    pub(crate) size: f64,
+}
+
+impl Kind {
+    pub(crate) const USUAL: Kind = Kind {
+        speed: 1.0,
+        size: 1.0,
+    };
+
+    /// Capacity of an upstream of this kind.
+    pub(crate) fn capacity(self) -> Need {
+        Need {
+            cpu: (f64::from(CPU) * self.size) as u32,
+            memory: MEMORY,
+            accelerators: 0,
+        }
+    }
+}
 
 /// The state of one agent. Entries are named by their index.
 #[derive(Debug)]
 pub(crate) struct Agent {
     pub(crate) data_center: usize,
+    pub(crate) kind: Kind,
     pub(crate) waiting: WaitingList<usize>,
     used: Need,
     used_by_entry: Vec<Need>,
@@ -25,9 +49,10 @@
 }
 
 impl Agent {
-    pub(crate) fn new(data_center: usize, entries: usize) -> Agent {
+    pub(crate) fn new(data_center: usize, kind: Kind, entries: usize) -> Agent {
         Agent {
             data_center,
+            kind,
             waiting: WaitingList::default(),
             used: Need::default(),
             used_by_entry: vec![Need::default(); entries],
@@ -55,7 +80,12 @@
     }
 
     pub(crate) fn free(&self) -> Need {
-        CAPACITY.minus(self.used)
+        self.kind.capacity().minus(self.used)
+    }
+
+    /// How long a task runs here that takes `usual` at a usual upstream.
+    pub(crate) fn run_time(&self, usual: Duration) -> Duration {
+        usual.div_f64(self.kind.speed)
     }
 
     fn used_by_others(&self, entry: usize) -> Need {
--- a/crates/gentian/tests/fleet/cluster.rs
+++ b/crates/gentian/tests/fleet/cluster.rs
@@ -9,8 +9,8 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
-use super::agent::{Agent, CAPACITY};
-use super::entry::{Entry, Start};
+use super::agent::{Agent, Kind, CPU};
+use super::entry::{Entry, Methods, Start};
 use super::load;
 
 /// Time for a message within a data centre and between two of them.
@@ -31,10 +31,13 @@
     pub(crate) entries: usize,
     pub(crate) agents: usize,
     pub(crate) data_centers: usize,
+    /// Kinds of the upstreams, in turn.
+    pub(crate) kinds: Vec<Kind>,
     /// Offered work as a share of the capacity of all upstreams.
     pub(crate) load: f64,
     /// Whether agents offer free capacity to entries that they turned away.
     pub(crate) offers: bool,
+    pub(crate) methods: Methods,
     /// Whether all entries prefer the upstreams in the same order.
     pub(crate) same_order: bool,
 }
@@ -45,8 +48,13 @@
             entries: 20,
             agents: 100,
             data_centers: 5,
+            kinds: vec![Kind::USUAL],
             load: 0.8,
             offers: true,
+            methods: Methods {
+                speeds: true,
+                backfills: true,
+            },
             same_order: false,
         }
     }
@@ -84,7 +92,8 @@
 /// What an agent's message tells about a start.
 #[derive(Debug)]
 enum Fate {
-    Done(Start),
+    /// The run is done, after this time.
+    Done(Start, Duration),
     TurnedAway(Start),
 }
 
@@ -157,10 +166,13 @@
         let by_name = agent_names.iter().cloned().zip(0..).collect();
         let entries = (0..settings.entries).map(|index| {
             let name = name("entry", if settings.same_order { 0 } else { index });
-            Entry::new(&name, service.clone(), index % settings.data_centers)
+            let data_center = index % settings.data_centers;
+            Entry::new(&name, service.clone(), data_center, settings.methods)
+        });
+        let agents = (0..settings.agents).map(|index| {
+            let kind = settings.kinds[index % settings.kinds.len()];
+            Agent::new(index % settings.data_centers, kind, settings.entries)
         });
-        let agents = (0..settings.agents)
-            .map(|index| Agent::new(index % settings.data_centers, settings.entries));
         let mut cluster = Cluster {
             entries: entries.collect(),
             agents: agents.collect(),
@@ -235,7 +247,9 @@
 
     /// Schedules a caller's next job; the times between jobs are exponentially distributed.
     fn schedule_submit(&mut self, caller: usize) {
-        let slots = f64::from(CAPACITY.cpu) / f64::from(load::MEAN_CPU) * self.agents.len() as f64;
+        let kinds = self.agents.iter().map(|agent| agent.kind);
+        let work: f64 = kinds.map(|kind| kind.speed * kind.size).sum();
+        let slots = f64::from(CPU) / f64::from(load::MEAN_CPU) * work;
         let callers = (self.settings.data_centers * CALLERS) as f64;
         let rate = self.settings.load * slots / load::mean_work() / callers;
         let uniform = self.rng.random::<f64>().max(f64::MIN_POSITIVE);
@@ -304,7 +318,7 @@
 
     /// Sends the entry's next orders once it has handled all that has arrived.
     fn place(&mut self, entry: usize) {
-        for start in self.entries[entry].schedule() {
+        for start in self.entries[entry].schedule(self.now) {
             let agent = self.agents_by_name[&start.upstream];
             let at = self.now.max(self.entries[entry].idle_at) + self.delay(entry, agent);
             self.schedule(
@@ -324,20 +338,20 @@
             return;
         }
         self.schedule(
-            self.now + start.run,
+            self.now + self.agents[agent].run_time(start.run),
             Event::RunEnds {
                 entry,
                 agent,
                 start,
             },
         );
-        self.send(entry, agent, None);
         self.schedule_report(agent);
     }
 
     fn run_ends(&mut self, entry: usize, agent: usize, start: Start) {
         self.agents[agent].release(entry, start.need);
-        self.send(entry, agent, Some(Fate::Done(start)));
+        let ran = self.agents[agent].run_time(start.run);
+        self.send(entry, agent, Some(Fate::Done(start, ran)));
         self.offer(agent);
         self.schedule_report(agent);
     }
@@ -345,7 +359,7 @@
     fn handled(&mut self, entry: usize, agent: usize, others: Need, fate: Option<Fate>) {
         self.update_view(entry, agent, others);
         match fate {
-            Some(Fate::Done(start)) => self.entries[entry].done(&start, self.now),
+            Some(Fate::Done(start, ran)) => self.entries[entry].done(&start, ran, self.now),
             Some(Fate::TurnedAway(start)) => self.entries[entry].turned_away(&start),
             None => {}
         }
@@ -355,7 +369,7 @@
     fn update_view(&mut self, entry: usize, agent: usize, used_by_others: Need) {
         let report = UpstreamReport {
             service: self.service.clone(),
-            capacity: CAPACITY,
+            capacity: self.agents[agent].kind.capacity(),
             used_by_others,
             accepts_runs: true,
             run_time_ratio: None,
--- a/crates/gentian/tests/fleet/entry.rs
+++ b/crates/gentian/tests/fleet/entry.rs
@@ -3,18 +3,33 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use gentian::limit::backfill::Backfill;
 use gentian::limit::job_queue::{JobQueue, Objective, Rank};
 use gentian::route::bulkhead::Pool;
-use gentian::route::placement::{PlacementRequest, Placer};
+use gentian::route::outlier::Observation;
+use gentian::route::placement::{Blocked, Due, PlacementRequest, Placer};
+use gentian::route::run_times::RunTimes;
 use gentian::wire::id::{Node, Service};
 use gentian::wire::need::{Constraints, Need};
 
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
 use super::load;
 
 /// Stretch and constant of every job's time limit.
 const STRETCH: f64 = 1.6;
 const TARGET: Duration = Duration::from_millis(60);
 
+/// What the entry does beyond the naive way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Methods {
+    /// Whether it places by the speeds of upstreams that it has learned.
+    pub(crate) speeds: bool,
+    /// Whether jobs may pass those that find no room.
+    pub(crate) backfills: bool,
+}
+
 /// A job in progress.
 #[derive(Debug)]
 struct Job {
@@ -47,7 +62,9 @@
 pub(crate) struct Start {
     pub(crate) upstream: Node,
     pub(crate) need: Need,
+    /// Run time at a usual upstream.
     pub(crate) run: Duration,
+    declared: Duration,
     job: u64,
     task: usize,
 }
@@ -73,13 +90,22 @@
     /// When all that has arrived is handled.
     pub(crate) idle_at: Duration,
     service: Service,
+    methods: Methods,
+    /// Ratios of measured to declared run times; a ratio of 1 is one second.
+    ratios: RunTimes,
+    rng: Pcg64,
     queue: JobQueue,
     jobs: BTreeMap<u64, Job>,
     last_number: u64,
 }
 
 impl Entry {
-    pub(crate) fn new(name: &Node, service: Service, data_center: usize) -> Entry {
+    pub(crate) fn new(
+        name: &Node,
+        service: Service,
+        data_center: usize,
+        methods: Methods,
+    ) -> Entry {
         Entry {
             data_center,
             placer: Placer::new(name),
@@ -87,6 +113,9 @@
             busy: Duration::ZERO,
             idle_at: Duration::ZERO,
             service,
+            methods,
+            ratios: RunTimes::default(),
+            rng: Pcg64::seed_from_u64(1),
             queue: JobQueue::default(),
             jobs: BTreeMap::new(),
             last_number: 0,
@@ -104,7 +133,7 @@
     /// which one of its tasks must have started.
     pub(crate) fn submit(&mut self, load: load::Job, now: Duration) -> Option<(u64, Duration)> {
         let objective = Objective {
-            critical_path: load.declared,
+            critical_path: self.expected(load.declared),
             stretch: STRETCH,
             target: TARGET,
         };
@@ -135,6 +164,12 @@
         Some((rank.arrival, rank.start_by))
     }
 
+    /// Expected run time of a task that was declared to run for `declared`.
+    fn expected(&self, declared: Duration) -> Duration {
+        let ratio = self.ratios.quantile(0.5);
+        declared.mul_f64(ratio.map_or(1.0, |ratio| ratio.as_secs_f64()))
+    }
+
     /// Refuses a job if no task of it has started.
     pub(crate) fn expire(&mut self, number: u64) {
         let Some(job) = self.jobs.get(&number).filter(|job| !job.started) else {
@@ -145,22 +180,26 @@
         self.tally.refused += 1;
     }
 
-    /// Places waiting tasks in the order of their jobs' ranks, until none has room.
-    pub(crate) fn schedule(&mut self) -> Vec<Start> {
+    /// Places waiting tasks in the order of their jobs' ranks, passing over those that find
+    /// no room.
+    pub(crate) fn schedule(&mut self, now: Duration) -> Vec<Start> {
         let mut starts = Vec::new();
-        while let Some(rank) = self.queue.next(None).copied() {
+        let mut pass = Backfill::default();
+        let mut passed: Option<Rank> = None;
+        while let Some(rank) = self.queue.next(passed.as_ref()).copied() {
             let Some(mut job) = self.jobs.remove(&rank.arrival) else {
                 break;
             };
             self.queue.remove(&rank);
-            self.place_tasks(&mut job, &mut starts);
+            self.place_tasks(&mut job, &mut starts, &mut pass, now);
             job.rank.not_started = !job.started;
             let blocked = !job.waiting.is_empty();
             if blocked {
                 self.queue.insert(job.rank, job.work());
+                passed = Some(rank);
             }
             self.jobs.insert(rank.arrival, job);
-            if blocked {
+            if blocked && !(self.methods.backfills && pass.pass_over()) {
                 break;
             }
         }
@@ -168,12 +207,32 @@
         starts
     }
 
-    fn place_tasks(&mut self, job: &mut Job, starts: &mut Vec<Start>) {
+    fn place_tasks(
+        &mut self,
+        job: &mut Job,
+        starts: &mut Vec<Start>,
+        pass: &mut Backfill,
+        now: Duration,
+    ) {
         let constraints = Constraints::default();
-        let request = PlacementRequest::new(job.need(), &constraints);
+        let expected = self.expected(job.load.declared);
+        let limit = expected.mul_f64(STRETCH) + TARGET;
+        let due = Due {
+            left: (job.arrived_at + limit).saturating_sub(now),
+            expected,
+        };
+        let request = PlacementRequest {
+            due: self.methods.speeds.then_some(due),
+            ..PlacementRequest::new(job.need(), &constraints)
+        };
         while let Some(task) = job.waiting.front().copied() {
-            let Some(upstream) = self.placer.place(&self.service, &request) else {
+            if !pass.may_fit(request.need) {
                 return;
+            }
+            let upstream = match self.placer.place(&self.service, &request) {
+                Ok(upstream) => upstream,
+                Err(Blocked::NoRoom) => return pass.record_no_room(request.need),
+                Err(Blocked::Late) => return,
             };
             job.waiting.pop_front();
             job.started = true;
@@ -181,6 +240,7 @@
                 upstream,
                 need: request.need,
                 run: job.load.runs[task],
+                declared: job.load.declared,
                 job: job.rank.arrival,
                 task,
             });
@@ -197,8 +257,21 @@
         }
     }
 
-    pub(crate) fn done(&mut self, start: &Start, now: Duration) {
+    /// Handles the end of a run, which has taken `ran`.
+    pub(crate) fn done(&mut self, start: &Start, ran: Duration, now: Duration) {
         self.placer.release(&start.upstream, start.need);
+        let usual = match self.methods.speeds {
+            true => self.placer.run_time_ratio(&start.upstream),
+            false => 1.0,
+        };
+        let ratio = ran.as_secs_f64() / start.declared.as_secs_f64() / usual;
+        self.ratios.observe(Duration::from_secs_f64(ratio));
+        let observation = Observation::Good {
+            run: ran,
+            expected: Some(self.expected(start.declared)),
+        };
+        self.placer
+            .observe(&start.upstream, observation, now, &mut self.rng);
         let Some(job) = self.jobs.get_mut(&start.job) else {
             return;
         };
--- a/crates/gentian/tests/fleet/main.rs
+++ b/crates/gentian/tests/fleet/main.rs
@@ -12,18 +12,28 @@
 
 use std::time::Duration;
 
+use agent::Kind;
 use cluster::{Cluster, Outcome, Settings};
+use entry::Methods;
+use test_case::test_case;
 
 /// Share of its time that an entry may spend on messages and jobs.
 const MAX_BUSY: f64 = 0.5;
 
-/// Runs the settings with several seeds; returns the means of the outcomes.
+/// Runs the settings with a few seeds; returns the means of the outcomes.
 fn run(settings: &Settings) -> Outcome {
+    run_seeds(settings, 3)
+}
+
+fn run_seeds(settings: &Settings, seeds: u64) -> Outcome {
     let length = Duration::from_secs(2);
-    let outcomes = (1..=3).map(|seed| Cluster::new(settings.clone(), seed).run(length));
+    let outcomes = (1..=seeds).map(|seed| Cluster::new(settings.clone(), seed).run(length));
     Outcome::mean(outcomes.collect())
 }
 
+/// Number of seeds that tell two ways of scheduling from each other.
+const MANY_SEEDS: u64 = 8;
+
 #[test]
 fn all_jobs_end_in_time_while_capacity_is_left() {
     let outcome = run(&Settings {
@@ -71,6 +81,74 @@
     assert!(offered.busiest < MAX_BUSY, "{offered:?}");
 }
 
+fn two_speeds(load: f64) -> Settings {
+    let slow = Kind {
+        speed: 0.7,
+        size: 1.0,
+    };
+    let fast = Kind {
+        speed: 1.7,
+        size: 1.5,
+    };
+    Settings {
+        load,
+        entries: 8,
+        agents: 64,
+        data_centers: 4,
+        kinds: vec![slow, slow, fast],
+        ..Settings::default()
+    }
+}
+
+/// Upstreams of two speeds. Of the jobs that wait, some would end in time only at a fast one.
+#[test_case(1.0 ; "as much as there is")]
+#[test_case(1.2 ; "more than there is")]
+fn more_jobs_end_in_time_if_the_speeds_of_upstreams_are_known(load: f64) {
+    let known = two_speeds(load);
+    let methods = Methods {
+        speeds: false,
+        ..known.methods
+    };
+    let unknown = Settings {
+        methods,
+        ..known.clone()
+    };
+    let (known, unknown) = (
+        run_seeds(&known, MANY_SEEDS),
+        run_seeds(&unknown, MANY_SEEDS),
+    );
+    println!("{known:?}\n{unknown:?}");
+    assert!(known.in_time > unknown.in_time);
+}
+
+/// Capacity becomes free in pieces, and tasks differ in what they need.
+#[test_case(1.0 ; "as much as there is")]
+#[test_case(1.2 ; "more than there is")]
+fn more_jobs_end_in_time_if_smaller_ones_use_what_the_first_cannot(load: f64) {
+    let backfilled = two_speeds(load);
+    let methods = Methods {
+        backfills: false,
+        ..backfilled.methods
+    };
+    let in_order = Settings {
+        methods,
+        ..backfilled.clone()
+    };
+    let (backfilled, in_order) = (
+        run_seeds(&backfilled, MANY_SEEDS),
+        run_seeds(&in_order, MANY_SEEDS),
+    );
+    println!("{backfilled:?}\n{in_order:?}");
+    assert!(backfilled.in_time > in_order.in_time);
+}
+
+/// Speeds matter to nobody while there is room.
+#[test]
+fn all_jobs_end_in_time_on_upstreams_of_two_speeds_while_capacity_is_left() {
+    let outcome = run(&two_speeds(0.6));
+    assert!(outcome.refused + outcome.late < 0.001, "{outcome:?}");
+}
+
 /// Twice as many entries may not mean twice as many reports for each.
 #[test]
 fn the_reports_to_an_entry_do_not_grow_with_the_number_of_entries() {
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -5,6 +5,7 @@
 //! that can't be served is refused immediately, with a time after which to
 //! retry, so that its caller can still act on the answer.
 
+pub mod backfill;
 pub mod job_queue;
 pub mod queue;
 pub mod quota;
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod placement;
 pub mod policy;
 pub mod run_times;
+pub mod speed;
 pub mod view;
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -73,6 +73,17 @@
 /// none. It exceeds the entry's own order, so that such upstreams fill last.
 const WANTED_LABEL_WEIGHT: f64 = 1.5;
 
+/// Score penalty for an upstream at which the task would end too late. It exceeds the
+/// entry's own order and the upstream's load, but no other penalty.
+const LATE_WEIGHT: f64 = 3.0;
+
+/// Time from the placement of a task to its start and from its end to the answer.
+const START_TIME: Duration = Duration::from_millis(8);
+
+/// Number of observed run times after which the average speed of the upstreams is
+/// calculated again.
+const SPEED_UPDATE_RUNS: u64 = 32;
+
 /// Requirements of a task to be placed.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementRequest<'a> {
@@ -90,8 +101,43 @@
     pub beside: Option<&'a Arc<str>>,
     /// Whether it may run beside tasks of that job only.
     pub alone: bool,
+    /// When the task is to end, if that matters.
+    pub due: Option<Due>,
 }
 
+/// By when a task is to end, and how long it is expected to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Due {
+    /// Time until the task is to have ended.
+    pub left: Duration,
+    /// Expected run time at an average upstream.
+    pub expected: Duration,
+}
+
+impl Due {
+    /// Logarithm of the ratio of run times to those at an average upstream above which the
+    /// task would end too late.
+    fn max_log_ratio(self) -> f64 {
+        let left = self.left.saturating_sub(START_TIME).as_secs_f64();
+        (left / self.expected.as_secs_f64().max(1e-3)).ln()
+    }
+}
+
+/// Why a task was not placed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Blocked {
+    /// No upstream that may run it has enough free resources.
+    #[error("no upstream has room")]
+    NoRoom,
+    /// It would end too late wherever there is room, but in time at an upstream that is
+    /// busy now.
+    #[error("there is room only where it would end too late")]
+    Late,
+}
+
+/// The result of placing a task.
+pub type Result<T> = std::result::Result<T, Blocked>;
+
 impl<'a> PlacementRequest<'a> {
     /// A task that may run anywhere, beside any other.
     pub fn new(need: Need, constraints: &'a Constraints) -> PlacementRequest<'a> {
@@ -103,6 +149,7 @@
             pool: Pool::All,
             beside: None,
             alone: false,
+            due: None,
         }
     }
 }
@@ -118,6 +165,10 @@
     denied: BTreeSet<Node>,
     wanted_labels: WantedLabels,
     detectors: BTreeMap<Service, Detector>,
+    /// Average of the upstreams' logarithms of run time ratios, by service.
+    mean_log_ratios: BTreeMap<Service, f64>,
+    /// Number of observed run times.
+    observed: u64,
 }
 
 impl Placer {
@@ -261,9 +312,8 @@
         Some(known.any(|(_, upstream)| need.fits(upstream.report.capacity)))
     }
 
-    /// Chooses an upstream for one task and reserves the task's resources there. Returns
-    /// `None` if no upstream can take the task now.
-    pub fn place(&mut self, service: &Service, request: &PlacementRequest<'_>) -> Option<Node> {
+    /// Chooses an upstream for one task and reserves the task's resources there.
+    pub fn place(&mut self, service: &Service, request: &PlacementRequest<'_>) -> Result<Node> {
         let suitable = |(node, upstream): &(&Node, &Upstream)| {
             request.pool.includes(node)
                 && upstream.report.is_suitable(request.constraints)
@@ -273,6 +323,9 @@
         // If every upstream that could be given the task is ejected, an ejected one is used
         // rather than none.
         let last_resort = !suitable().any(|(_, upstream)| upstream.is_open());
+        let max_log_ratio = request.due.map_or(f64::INFINITY, Due::max_log_ratio);
+        let max_log_ratio = max_log_ratio + self.mean_log_ratio(service);
+        let is_late = |upstream: &Upstream| upstream.speed.log_ratio() > max_log_ratio;
         let fitting = suitable().filter(|(_, upstream)| upstream.can_take(request, last_resort));
         let scored = fitting.map(|(node, upstream)| {
             let avoided = if request.avoid.contains(node) {
@@ -281,14 +334,26 @@
                 0.0
             };
             let label = self.label_penalty(upstream, request.constraints);
-            (avoided + label + upstream.score(request), node)
+            let late = is_late(upstream);
+            let lateness = if late { LATE_WEIGHT } else { 0.0 };
+            let score = avoided + label + lateness + upstream.score(request);
+            (score, late, node)
         });
-        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        let node = best.1.clone();
-        self.upstreams.get_mut(&node)?.add_task(request);
+        let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
+        let (_, late, node) = best.ok_or(Blocked::NoRoom)?;
+        let could_be_in_time = |upstream: &Upstream| {
+            let large_enough = request.need.fits(upstream.report.capacity);
+            upstream.is_open() && large_enough && !is_late(upstream)
+        };
+        if late && suitable().any(|(_, upstream)| could_be_in_time(upstream)) {
+            return Err(Blocked::Late);
+        }
+        let node = node.clone();
+        let upstream = self.upstreams.get_mut(&node);
+        upstream.ok_or(Blocked::NoRoom)?.add_task(request);
         let preferred = request.constraints.preferred_label.as_deref();
         self.wanted_labels.record_placement(preferred);
-        Some(node)
+        Ok(node)
     }
 
     /// Score penalty for an upstream without the label that the task prefers. A task that
@@ -329,7 +394,13 @@
         } = observation
         {
             upstream.observe_run_time(run, expected);
+            self.observed += 1;
+            if self.observed.is_multiple_of(SPEED_UPDATE_RUNS) {
+                let service = upstream.report.service.clone();
+                self.update_mean_speed(service);
+            }
         }
+        let upstream = self.upstreams.get_mut(node)?;
         let detector = self.detectors.get_mut(&upstream.report.service)?;
         let standing = detector.observe(node, observation, now, rng);
         upstream.suspect = detector.is_suspect(node);
@@ -338,6 +409,30 @@
         Some(standing)
     }
 
+    /// How many times longer runs usually take at an upstream than at an average one of its
+    /// service; 1 if it is unknown.
+    pub fn run_time_ratio(&self, node: &Node) -> f64 {
+        let upstream = self.upstreams.get(node);
+        upstream.map_or(1.0, |upstream| {
+            let mean = self.mean_log_ratio(&upstream.report.service);
+            (upstream.speed.log_ratio() - mean).exp()
+        })
+    }
+
+    fn mean_log_ratio(&self, service: &Service) -> f64 {
+        let mean = self.mean_log_ratios.get(service);
+        mean.copied().unwrap_or(0.0)
+    }
+
+    fn update_mean_speed(&mut self, service: Service) {
+        let logs = self.of_service(&service);
+        let logs: Vec<f64> = logs
+            .map(|(_, upstream)| upstream.speed.log_ratio())
+            .collect();
+        let mean = logs.iter().sum::<f64>() / logs.len().max(1) as f64;
+        self.mean_log_ratios.insert(service, mean);
+    }
+
     /// How many times longer runs take at an upstream than at the median of the other
     /// upstreams of its service; 1 if either is unknown.
     pub fn slowness(&self, node: &Node) -> f64 {
--- a/crates/route/src/placement/upstream.rs
+++ b/crates/route/src/placement/upstream.rs
@@ -10,6 +10,7 @@
     PlacementRequest, APART_WEIGHT, ORDER_WEIGHT, REMOTE_WEIGHT, SLOWNESS_WEIGHT, SUSPECT_WEIGHT,
     TRIAL_TASKS,
 };
+use crate::speed::Speed;
 use crate::view::Standing;
 
 /// Weight of the newest run in an upstream's run time ratio.
@@ -81,6 +82,8 @@
     last_job: Option<Arc<str>>,
     /// Whether no tasks of others may run beside those of that job.
     is_alone: bool,
+    /// How fast it runs tasks, for good.
+    pub(super) speed: Speed,
     /// Moving average of the ratio of actual to expected run times, replaced by each ratio
     /// that the agent reports; `None` until one is known.
     pub(super) run_time_ratio: Option<f64>,
@@ -103,6 +106,7 @@
             tasks: 0,
             last_job: None,
             is_alone: false,
+            speed: Speed::default(),
             run_time_ratio: report.run_time_ratio.map(clamp_ratio),
             report,
         }
@@ -190,6 +194,7 @@
     }
 
     pub(super) fn observe_run_time(&mut self, run: Duration, expected: Duration) {
+        self.speed.observe(run, expected);
         let ratio = run.as_secs_f64() / expected.as_secs_f64().max(1e-3);
         let average = self.run_time_ratio.unwrap_or(1.0);
         self.run_time_ratio = Some(average + NEWEST_RUN_WEIGHT * (clamp_ratio(ratio) - average));
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -47,7 +47,7 @@
         avoid,
         ..PlacementRequest::new(TASK, constraints)
     };
-    placer.place(&service(), &request)
+    placer.place(&service(), &request).ok()
 }
 
 /// Creates a placer with one upstream for each number of cores.
@@ -348,9 +348,9 @@
         ..PlacementRequest::new(TASK, &constraints)
     };
     for _ in 0..10 {
-        assert_eq!(Some(node(1)), placer.place(&service(), &request));
+        assert_eq!(Some(node(1)), placer.place(&service(), &request).ok());
     }
-    assert_eq!(None, placer.place(&service(), &request));
+    assert_eq!(None, placer.place(&service(), &request).ok());
 }
 
 /// Share of tasks that fail within four seconds if `failing` of `upstreams` fail every
@@ -435,7 +435,7 @@
         alone: true,
         ..PlacementRequest::new(TASK, &constraints)
     };
-    placer.place(&service(), &request)
+    placer.place(&service(), &request).ok()
 }
 
 #[test]
@@ -464,7 +464,7 @@
             ..PlacementRequest::new(TASK, &constraints)
         };
         let placed: Vec<Node> = (0..50)
-            .map_while(|_| placer.place(&service(), &request))
+            .map_while(|_| placer.place(&service(), &request).ok())
             .collect();
         assert_eq!(count, placed.len());
         assert!(placed.iter().all(|node| pool.includes(node)));
@@ -482,8 +482,9 @@
             beside: Some(&job),
             ..PlacementRequest::new(TASK, &constraints)
         };
-        let placed: BTreeSet<Option<Node>> =
-            (0..5).map(|_| placer.place(&service(), &request)).collect();
+        let placed: BTreeSet<Option<Node>> = (0..5)
+            .map(|_| placer.place(&service(), &request).ok())
+            .collect();
         assert_eq!(1, placed.len(), "{placed:?}");
     }
 }
