agent: no answer to starts that were admitted, and fewer lines on vain starts

Change: an agent answers starts if it refused any or if the entry has not heard from it for 100 ms; of starts that found no room a sample is logged.

--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -19,6 +19,9 @@
 const MIN_ROOM_REPORT_INTERVAL: Duration = Duration::from_millis(25);
 /// Mean time between two periodic reports of free capacity to any entry.
 const ROOM_REPORT_SPACING: Duration = Duration::from_millis(8);
+/// Time without a report after which an entry gets an answer in any case. It is well below
+/// the time after which the entry takes the agent for lost.
+const MAX_SILENCE: Duration = Duration::from_millis(100);
 /// Time that an entry has to use free capacity before it is offered to the next one:
 /// longer than a round trip between data centres.
 const OFFER_INTERVAL: Duration = Duration::from_millis(4);
@@ -32,6 +35,8 @@
     sender: Sender,
     /// Free capacity as last reported on this stream.
     last_room: Option<agent::Room>,
+    /// When the last report was queued, on the agent's clock.
+    reported_at: Duration,
 }
 
 impl Supervisor {
@@ -46,6 +51,7 @@
             number,
             sender,
             last_room: None,
+            reported_at: Duration::ZERO,
         };
         state.streams.insert(owner.clone(), stream);
         let known_runs: Vec<Run> = first.known.iter().map(Run::from).collect();
@@ -91,6 +97,7 @@
             state.runs.request_stop(owner, &Run::from(run));
         }
         let mut refused = Vec::new();
+        let mut any_admitted = false;
         for batch in orders.starts {
             // A batch without a need is one of tasks that need nothing.
             let start = Start {
@@ -100,11 +107,11 @@
                 queue: batch.queue.into(),
             };
             let estimate = stream::duration(batch.estimate_ms.into());
-            let mut any_admitted = false;
+            let mut batch_admitted = false;
             for run in batch.runs.iter().map(Run::from) {
                 match state.runs.admit(owner, &run, start.clone(), now) {
                     Ok(()) => {
-                        any_admitted = true;
+                        batch_admitted = true;
                         state.runs.set_estimate(&run, estimate);
                         tokio::spawn(calls::start_run(self.clone(), run, batch.spec.clone()));
                     }
@@ -123,14 +130,19 @@
                     }
                 }
             }
-            if any_admitted {
+            any_admitted |= batch_admitted;
+            if batch_admitted {
                 state.start_rates.record(&start.queue, now);
             }
         }
         let stops = state.runs.take_due_stops(now);
         self.send_stops(stops);
-        // Every message gets an answer, which tells the entry this agent's clock.
-        self.send_report(&mut state, owner, refused);
+        // The entry needs no answer to starts that were admitted, as long as it hears
+        // from this agent often enough to know its clock and that it is there.
+        let only_admitted = any_admitted && refused.is_empty();
+        if !only_admitted || state.is_report_due(owner, now) {
+            self.send_report(&mut state, owner, refused);
+        }
         drop(state);
         self.poll_wakeup.notify_one();
         self.room_changed.notify_one();
@@ -205,9 +217,10 @@
     /// Queues reports for an entry. If its queue is full or closed, its stream is
     /// dropped; the entry then opens another and gets what it missed.
     pub(super) fn queue_reports(&self, state: &mut State, owner: &Owner, reports: Reports) {
-        let Some(stream) = state.streams.get(owner) else {
+        let Some(stream) = state.streams.get_mut(owner) else {
             return;
         };
+        stream.reported_at = self.now();
         if stream.sender.try_send(Ok(reports)).is_err() {
             log::warn!(
                 "entry {}: stream dropped, since its queue of reports is full or closed",
@@ -225,6 +238,12 @@
         self.upstream.is_some() && self.told_open != self.runs.is_open()
     }
 
+    /// Whether an entry has not heard from this agent for a while.
+    fn is_report_due(&self, owner: &Owner, now: Duration) -> bool {
+        let stream = self.streams.get(owner);
+        stream.is_some_and(|stream| now > stream.reported_at + MAX_SILENCE)
+    }
+
     /// Capacity as reported to an entry, which knows its own runs and is told what
     /// the runs of others use.
     fn room_for(&self, owner: &Owner) -> Option<agent::Room> {
@@ -284,10 +303,12 @@
     (steps.exp2() * 100.0) as u32
 }
 
-/// Logs the end of a run. Of the runs that completed, only a sample is logged.
+/// Logs the end of a run. Of the runs that completed, and of those that found no room and
+/// are tried elsewhere, only a sample is logged.
 fn log_end(end: &RunEnd) {
     let request = order::job(&end.run.task);
-    if end.fate == Fate::Done && !is_sampled(request) {
+    let usual = matches!(end.fate, Fate::Done | Fate::Refused(Refusal::Full));
+    if usual && !is_sampled(request) {
         return;
     }
     tracing::info!(
