Metrics of backfill and of held tasks; the placer in smaller files

gentian_tasks_backfilled_total, gentian_task_holds_total, and the usual slowness and the time left in the line ordered. request.rs and moving.rs leave placement/mod.rs with the placer alone. No decision changes.

--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -79,12 +79,19 @@
                 return Some(index);
             }
             match self.start_task(number, index) {
-                Ok(()) => {}
-                Err(Blocked::NoRoom) if !restricted => {
-                    pass.record_no_room(need);
+                Ok(()) => {
+                    if pass.has_passed_over() {
+                        self.metrics.backfilled();
+                    }
+                }
+                Err(blocked) => {
+                    if blocked == Blocked::Late {
+                        self.metrics.held();
+                    } else if !restricted {
+                        pass.record_no_room(need);
+                    }
                     return Some(index);
                 }
-                Err(Blocked::NoRoom | Blocked::Late) => return Some(index),
             }
         }
     }
@@ -112,16 +119,14 @@
         let task = &job.tasks[index];
         let isolation = self.isolation(&task.name, &job.lane);
         let pool = crashes::pool(&self.bulkheads, &self.placer, &job.lane, &step.constraints);
+        let left = job.time_left(index);
         let request = PlacementRequest {
             avoid: &task.avoided,
             excluded: &job.nodes_at_limit(index),
             pool,
             beside: (isolation != Isolation::Shared).then_some(&job.submission.id),
             alone: isolation == Isolation::Alone,
-            due: Some(Due {
-                left: job.time_left(index),
-                expected,
-            }),
+            due: Some(Due { left, expected }),
             ..PlacementRequest::new(need, &step.constraints)
         };
         let node = self.placer.place(&job.submission.service, &request)?;
@@ -161,6 +166,8 @@
                 run = %run,
                 agent = %link.node,
                 expected_ms = expected.as_millis() as u64,
+                usual_slowness = self.placer.run_time_ratio(&link.node),
+                left_ms = left.as_millis() as u64,
                 told_ms_ago = link.last_report_at.elapsed().as_millis() as u64,
             );
         }
--- a/crates/core/src/metrics/jobs.rs
+++ b/crates/core/src/metrics/jobs.rs
@@ -22,6 +22,8 @@
     latency: Histogram,
     wait: Histogram,
     crashing: IntCounter,
+    backfilled: IntCounter,
+    held: IntCounter,
     waiting: IntGauge,
     confined: IntGauge,
     denied: IntGauge,
@@ -49,12 +51,20 @@
     pub(crate) fn new() -> Jobs {
         let registry = Registry::new();
         let gauge = |name, help| register(&registry, IntGauge::new(name, help));
-        let crashing = IntCounter::new(
-            "gentian_jobs_crashing_total",
-            "Jobs given up because upstreams crashed under one of their tasks",
-        );
+        let counter = |name, help| register(&registry, IntCounter::new(name, help));
         Jobs {
-            crashing: register(&registry, crashing),
+            crashing: counter(
+                "gentian_jobs_crashing_total",
+                "Jobs given up because upstreams crashed under one of their tasks",
+            ),
+            backfilled: counter(
+                "gentian_tasks_backfilled_total",
+                "Tasks started while a job before theirs found no room",
+            ),
+            held: counter(
+                "gentian_task_holds_total",
+                "Times that a task waited, since there was room only where it would end too late",
+            ),
             answers: counters(
                 &registry,
                 "gentian_jobs_total",
@@ -136,6 +146,16 @@
         self.crashing.inc();
     }
 
+    /// Counts a task that was started while a job before its own found no room.
+    pub(crate) fn backfilled(&self) {
+        self.backfilled.inc();
+    }
+
+    /// Counts a task that waits, since there is room only where it would end too late.
+    pub(crate) fn held(&self) {
+        self.held.inc();
+    }
+
     /// Records the time from a job's arrival to the start of its first task.
     pub(crate) fn waited(&self, time: Duration) {
         self.wait.observe(time.as_secs_f64());
--- a/crates/limit/src/backfill.rs
+++ b/crates/limit/src/backfill.rs
@@ -35,6 +35,11 @@
         self.without_room.push(need);
     }
 
+    /// Whether a job was passed over.
+    pub fn has_passed_over(&self) -> bool {
+        self.jobs > 0
+    }
+
     /// Passes over a job. Returns whether to look at the next one.
     pub fn pass_over(&mut self) -> bool {
         self.jobs += 1;
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -13,11 +13,12 @@
 //! centre first, and within a data centre by a hash. Entries meet only where the
 //! upstreams that they prefer are busy.
 
+mod moving;
+mod request;
 mod upstream;
 mod wanted_labels;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::sync::Arc;
 use std::time::Duration;
 
 use gentian_wire::id::{Incarnation, Node, Service};
@@ -30,9 +31,12 @@
 use crate::view::Standing;
 
 use upstream::Upstream;
-pub use upstream::UpstreamReport;
 use wanted_labels::WantedLabels;
 
+pub use moving::is_worth_moving;
+pub use request::{Blocked, Due, PlacementRequest, Result};
+pub use upstream::UpstreamReport;
+
 /// Score penalty for slowness: an upstream whose runs take twice as long as expected ranks
 /// as if this additional share of its capacity were in use.
 const SLOWNESS_WEIGHT: f64 = 0.5;
@@ -73,87 +77,15 @@
 /// none. It exceeds the entry's own order, so that such upstreams fill last.
 const WANTED_LABEL_WEIGHT: f64 = 1.5;
 
-/// Score penalty for an upstream at which the task would end too late. It exceeds the
-/// entry's own order and the upstream's load, but no other penalty.
+/// Score penalty for an upstream at which the task would end too late. It exceeds what the
+/// entry's own order, load and labels add together, but not the penalties for upstreams
+/// that fail or are apart from a task's job.
 const LATE_WEIGHT: f64 = 3.0;
 
-/// Time from the placement of a task to its start and from its end to the answer.
-const START_TIME: Duration = Duration::from_millis(8);
-
 /// Number of observed run times after which the average speed of the upstreams is
 /// calculated again.
 const SPEED_UPDATE_RUNS: u64 = 32;
 
-/// Requirements of a task to be placed.
-#[derive(Clone, Copy, Debug)]
-pub struct PlacementRequest<'a> {
-    /// Resources that the task uses.
-    pub need: Need,
-    /// Further requirements and preferences for the upstream.
-    pub constraints: &'a Constraints,
-    /// Upstreams to use only if no other has enough resources.
-    pub avoid: &'a [Node],
-    /// Upstreams that must not be used.
-    pub excluded: &'a [Node],
-    /// Upstreams that may be used.
-    pub pool: Pool<'a>,
-    /// The job that the task belongs to, if it is to run beside its other tasks.
-    pub beside: Option<&'a Arc<str>>,
-    /// Whether it may run beside tasks of that job only.
-    pub alone: bool,
-    /// When the task is to end, if that matters.
-    pub due: Option<Due>,
-}
-
-/// By when a task is to end, and how long it is expected to run.
-#[derive(Clone, Copy, Debug)]
-pub struct Due {
-    /// Time until the task is to have ended.
-    pub left: Duration,
-    /// Expected run time at an average upstream.
-    pub expected: Duration,
-}
-
-impl Due {
-    /// Logarithm of the ratio of run times to those at an average upstream above which the
-    /// task would end too late.
-    fn max_log_ratio(self) -> f64 {
-        let left = self.left.saturating_sub(START_TIME).as_secs_f64();
-        (left / self.expected.as_secs_f64().max(1e-3)).ln()
-    }
-}
-
-/// Why a task was not placed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
-pub enum Blocked {
-    /// No upstream that may run it has enough free resources.
-    #[error("no upstream has room")]
-    NoRoom,
-    /// It would end too late wherever there is room, but in time at an upstream that is
-    /// busy now.
-    #[error("there is room only where it would end too late")]
-    Late,
-}
-
-/// The result of placing a task.
-pub type Result<T> = std::result::Result<T, Blocked>;
-
-impl<'a> PlacementRequest<'a> {
-    /// A task that may run anywhere, beside any other.
-    pub fn new(need: Need, constraints: &'a Constraints) -> PlacementRequest<'a> {
-        PlacementRequest {
-            need,
-            constraints,
-            avoid: &[],
-            excluded: &[],
-            pool: Pool::All,
-            beside: None,
-            alone: false,
-            due: None,
-        }
-    }
-}
-
 /// Chooses upstreams for tasks, from what one entry knows of the upstreams of all
 /// services.
 #[derive(Debug, Default)]
@@ -387,18 +319,12 @@
         now: Duration,
         rng: &mut R,
     ) -> Option<Standing> {
-        let upstream = self.upstreams.get_mut(node)?;
         if let Observation::Good {
             run,
             expected: Some(expected),
         } = observation
         {
-            upstream.observe_run_time(run, expected);
-            self.observed += 1;
-            if self.observed.is_multiple_of(SPEED_UPDATE_RUNS) {
-                let service = upstream.report.service.clone();
-                self.update_mean_speed(service);
-            }
+            self.observe_run_time(node, run, expected);
         }
         let upstream = self.upstreams.get_mut(node)?;
         let detector = self.detectors.get_mut(&upstream.report.service)?;
@@ -424,13 +350,25 @@
         mean.copied().unwrap_or(0.0)
     }
 
-    fn update_mean_speed(&mut self, service: Service) {
-        let logs = self.of_service(&service);
-        let logs: Vec<f64> = logs
-            .map(|(_, upstream)| upstream.speed.log_ratio())
-            .collect();
-        let mean = logs.iter().sum::<f64>() / logs.len().max(1) as f64;
-        self.mean_log_ratios.insert(service, mean);
+    fn observe_run_time(&mut self, node: &Node, run: Duration, expected: Duration) {
+        let Some(upstream) = self.upstreams.get_mut(node) else {
+            return;
+        };
+        upstream.observe_run_time(run, expected);
+        let service = upstream.report.service.clone();
+        self.observed += 1;
+        if self.observed.is_multiple_of(SPEED_UPDATE_RUNS) {
+            self.update_mean_log_ratio(service);
+        }
+    }
+
+    fn update_mean_log_ratio(&mut self, service: Service) {
+        let upstreams = self.of_service(&service);
+        let (sum, count) = upstreams.fold((0.0, 0.0), |(sum, count), (_, upstream)| {
+            (sum + upstream.speed.log_ratio(), count + 1.0)
+        });
+        self.mean_log_ratios
+            .insert(service, sum / f64::max(count, 1.0));
     }
 
     /// How many times longer runs take at an upstream than at the median of the other
@@ -476,29 +414,6 @@
     }
 }
 
-/// Whether stopping a run and restarting it at another upstream is expected to finish
-/// it sooner. The run has been running for `elapsed` and is `percent` done, at an
-/// upstream where runs take `slowness` times as long as elsewhere.
-///
-/// A run that is inherently long is not worth moving, as it would take as long
-/// elsewhere.
-pub fn is_worth_moving(elapsed: Duration, percent: u32, slowness: f64) -> bool {
-    let done = (f64::from(percent.min(100)) / 100.0).max(MIN_PROGRESS);
-    let total = elapsed.as_secs_f64() / done;
-    let elsewhere = total / slowness.max(1.0) + MOVE_COST.as_secs_f64();
-    total * (1.0 - done) > elsewhere * MIN_MOVE_GAIN
-}
-
-/// Minimum ratio of a run's remaining time at its upstream to its total time elsewhere,
-/// including the move, from which the run is moved.
-const MIN_MOVE_GAIN: f64 = 1.25;
-
-/// Time needed to stop a run and start it elsewhere.
-const MOVE_COST: Duration = Duration::from_millis(60);
-
-/// Minimum progress assumed of a run, since a hung one may report none.
-const MIN_PROGRESS: f64 = 0.005;
-
 /// Score penalty for an upstream to avoid; exceeds the sum of all other penalties.
 const AVOIDED_WEIGHT: f64 = 100.0;
 
