Tests: the workers of a system that has ended send nothing

Where its agent's port was given to another system, in the same process or one beside it, that agent had two workers: one of its own and one that had runs of its own and the label of another.

Ruled out: the product, whose agents take the worker that reports to them; load alone.

Change: a worker's threads end with it, before its agent does.

Test: the_workers_of_a_system_that_has_ended_send_nothing, red before.

--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -83,6 +84,20 @@
     platform.assert_no_concurrent_runs();
 }
 
+/// The worker of a system that has ended used to go on sending heartbeats. Once its agent's
+/// port was given to another system, it took that one's tasks.
+#[test]
+fn the_workers_of_a_system_that_has_ended_send_nothing() {
+    let platform = Platform::start(1, 1);
+    let address = platform.workers[0].agent_http.clone();
+    drop(platform);
+    let listener = TcpListener::bind(address).expect("the agent's port is free");
+    listener.set_nonblocking(true).expect("a setting");
+    thread::sleep(Duration::from_millis(500));
+    let called = listener.accept().is_ok();
+    assert!(!called, "a heartbeat came");
+}
+
 #[test]
 fn tasks_stop_when_the_caller_disconnects() {
     let platform = Platform::start(1, 1);
--- a/crates/core/tests/support/worker.rs
+++ b/crates/core/tests/support/worker.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use oxhttp::model::{Body, Request};
@@ -13,6 +13,8 @@
 use super::{FakeServer, Listener, Process, NO_ANSWER};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+/// Longest time that a heartbeat waits for its answer.
+const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Delay of an order at a worker with [`Behavior::Late`].
 const ORDER_DELAY: Duration = Duration::from_secs(2);
 /// Delay of an order at a worker with [`Behavior::Reorders`]: longer than the agent waits
@@ -74,6 +76,8 @@
     ready: bool,
     /// Whether it sends no heartbeats.
     silent: bool,
+    /// Whether its system has ended, so that its threads are to end.
+    stopped: bool,
     /// Highest fencing token received; orders with a lower one are refused.
     fencing_token: u64,
     /// Time by the worker's clock at which its runs lapse.
@@ -300,12 +304,25 @@
 /// A simulated worker and the real process of its agent.
 pub(crate) struct Worker {
     pub(crate) agent: Process,
-    pub(super) agent_http: String,
+    pub(crate) agent_http: String,
     pub(crate) agent_peer: String,
     settings: Value,
     state: Arc<Mutex<State>>,
     /// Takes the orders of the agent.
     _server: FakeServer,
+    /// The thread that sends heartbeats, until the worker is dropped.
+    heartbeats: Option<JoinHandle<()>>,
+}
+
+/// Another agent may get the port of this one as soon as this one has ended, so nothing may
+/// call that port any more by then.
+impl Drop for Worker {
+    fn drop(&mut self) {
+        if let Ok(mut state) = self.state.lock() {
+            state.stopped = true;
+        }
+        let _ = self.heartbeats.take().map(JoinHandle::join);
+    }
 }
 
 impl Worker {
@@ -333,6 +350,7 @@
             behavior: Behavior::Normal,
             ready: true,
             silent: false,
+            stopped: false,
             fencing_token: 0,
             lease_until: Duration::ZERO,
             running: BTreeMap::new(),
@@ -350,11 +368,15 @@
         let server = FakeServer::start(move |request| answer_order(&order_state, request));
         let (heartbeat_state, agent_address) = (state.clone(), agent_http.clone());
         let address = server.address.to_string();
-        thread::spawn(move || send_heartbeats(&heartbeat_state, &agent_address, &address));
+        let heartbeats =
+            thread::spawn(move || send_heartbeats(&heartbeat_state, &agent_address, &address));
         let (tick_state, listener) = (state.clone(), server.listener());
         thread::spawn(move || loop {
             thread::sleep(TICK_INTERVAL);
             let mut state = tick_state.lock().expect("the lock is not poisoned");
+            if state.stopped {
+                return;
+            }
             state.tick();
             state.crash_or_restart(&listener);
         });
@@ -365,6 +387,7 @@
             settings,
             state,
             _server: server,
+            heartbeats: Some(heartbeats),
         }
     }
 
@@ -489,11 +512,14 @@
     }
 }
 
-/// Sends heartbeats to the agent for as long as the test runs.
+/// Sends heartbeats to the agent until the worker is dropped.
 fn send_heartbeats(state: &Mutex<State>, agent: &str, address: &str) {
     loop {
         let (id, body) = {
             let mut state = state.lock().expect("the lock is not poisoned");
+            if state.stopped {
+                return;
+            }
             state.heartbeats += 1;
             let body = json!({
                 "service": "desk", "address": address, "zone": "d", "version": "v1", "slots": 8,
@@ -510,7 +536,8 @@
             let url = format!("http://{agent}/-/instances/{id}/heartbeat");
             let request = Request::builder().method("POST").uri(url);
             let request = request.body(Body::from(body.to_string()));
-            let _ = oxhttp::Client::new().request(request.expect("a valid request"));
+            let client = oxhttp::Client::new().with_global_timeout(HEARTBEAT_TIMEOUT);
+            let _ = client.request(request.expect("a valid request"));
         }
         thread::sleep(HEARTBEAT_INTERVAL);
     }
