limit: vain searches for an upstream that is not late are bounded, too

Cause: seen on reading. A held task costs a search of all upstreams as one without room does, but only the latter counted towards the six of a pass, so a pass could make 64. Change: both count.

--- a/crates/core/src/agent/lease/permission.rs
+++ b/crates/core/src/agent/lease/permission.rs
@@ -46,7 +46,7 @@
     supervisor: Arc<Supervisor>,
     mut held: watch::Receiver<Arc<LeaseState>>,
 ) {
-    let _essential = AbortOnPanic("the configuration's word on the upstream");
+    let _essential = AbortOnPanic("the permission to run tasks");
     let location = Location::new(&node).expect("the settings hold valid names");
     loop {
         let latest = held.borrow_and_update().clone();
--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -85,10 +85,13 @@
                     }
                 }
                 Err(blocked) => {
-                    if blocked == Blocked::Late {
-                        self.metrics.held();
-                    } else if !restricted {
-                        pass.record_no_room(need);
+                    match blocked {
+                        Blocked::Late => {
+                            self.metrics.held();
+                            pass.record_late();
+                        }
+                        Blocked::NoRoom if restricted => {}
+                        Blocked::NoRoom => pass.record_no_room(need),
                     }
                     return Some(index);
                 }
--- a/crates/gentian/tests/fleet/entry.rs
+++ b/crates/gentian/tests/fleet/entry.rs
@@ -232,7 +232,7 @@
             let upstream = match self.placer.place(&self.service, &request) {
                 Ok(upstream) => upstream,
                 Err(Blocked::NoRoom) => return pass.record_no_room(request.need),
-                Err(Blocked::Late) => return,
+                Err(Blocked::Late) => return pass.record_late(),
             };
             job.waiting.pop_front();
             job.started = true;
--- a/crates/limit/src/backfill.rs
+++ b/crates/limit/src/backfill.rs
@@ -11,7 +11,7 @@
 /// Most jobs that are looked at, which bounds the time that one pass takes.
 const MAX_JOBS: usize = 64;
 
-/// Most searches for room that may fail in one pass; each looks at all upstreams.
+/// Most searches for an upstream that may fail in one pass; each looks at all of them.
 const MAX_SEARCHES: usize = 6;
 
 /// One pass over the waiting jobs.
@@ -19,6 +19,9 @@
 pub struct Backfill {
     /// What tasks needed that have found no room.
     without_room: Vec<Need>,
+    /// Number of searches that failed.
+    searches: usize,
+    /// Number of jobs passed over.
     jobs: usize,
 }
 
@@ -33,6 +36,13 @@
     /// Records that there is no room for a task with this need.
     pub fn record_no_room(&mut self, need: Need) {
         self.without_room.push(need);
+        self.searches += 1;
+    }
+
+    /// Records that there is room for a task only where it would end too late, which says
+    /// nothing of others.
+    pub fn record_late(&mut self) {
+        self.searches += 1;
     }
 
     /// Whether a job was passed over.
@@ -43,6 +53,6 @@
     /// Passes over a job. Returns whether to look at the next one.
     pub fn pass_over(&mut self) -> bool {
         self.jobs += 1;
-        self.jobs < MAX_JOBS && self.without_room.len() < MAX_SEARCHES
+        self.jobs < MAX_JOBS && self.searches < MAX_SEARCHES
     }
 }
--- a/crates/limit/tests/backfill.rs
+++ b/crates/limit/tests/backfill.rs
@@ -34,4 +34,11 @@
         !pass.pass_over()
     });
     assert_eq!(Some(6), searches);
+    let mut pass = Backfill::default();
+    let searches = (1..1_000).find(|_| {
+        pass.record_late();
+        !pass.pass_over()
+    });
+    assert_eq!(Some(6), searches);
+    assert!(pass.may_fit(need(4_000, 64)), "it says nothing of others");
 }
--- a/crates/route/benches/room.rs
+++ b/crates/route/benches/room.rs
@@ -6,7 +6,7 @@
 
 use criterion::{BenchmarkId, Criterion};
 use gentian_route::outlier::Observation;
-use gentian_route::placement::{PlacementRequest, Placer, UpstreamReport};
+use gentian_route::placement::{Due, PlacementRequest, Placer, UpstreamReport};
 use gentian_wire::id::{Incarnation, Node, Service};
 use gentian_wire::need::{Constraints, Need};
 use rand::SeedableRng;
@@ -42,9 +42,15 @@
 fn bench_place(criterion: &mut Criterion) {
     let service: Service = "desk".parse().expect("a valid name");
     let constraints = Constraints::default();
-    let request = PlacementRequest::new(TASK, &constraints);
+    let request = PlacementRequest {
+        due: Some(Due {
+            left: Duration::from_millis(150),
+            expected: Duration::from_millis(60),
+        }),
+        ..PlacementRequest::new(TASK, &constraints)
+    };
     let mut group = criterion.benchmark_group("place_by_room");
-    for upstreams in [11, 68, 300] {
+    for upstreams in [11, 68, 300, 2_100] {
         let mut placer = placer(&service, upstreams);
         let mut rng = Pcg64::seed_from_u64(1);
         let observation = Observation::Good {
