--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -1,13 +1,16 @@
 //! Tests of the placement of tasks by resources.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
+use common::{node, placer_with, report, service};
 use gentian_route::bulkhead::Pool;
 use gentian_route::outlier::Observation;
 use gentian_route::placement::{is_worth_moving, PlacementRequest, Placer, UpstreamReport};
-use gentian_wire::id::{Incarnation, Node, Service};
+use gentian_wire::id::{Incarnation, Node};
 use gentian_wire::need::{Constraints, Need};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -19,29 +22,6 @@
     accelerators: 0,
 };
 
-fn service() -> Service {
-    "desk".parse().expect("a valid name")
-}
-
-fn node(index: usize) -> Node {
-    format!("agent-{index}").parse().expect("a valid name")
-}
-
-fn report(cores: u32) -> UpstreamReport {
-    UpstreamReport {
-        service: service(),
-        capacity: Need {
-            cpu: cores * 1_000,
-            memory: 65_536,
-            accelerators: 0,
-        },
-        used_by_others: Need::default(),
-        accepts_runs: true,
-        run_time_ratio: None,
-        labels: Vec::new(),
-    }
-}
-
 fn place_one(placer: &mut Placer, constraints: &Constraints, avoid: &[Node]) -> Option<Node> {
     let request = PlacementRequest {
         avoid,
@@ -50,15 +30,6 @@
     placer.place(&service(), &request).ok()
 }
 
-/// Creates a placer with one upstream for each number of cores.
-fn placer_with(cores: &[u32]) -> Placer {
-    let mut placer = Placer::new(&"entry".parse().expect("a valid name"));
-    for (index, cores) in cores.iter().enumerate() {
-        placer.update(&node(index), Incarnation(1), true, report(*cores));
-    }
-    placer
-}
-
 fn place_up_to(placer: &mut Placer, count: usize) -> BTreeMap<Node, usize> {
     let mut placed = BTreeMap::new();
     for _ in 0..count {
--- a/crates/route/tests/speed.rs
+++ b/crates/route/tests/speed.rs
@@ -1,11 +1,14 @@
 //! Tests of upstreams that differ in speed, and of tasks that are due.
 
+mod common;
+
 use std::time::Duration;
 
+use common::{node, placer_with, service};
 use gentian_route::outlier::Observation;
-use gentian_route::placement::{Blocked, Due, PlacementRequest, Placer, UpstreamReport};
+use gentian_route::placement::{Blocked, Due, PlacementRequest, Placer};
 use gentian_route::speed::Speed;
-use gentian_wire::id::{Incarnation, Node, Service};
+use gentian_wire::id::Node;
 use gentian_wire::need::{Constraints, Need};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -20,33 +23,10 @@
 /// How long runs take at the upstreams, as multiples of [`USUAL`].
 const RATIOS: [f64; 3] = [1.43, 1.43, 0.59];
 
-fn service() -> Service {
-    "desk".parse().expect("a valid name")
-}
-
-fn node(index: usize) -> Node {
-    format!("agent-{index}").parse().expect("a valid name")
-}
-
 /// A placer that has seen `runs` runs at each upstream, whose declared run times are off.
 fn placer(runs: usize) -> Placer {
-    let mut placer = Placer::new(&"entry".parse().expect("a valid name"));
+    let mut placer = placer_with(&[6; RATIOS.len()]);
     let mut rng = Pcg64::seed_from_u64(1);
-    for index in 0..RATIOS.len() {
-        let report = UpstreamReport {
-            service: service(),
-            capacity: Need {
-                cpu: 6_000,
-                memory: 65_536,
-                accelerators: 0,
-            },
-            used_by_others: Need::default(),
-            accepts_runs: true,
-            run_time_ratio: None,
-            labels: Vec::new(),
-        };
-        placer.update(&node(index), Incarnation(1), true, report);
-    }
     for _ in 0..runs {
         for (index, ratio) in RATIOS.iter().enumerate() {
             let observation = Observation::Good {
