Drains: an unreadable configuration is an error, not an empty list

Cause: three places turned something unknown into a default. A control instance that can't read the configuration in force (which only a later release can have accepted) listed no drained data centres, took an order to undrain as already carried out and answered that no release had been accepted; nothing was logged. `GET /v1/drainsX` was taken for the list. An agent that knew no configuration yet logged an age of 0 ms.

Ruled out: keeping the last readable document. It would let a control instance change a configuration that it can't see.

Change: `amend` gives its closure the parsed document and refuses with 503 if there is none; the list and the release answer 503 too; the metric is not set while unknown; an unreadable version is logged as an error. Paths are parsed into a call before anything is done. The agent leaves the supervisor's refusal in place until a configuration is known.

Checks: malformed orders are refused (the first case was answered with the list). The unreadable configuration has no test: it takes the entry of a later release in a control instance's log.

--- a/crates/core/src/agent/lease/permission.rs
+++ b/crates/core/src/agent/lease/permission.rs
@@ -27,15 +27,14 @@
         })
     }
 
-    /// Whether the configuration gives the upstream no work, or is not known yet.
+    /// Whether the configuration gives the upstream no work.
     fn is_denied(&self, state: &LeaseState) -> bool {
         let Location {
             node,
             data_center,
             rack,
         } = self;
-        let known = state.age(Instant::now()).is_some();
-        !known || !state.document.upstreams.admits(node, data_center, rack)
+        !state.document.upstreams.admits(node, data_center, rack)
     }
 }
 
@@ -50,15 +49,19 @@
     let location = Location::new(&node).expect("the settings hold valid names");
     loop {
         let latest = held.borrow_and_update().clone();
-        let denied = location.is_denied(&latest);
-        if supervisor.set_denied(denied) {
-            log::info!(
-                "configuration version {} {} new runs at data centre {}; it was confirmed {} ms ago",
-                latest.version,
-                if denied { "denies" } else { "allows" },
-                location.data_center,
-                latest.age(Instant::now()).unwrap_or_default().as_millis(),
-            );
+        // Until a configuration is known, the supervisor refuses runs.
+        if let Some(age) = latest.age(Instant::now()) {
+            let denied = location.is_denied(&latest);
+            if supervisor.set_denied(denied) {
+                log::info!(
+                    "configuration version {} {} new runs at data centre {}; it was confirmed \
+                     {} ms ago",
+                    latest.version,
+                    if denied { "denies" } else { "allows" },
+                    location.data_center,
+                    age.as_millis(),
+                );
+            }
         }
         if held.changed().await.is_err() {
             return;
--- a/crates/core/src/control/amendment.rs
+++ b/crates/core/src/control/amendment.rs
@@ -3,7 +3,7 @@
 //! A patch names the version that it changes, so it is refused if another change is accepted
 //! first. A change that is meant for any version is computed and proposed again then.
 
-use gentian::config::document::Problem as FieldProblem;
+use gentian::config::document::{Document, Problem as FieldProblem};
 use gentian::config::ledger::Answer;
 use gentian::config::patch::{Id, Patch};
 use gentian::wire::id::Version;
@@ -11,7 +11,7 @@
 use uuid::Uuid;
 
 use super::service::Service;
-use super::state::{self, AppliedState, ReplicatedLog};
+use super::state::{self, ReplicatedLog};
 use crate::serve::Problem;
 
 /// Who accepted versions name as their author.
@@ -30,6 +30,8 @@
     Reused,
     #[error("the change is invalid: {0:?}")]
     Invalid(Vec<FieldProblem>),
+    #[error("this release can't read the configuration in force, which a later one accepted")]
+    Unreadable,
 }
 
 /// The result of a change.
@@ -41,29 +43,32 @@
         match error {
             Error::Log(state::Error::Unknown) => Problem::new(503, "not known", &detail),
             Error::Invalid(_) => Problem::bad(&detail),
-            Error::Log(state::Error::NotLeader) | Error::Contended | Error::Reused => {
-                Problem::busy(&detail)
-            }
+            Error::Log(state::Error::NotLeader)
+            | Error::Contended
+            | Error::Reused
+            | Error::Unreadable => Problem::busy(&detail),
         }
     }
 }
 
 impl<L: ReplicatedLog> Service<L> {
-    /// Replaces the document in force by the one that `change` returns. Returns the new
-    /// version, or `None` if `change` returned none since the document is as wanted.
+    /// Replaces the document in force by the one that `change` returns, which is given it
+    /// both parsed and as JSON. Returns the new version, or `None` if `change` returned none
+    /// since the document is as wanted.
     pub(super) async fn amend(
         &self,
-        change: impl Fn(&AppliedState) -> Option<Value>,
+        change: impl Fn(&Document, &Value) -> Option<Value>,
     ) -> Result<Option<Version>> {
         for _ in 0..MAX_ATTEMPTS {
             let patch = self.read(|applied| {
+                let document = applied.document.as_ref().ok_or(Error::Unreadable)?;
                 let ledger = applied.state.ledger();
-                let to = change(applied)?;
-                let id = Id(Uuid::new_v4());
                 let (from, base) = (ledger.document(), ledger.version());
-                Some(Patch::between(id, base, AUTHOR, from, &to))
+                let to = change(document, from);
+                Ok(to.map(|to| Patch::between(Id(Uuid::new_v4()), base, AUTHOR, from, &to)))
             });
-            let Some(patch) = patch.ok_or(state::Error::NotLeader)? else {
+            let patch: Result<Option<Patch>> = patch.ok_or(state::Error::NotLeader)?;
+            let Some(patch) = patch? else {
                 return Ok(None);
             };
             match self.patch(patch).await? {
--- a/crates/core/src/control/drain.rs
+++ b/crates/core/src/control/drain.rs
@@ -8,15 +8,17 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use gentian::config::document::Document;
 use gentian::wire::id::DataCenter;
 use http::Method;
 use serde_json::{json, Map, Value};
 
+use super::amendment;
 use super::service::Service;
 use super::state::{AppliedState, ReplicatedLog};
 use crate::serve::{self, Handler, Problem, Request, Response};
 
-/// Path of the list of drained data centres; a data centre's own path follows it.
+/// Path of the list of drained data centres. Orders add a slash and a data centre's name.
 const PATH: &str = "/v1/drains";
 
 /// The result of an order, whose error is sent as the response.
@@ -32,6 +34,27 @@
     Undrain,
 }
 
+/// A request to the paths that begin with [`PATH`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Call<'a> {
+    /// Asks which data centres are drained.
+    List,
+    /// Orders something for the data centre of this name.
+    Order(Order, &'a str),
+}
+
+impl<'a> Call<'a> {
+    /// Parses a method and what follows [`PATH`] in the path; `None` if they are not a call.
+    fn read(method: &Method, rest: &'a str) -> Option<Call<'a>> {
+        match (method, rest.strip_prefix('/')) {
+            (&Method::GET, _) if rest.is_empty() => Some(Call::List),
+            (&Method::PUT, Some(name)) => Some(Call::Order(Order::Drain, name)),
+            (&Method::DELETE, Some(name)) => Some(Call::Order(Order::Undrain, name)),
+            _ => None,
+        }
+    }
+}
+
 /// Carries out orders to drain data centres.
 #[derive(Debug)]
 pub(super) struct Drains<L> {
@@ -52,8 +75,10 @@
     pub(super) async fn carry_out(&self, order: Order, name: &str) -> Result<()> {
         let received_at = Instant::now();
         let data_center = self.find(name)?;
-        let change = |applied: &AppliedState| changed_document(applied, order, &data_center);
-        let accepted = self.service.amend(change).await;
+        let accepted = self
+            .service
+            .amend(|document, value| changed_document(document, value, order, &data_center))
+            .await;
         let accepted = accepted.inspect_err(|error| {
             log::warn!("data centre {data_center}: order to {order} it is not confirmed: {error}");
         })?;
@@ -85,51 +110,52 @@
     /// The data centres of the settings, those that agents run in, and those drained.
     fn known(&self, applied: &AppliedState) -> BTreeSet<DataCenter> {
         let members = applied.state.window().members().values();
-        let mut known = drained(applied);
+        let mut known = self.configured.clone();
         known.extend(members.map(|member| member.data_center.clone()));
-        known.extend(self.configured.iter().cloned());
+        known.extend(drained(applied).into_iter().flatten().cloned());
         known
     }
 
     fn list(&self) -> Result<Response> {
         let list = self.service.read(|applied| {
-            json!({
+            let drained = drained(applied)?;
+            Some(json!({
                 "version": applied.state.ledger().version(),
-                "drained": drained(applied),
+                "drained": drained,
                 "data_centers": self.known(applied),
-            })
+            }))
         });
-        list.map(|list| serve::json(&list)).ok_or_else(not_leader)
+        let list = list.ok_or_else(not_leader)?;
+        let list = list.ok_or(amendment::Error::Unreadable)?;
+        Ok(serve::json(&list))
     }
 
-    async fn route(&self, method: &Method, path: &str) -> Result<Response> {
-        let name = path.strip_prefix(PATH).unwrap_or_default();
-        let order = match (method, name.strip_prefix('/')) {
-            (&Method::GET, None) => return self.list(),
-            (&Method::PUT, Some(_)) => Order::Drain,
-            (&Method::DELETE, Some(_)) => Order::Undrain,
-            _ => return Err(Problem::new(404, "not found", "unknown method or path")),
-        };
-        self.carry_out(order, &name[1..]).await?;
+    async fn answer(&self, call: Option<Call<'_>>) -> Result<Response> {
+        match call {
+            Some(Call::List) => {}
+            Some(Call::Order(order, name)) => self.carry_out(order, name).await?,
+            None => return Err(Problem::new(404, "not found", "unknown method or path")),
+        }
         self.list()
     }
 }
 
-/// The data centres that are drained under the configuration in force.
-pub(super) fn drained(applied: &AppliedState) -> BTreeSet<DataCenter> {
+/// The data centres that are drained under the configuration in force; `None` if this
+/// release can't read it.
+pub(super) fn drained(applied: &AppliedState) -> Option<&BTreeSet<DataCenter>> {
     let document = applied.document.as_ref();
-    document
-        .map(|document| document.upstreams.drained.clone())
-        .unwrap_or_default()
+    document.map(|document| &document.upstreams.drained)
 }
 
-/// The document in force as the order changes it; `None` if it already is so.
+/// The document in force, given as `value` too, as the order changes it; `None` if it
+/// already is so.
 fn changed_document(
-    applied: &AppliedState,
+    document: &Document,
+    value: &Value,
     order: Order,
     data_center: &DataCenter,
 ) -> Option<Value> {
-    let mut drained = drained(applied);
+    let mut drained = document.upstreams.drained.clone();
     let changed = match order {
         Order::Drain => drained.insert(data_center.clone()),
         Order::Undrain => drained.remove(data_center),
@@ -137,15 +163,16 @@
     if !changed {
         return None;
     }
-    let mut document = applied.state.ledger().document().clone();
-    let upstreams = document
+    // A document that can be read is an object, and so are its fields named here.
+    let mut value = value.clone();
+    let upstreams = value
         .as_object_mut()?
         .entry("upstreams")
         .or_insert_with(|| Value::Object(Map::new()));
     upstreams
         .as_object_mut()?
         .insert("drained".to_owned(), json!(drained));
-    Some(document)
+    Some(value)
 }
 
 fn not_leader() -> Problem {
@@ -168,11 +195,12 @@
 impl<L: ReplicatedLog, H: Handler> Handler for DrainApi<L, H> {
     async fn handle(&self, request: Request) -> Response {
         let path = request.uri().path().to_owned();
-        if !path.starts_with(PATH) {
+        let Some(rest) = path.strip_prefix(PATH) else {
             return self.next.handle(request).await;
-        }
+        };
+        let call = Call::read(request.method(), rest);
         self.drains.service.wait_for_confirmation().await;
-        let result = self.drains.route(request.method(), &path).await;
+        let result = self.drains.answer(call).await;
         result.unwrap_or_else(|problem| problem.respond())
     }
 }
--- a/crates/core/src/control/operator_api.rs
+++ b/crates/core/src/control/operator_api.rs
@@ -1,5 +1,6 @@
 //! The HTTP API of a control instance for operators and monitoring.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -102,7 +103,7 @@
             version: applied.state.ledger().version().0,
             view: window.number().0,
             members: window.members().len(),
-            drained: drain::drained(&applied).len(),
+            drained: drain::drained(&applied).map(BTreeSet::len),
         })
     }
 
--- a/crates/core/src/control/release_api.rs
+++ b/crates/core/src/control/release_api.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use gentian::config::document::Document;
 use gentian::config::patch::MAX_PATCH_BYTES;
 use gentian_platform::operator::Config;
 use gentian_platform::path::Call;
@@ -18,9 +19,10 @@
 use http_body_util::Full;
 use serde_json::Value;
 
+use super::amendment;
 use super::drain::{Drains, Order};
 use super::service::Service;
-use super::state::{AppliedState, Leader, ReplicatedLog};
+use super::state::{Leader, ReplicatedLog};
 use crate::serve::{self, Handler, Problem, Request, Response};
 use crate::settings::Dialect;
 
@@ -67,7 +69,7 @@
         let number = config.release.number;
         let accepted = self
             .service
-            .amend(|applied| next_document(applied, &config));
+            .amend(|document, value| next_document(document, value, &config));
         match accepted.await {
             Ok(Some(version)) => {
                 log::info!("release {number} accepted as version {version}");
@@ -84,9 +86,10 @@
     fn get(&self) -> Result<Response> {
         let release = self.service.read(|applied| {
             let document = applied.document.as_ref();
-            document.and_then(|document| document.release.clone())
+            document.map(|document| document.release.clone())
         });
-        match release.ok_or_else(|| self.not_leader())? {
+        let release = release.ok_or_else(|| self.not_leader())?;
+        match release.ok_or(amendment::Error::Unreadable)? {
             Some(release) => Ok(serve::respond(
                 "application/json",
                 Bytes::from(release.body),
@@ -135,13 +138,14 @@
     }
 }
 
-/// The document in force with this release in it; `None` if it or a later one is in force.
-fn next_document(applied: &AppliedState, config: &Config) -> Option<Value> {
-    let known = applied.document.as_ref().and_then(|d| d.release.as_ref());
-    if known.is_some_and(|release| release.number >= config.release.number) {
+/// The document in force, given as `value` too, with this release in it; `None` if it or a
+/// later one is in force.
+fn next_document(document: &Document, value: &Value, config: &Config) -> Option<Value> {
+    let in_force = document.release.as_ref();
+    if in_force.is_some_and(|release| release.number >= config.release.number) {
         return None;
     }
-    Some(config.document(applied.state.ledger().document()))
+    Some(config.document(value))
 }
 
 fn redirect(to: SocketAddr, path: &str) -> Response {
--- a/crates/core/src/control/replica/transport.rs
+++ b/crates/core/src/control/replica/transport.rs
@@ -22,8 +22,8 @@
 use super::thread::{Event, EventSender};
 
 /// Connect timeouts of the attempts to reach a member, in turn. The short ones notice soon
-/// that a machine without power is back, since a connection that was begun before is not
-/// answered for a second; the long one reaches distant members.
+/// that an instance is back after an outage, since an attempt that began during the outage is
+/// retried by TCP only after a second; the long one reaches distant members.
 const CONNECT_TIMEOUTS: [Duration; 4] = [
     Duration::from_millis(100),
     Duration::from_millis(100),
--- a/crates/core/src/control/state/mod.rs
+++ b/crates/core/src/control/state/mod.rs
@@ -83,7 +83,11 @@
         self.view_ages.observe(now, self.state.window().number());
         let ledger = self.state.ledger();
         if ledger.version() != previous {
-            self.document = Document::read(ledger.document()).ok();
+            let read = Document::read(ledger.document()).inspect_err(|problems| {
+                let version = ledger.version();
+                log::error!("configuration version {version} can't be read: {problems:?}");
+            });
+            self.document = read.ok();
         }
     }
 }
--- a/crates/core/src/metrics/control.rs
+++ b/crates/core/src/metrics/control.rs
@@ -31,8 +31,8 @@
     pub(crate) view: u64,
     /// Number of agents in that view.
     pub(crate) members: usize,
-    /// Number of data centres that are drained.
-    pub(crate) drained: usize,
+    /// Number of data centres that are drained, if known.
+    pub(crate) drained: Option<usize>,
 }
 
 impl Control {
@@ -85,7 +85,9 @@
         self.version.set(to_i64(status.version));
         self.view.set(to_i64(status.view));
         self.members.set(to_i64(status.members as u64));
-        self.drained.set(to_i64(status.drained as u64));
+        if let Some(drained) = status.drained {
+            self.drained.set(to_i64(drained as u64));
+        }
         page(&self.registry)
     }
 }
--- a/crates/core/tests/platform_drains.rs
+++ b/crates/core/tests/platform_drains.rs
@@ -258,6 +258,27 @@
     assert_gets_nothing(&platform, 1);
 }
 
+/// None of these is carried out; the last names an unknown data centre.
+#[test]
+fn malformed_orders_are_refused() {
+    let platform = Platform::start_in(&["d", "e"], 1);
+    platform.drain("d", DrainOrder::Start);
+    for (method, path) in [
+        ("GET", "/v1/drainsd"),
+        ("GET", "/v1/drains/d"),
+        ("PUT", "/v1/drains"),
+        ("POST", "/v1/drains/d"),
+        ("DELETE", "/v1/drains/"),
+        ("DELETE", "/v1/drains/f"),
+    ] {
+        let (status, answer) = platform.call_leader(method, path, "");
+        assert_eq!(404, status, "{method} {path}: {answer}");
+    }
+    let (status, list) = platform.call_leader("GET", "/v1/drains", "");
+    let list: Value = serde_json::from_str(&list).expect("valid JSON");
+    assert_eq!((200, &json!(["d"])), (status, &list["drained"]));
+}
+
 #[test_case("drain", json!(["e"]) ; "drain")]
 #[test_case("undrain", json!([]) ; "undrain")]
 fn operators_order_by_command(command: &str, drained: Value) {
--- a/crates/core/tests/support/platform.rs
+++ b/crates/core/tests/support/platform.rs
@@ -210,6 +210,17 @@
         call_control(&self.control_http_addresses[index], method, path, body)
     }
 
+    /// Calls the control instances in turn until one answers other than that it doesn't lead.
+    pub(crate) fn call_leader(&self, method: &str, path: &str, body: &str) -> (u16, String) {
+        let indices = 0..self.control_http_addresses.len();
+        poll(|| {
+            let mut answers = indices
+                .clone()
+                .map(|i| self.call_control(i, method, path, body));
+            answers.find(|(status, _)| ![503, NO_ANSWER].contains(status))
+        })
+    }
+
     /// Drains a data centre, or ends its drain, at any control instance, and waits for the
     /// acknowledgement.
     pub(crate) fn drain(&self, data_center: &str, order: DrainOrder) {
