Placement: the choice of an upstream apart from its reservation

Cause: `place` held the filter, the score and the reservation in 40 lines, its weights stood at both ends of the file, and some comments and names told how values were found (`measured to declared`, `is_worth_moving`, `TRUST_RUNS`) or said machine where an instance is meant.

Change: `choose`, `suitable` and `score`; the weights in a module of their own; `should_move`; `PRIOR_RUNS`. No behaviour changes: the terms of a score are added in the order that they were.

Checks: the two assertions on an excluded upstream name the node and `Blocked::NoRoom` instead of comparing what `.ok()` leaves.

--- a/crates/core/src/entry/lease/state/admission.rs
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -31,7 +31,7 @@
     }
 
     /// Expected run time, at an average upstream, of tasks that were declared to run for
-    /// `declared`: scaled by the median ratio of measured to declared run times in the job's
+    /// `declared`: scaled by the median ratio of actual to declared run times in the job's
     /// queue.
     pub(super) fn expected(&self, submission: &Submission, declared: Duration) -> Duration {
         let ratio = self
--- a/crates/core/src/entry/lease/state/mod.rs
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -59,7 +59,7 @@
     /// The last number given. A caller and the job that it submits share a number.
     pub(super) last_number: u64,
     pub(super) links: BTreeMap<Node, Link>,
-    /// Ratios of measured to declared run times by configured queue. The table holds
+    /// Ratios of actual to declared run times by configured queue. The table holds
     /// durations; a ratio of 1 is stored as one second.
     run_time_ratios: run_times::Table<String>,
     rng: StdRng,
--- a/crates/core/src/entry/lease/state/runs.rs
+++ b/crates/core/src/entry/lease/state/runs.rs
@@ -4,7 +4,7 @@
 
 use gentian::claim::run::Run;
 use gentian::route::outlier::Observation;
-use gentian::route::placement::is_worth_moving;
+use gentian::route::placement::should_move;
 use gentian::wire::agent::{End, Fate, Progress, Refusal};
 use gentian::wire::id::Node;
 
@@ -177,7 +177,7 @@
         }
         let (elapsed, percent) = (placed.ordered_at.elapsed(), progress.percent);
         let slowness = self.placer.slowness(node);
-        let slow = !placed.far_from_data && is_worth_moving(elapsed, percent, slowness);
+        let slow = !placed.far_from_data && should_move(elapsed, percent, slowness);
         if !stalled && !slow {
             return;
         }
--- a/crates/core/tests/platform_restart.rs
+++ b/crates/core/tests/platform_restart.rs
@@ -7,7 +7,7 @@
 use support::platform::{config, Platform};
 
 /// Longest time from the start of the processes until a leader answers, with a margin for a
-/// busy machine. Without the vote of those who know the former leader, an election alone
+/// busy host. Without the vote of those who know the former leader, an election alone
 /// takes 400 to 800 ms.
 const RETURN_WITHIN: Duration = Duration::from_millis(400);
 
--- a/crates/core/tests/support/worker.rs
+++ b/crates/core/tests/support/worker.rs
@@ -40,7 +40,7 @@
     Fails,
     /// Running tasks make no progress.
     Hangs,
-    /// The worker's timer doesn't fire, as on a machine without free processors: nothing
+    /// The worker's timer doesn't fire, as on a host without free processors: nothing
     /// makes progress, and the end of the lease passes unnoticed.
     Stalled,
     /// The worker is down: its runs are lost and it answers nothing.
--- a/crates/gentian/tests/fleet/entry.rs
+++ b/crates/gentian/tests/fleet/entry.rs
@@ -91,7 +91,7 @@
     pub(crate) idle_at: Duration,
     service: Service,
     methods: Methods,
-    /// Ratios of measured to declared run times; a ratio of 1 is one second.
+    /// Ratios of actual to declared run times; a ratio of 1 is one second.
     ratios: RunTimes,
     rng: Pcg64,
     queue: JobQueue,
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -17,6 +17,7 @@
 mod request;
 mod upstream;
 mod wanted_labels;
+mod weight;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -32,35 +33,15 @@
 
 use upstream::Upstream;
 use wanted_labels::WantedLabels;
+use weight::{AVOIDED_WEIGHT, AWAY_FROM_DATA_WEIGHT, LATE_WEIGHT, WANTED_LABEL_WEIGHT};
 
-pub use moving::is_worth_moving;
+pub use moving::should_move;
 pub use request::{Blocked, Due, PlacementRequest, Result};
 pub use upstream::UpstreamReport;
 
-/// Score penalty for slowness: an upstream whose runs take twice as long as expected ranks
-/// as if this additional share of its capacity were in use.
-const SLOWNESS_WEIGHT: f64 = 0.5;
-
-/// Score penalty for an upstream whose last runs failed, as a multiple of its capacity.
-/// Once no more upstreams may be ejected, further ones that fail every task stay in
-/// rotation; the penalty makes them the last to be chosen.
-const SUSPECT_WEIGHT: f64 = 10.0;
-
 /// Share of the upstreams that may be ejected or on trial at a time.
 const MAX_OUT_SHARE: f64 = 0.5;
 
-/// Score penalty of the last upstream in an entry's own order, as a share of an
-/// upstream's capacity: an entry fills its first upstreams before it uses the last.
-const ORDER_WEIGHT: f64 = 1.0;
-
-/// Score penalty for being apart from the tasks that a task is to run beside. It exceeds
-/// the entry's own order.
-const APART_WEIGHT: f64 = 5.0;
-
-/// Score penalty for being in another data centre, as a share of an upstream's capacity,
-/// for tasks that prefer a label.
-const REMOTE_WEIGHT: f64 = 0.02;
-
 /// Longest time for which an upstream is ejected, before jitter is added.
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(4);
 
@@ -70,18 +51,6 @@
 /// Number of this entry's tasks that an upstream on trial may run at once.
 const TRIAL_TASKS: u32 = 1;
 
-/// Score penalty for being away from a task's data, as a share of an upstream's capacity.
-const AWAY_FROM_DATA_WEIGHT: f64 = 0.6;
-
-/// Score penalty for an upstream whose label other tasks prefer, for a task that prefers
-/// none. It exceeds the entry's own order, so that such upstreams fill last.
-const WANTED_LABEL_WEIGHT: f64 = 1.5;
-
-/// Score penalty for an upstream at which the task would end too late. It exceeds what the
-/// entry's own order, load and labels add together, but not the penalties for upstreams
-/// that fail or are apart from a task's job.
-const LATE_WEIGHT: f64 = 3.0;
-
 /// Number of observed run times after which the average speed of the upstreams is
 /// calculated again.
 const SPEED_UPDATE_RUNS: u64 = 32;
@@ -246,12 +215,16 @@
 
     /// Chooses an upstream for one task and reserves the task's resources there.
     pub fn place(&mut self, service: &Service, request: &PlacementRequest<'_>) -> Result<Node> {
-        let suitable = |(node, upstream): &(&Node, &Upstream)| {
-            request.pool.includes(node)
-                && upstream.report.is_suitable(request.constraints)
-                && !request.excluded.contains(node)
-        };
-        let suitable = || self.of_service(service).filter(suitable);
+        let node = self.choose(service, request)?;
+        let upstream = self.upstreams.get_mut(&node);
+        upstream.ok_or(Blocked::NoRoom)?.add_task(request);
+        let preferred = request.constraints.preferred_label.as_deref();
+        self.wanted_labels.record_placement(preferred);
+        Ok(node)
+    }
+
+    fn choose(&self, service: &Service, request: &PlacementRequest<'_>) -> Result<Node> {
+        let suitable = || self.suitable(service, request);
         // If every upstream that could be given the task is ejected, an ejected one is used
         // rather than none.
         let last_resort = !suitable().any(|(_, upstream)| upstream.is_open());
@@ -260,16 +233,8 @@
         let is_late = |upstream: &Upstream| upstream.speed.log_ratio() > max_log_ratio;
         let fitting = suitable().filter(|(_, upstream)| upstream.can_take(request, last_resort));
         let scored = fitting.map(|(node, upstream)| {
-            let avoided = if request.avoid.contains(node) {
-                AVOIDED_WEIGHT
-            } else {
-                0.0
-            };
-            let label = self.label_penalty(upstream, request.constraints);
             let late = is_late(upstream);
-            let lateness = if late { LATE_WEIGHT } else { 0.0 };
-            let score = avoided + label + lateness + upstream.score(request);
-            (score, late, node)
+            (self.score(node, upstream, late, request), late, node)
         });
         let best = scored.min_by(|a, b| a.0.total_cmp(&b.0));
         let (_, late, node) = best.ok_or(Blocked::NoRoom)?;
@@ -280,12 +245,38 @@
         if late && suitable().any(|(_, upstream)| could_be_in_time(upstream)) {
             return Err(Blocked::Late);
         }
-        let node = node.clone();
-        let upstream = self.upstreams.get_mut(&node);
-        upstream.ok_or(Blocked::NoRoom)?.add_task(request);
-        let preferred = request.constraints.preferred_label.as_deref();
-        self.wanted_labels.record_placement(preferred);
-        Ok(node)
+        Ok(node.clone())
+    }
+
+    /// The upstreams that may run a task, whether there is room for it now or not.
+    fn suitable<'a>(
+        &'a self,
+        service: &'a Service,
+        request: &'a PlacementRequest<'_>,
+    ) -> impl Iterator<Item = (&'a Node, &'a Upstream)> {
+        self.of_service(service).filter(|(node, upstream)| {
+            request.pool.includes(node)
+                && upstream.report.is_suitable(request.constraints)
+                && !request.excluded.contains(node)
+        })
+    }
+
+    /// Score for placing a task at an upstream, where it would end too `late` or in time;
+    /// the smallest is best.
+    fn score(
+        &self,
+        node: &Node,
+        upstream: &Upstream,
+        late: bool,
+        request: &PlacementRequest<'_>,
+    ) -> f64 {
+        let avoided = match request.avoid.contains(node) {
+            true => AVOIDED_WEIGHT,
+            false => 0.0,
+        };
+        let lateness = if late { LATE_WEIGHT } else { 0.0 };
+        let label = self.label_penalty(upstream, request.constraints);
+        avoided + label + lateness + upstream.score(request)
     }
 
     /// Score penalty for an upstream without the label that the task prefers. A task that
@@ -414,9 +405,6 @@
     }
 }
 
-/// Score penalty for an upstream to avoid; exceeds the sum of all other penalties.
-const AVOIDED_WEIGHT: f64 = 100.0;
-
 /// Position of an upstream in an entry's own order, from 0 for the first to 1.
 fn preference(seed: u64, node: &Node) -> f64 {
     let hash = xxh3_64_with_seed(node.as_str().as_bytes(), seed);
--- a/crates/route/src/placement/upstream.rs
+++ b/crates/route/src/placement/upstream.rs
@@ -6,10 +6,8 @@
 use gentian_wire::id::Service;
 use gentian_wire::need::{Constraints, Need};
 
-use super::{
-    PlacementRequest, APART_WEIGHT, ORDER_WEIGHT, REMOTE_WEIGHT, SLOWNESS_WEIGHT, SUSPECT_WEIGHT,
-    TRIAL_TASKS,
-};
+use super::weight::{APART_WEIGHT, ORDER_WEIGHT, REMOTE_WEIGHT, SLOWNESS_WEIGHT, SUSPECT_WEIGHT};
+use super::{PlacementRequest, TRIAL_TASKS};
 use crate::speed::Speed;
 use crate::view::Standing;
 
--- a/crates/route/src/speed.rs
+++ b/crates/route/src/speed.rs
@@ -1,17 +1,16 @@
 //! How fast upstreams run tasks, learned from the runs that they complete.
 //!
-//! Upstreams of one service may differ in speed for good, as machines of several kinds do.
-//! That is no illness: it is learned from many runs and outlasts a slow moment, so that a
-//! task can be placed by when it would end.
+//! Upstreams of one service may differ in speed permanently, as instances of several kinds
+//! do. A slow one is not faulty: its speed is averaged over many runs, so that a task can be
+//! placed by when it would end.
 
 use std::time::Duration;
 
 /// Number of runs over which the speed is averaged.
 const MEMORY_RUNS: f64 = 64.0;
 
-/// Number of runs after which what was measured counts as much as the assumption that the
-/// upstream is an average one.
-const TRUST_RUNS: f64 = 4.0;
+/// Weight, in runs, of the prior that an upstream is an average one.
+const PRIOR_RUNS: f64 = 4.0;
 
 /// Range to which the ratio of one run is clamped: declared run times may be far off.
 const RATIO_RANGE: std::ops::RangeInclusive<f64> = 0.1..=10.0;
@@ -37,6 +36,6 @@
     /// Logarithm of the ratio of run times here to those at an average upstream. Near 0
     /// while few runs are known.
     pub fn log_ratio(&self) -> f64 {
-        self.log_ratio * self.runs / (self.runs + TRUST_RUNS)
+        self.log_ratio * self.runs / (self.runs + PRIOR_RUNS)
     }
 }
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -9,7 +9,7 @@
 use common::{node, placer_with, report, service};
 use gentian_route::bulkhead::Pool;
 use gentian_route::outlier::Observation;
-use gentian_route::placement::{is_worth_moving, PlacementRequest, Placer, UpstreamReport};
+use gentian_route::placement::{should_move, Blocked, PlacementRequest, Placer, UpstreamReport};
 use gentian_wire::id::{Incarnation, Node};
 use gentian_wire::need::{Constraints, Need};
 use rand::{Rng, SeedableRng};
@@ -245,7 +245,7 @@
 #[test_case(200, 0, 20.0, true; "a run at a hung upstream")]
 fn runs_worth_moving(elapsed: u64, percent: u32, slowness: f64, expected: bool) {
     let elapsed = Duration::from_millis(elapsed);
-    assert_eq!(expected, is_worth_moving(elapsed, percent, slowness));
+    assert_eq!(expected, should_move(elapsed, percent, slowness));
 }
 
 /// Five upstreams in rack r0 and five in rack r1, every other one with label b.
@@ -319,9 +319,9 @@
         ..PlacementRequest::new(TASK, &constraints)
     };
     for _ in 0..10 {
-        assert_eq!(Some(node(1)), placer.place(&service(), &request).ok());
+        assert_eq!(Ok(node(1)), placer.place(&service(), &request));
     }
-    assert_eq!(None, placer.place(&service(), &request).ok());
+    assert_eq!(Err(Blocked::NoRoom), placer.place(&service(), &request));
 }
 
 /// Share of tasks that fail within four seconds if `failing` of `upstreams` fail every
