--- a/crates/claim/tests/simulation/cluster.rs
+++ b/crates/claim/tests/simulation/cluster/mod.rs
@@ -2,22 +2,26 @@
 //! duplicates and delays messages. After each event, [`Cluster::check`] compares
 //! the answers given with a list of all executions.
 
+mod check;
+mod delivery;
+mod message;
+
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use gentian_claim::coordinator::{
     Action, Answer, Coordinator, Event, Plan, StartResult, TaskAgents,
 };
-use gentian_claim::gate::{ByteSize, Gate, TaskStatus, Waiter};
-use gentian_claim::home::{Claimant, Holder, Home};
+use gentian_claim::gate::{ByteSize, Gate};
+use gentian_claim::home::Home;
 use gentian_claim::key_window::{KeyWindow, MAX_CLOCK_SKEW};
 use gentian_claim::placement::{Member, View, ViewHistory};
-use gentian_claim::refusal::Refusal;
-use gentian_wire::id::{self, Ballot, Job, Node, Task};
+use gentian_wire::id::{self, Job, Node, Task};
 use gentian_wire::outcome::Outcome;
 use gentian_wire::size::Bytes;
 
+use message::{Message, Request};
+
 pub(crate) const AGENTS: usize = 5;
 pub(crate) const CANDIDATES: usize = 2;
 pub(crate) const LEASE: Duration = Duration::from_secs(4);
@@ -63,50 +67,6 @@
     pub(crate) answers: Vec<Answer<Value>>,
 }
 
-/// A request of a coordinator to an agent.
-#[derive(Clone, Debug)]
-pub(crate) enum Request {
-    Claim,
-    /// Task indices, and whether the reply may wait for their end.
-    Ask(Vec<u32>, bool),
-    Start(u32),
-    Cancel(Vec<u32>),
-}
-
-/// A message in the network.
-#[derive(Clone, Debug)]
-pub(crate) enum Message {
-    ToAgent {
-        agent: usize,
-        attempt: usize,
-        ballot: Ballot,
-        request: Request,
-        /// Whether the network has duplicated this message.
-        duplicated: bool,
-    },
-    Follow {
-        attempt: usize,
-        holder: Holder,
-    },
-    ToCoordinator {
-        attempt: usize,
-        event: Event<Value>,
-    },
-}
-
-impl Message {
-    fn is_duplicated_start(&self) -> bool {
-        matches!(
-            self,
-            Message::ToAgent {
-                request: Request::Start(_),
-                duplicated: true,
-                ..
-            }
-        )
-    }
-}
-
 /// A task that runs at an agent.
 pub(crate) struct Run {
     pub(crate) agent: usize,
@@ -311,136 +271,6 @@
         }
     }
 
-    pub(crate) fn duplicate(&mut self, message: usize) {
-        if let Message::ToAgent { duplicated, .. } = &mut self.network[message] {
-            *duplicated = true;
-        }
-        self.network.push(self.network[message].clone());
-    }
-
-    /// Loses a message. The sender of a start or a follow gets an error.
-    pub(crate) fn lose(&mut self, message: usize) {
-        match self.network.swap_remove(message) {
-            Message::Follow { attempt, .. } => self.handle_event(attempt, Event::FollowEnded(None)),
-            Message::ToAgent {
-                agent,
-                attempt,
-                request: Request::Start(task),
-                ..
-            } => {
-                let (agent, reply) = (node(agent), StartResult::NoReply);
-                self.handle_event(attempt, Event::StartEnded { task, agent, reply });
-            }
-            _ => {}
-        }
-    }
-
-    pub(crate) fn deliver(&mut self, message: Message) {
-        match message {
-            Message::ToCoordinator { attempt, event } => self.handle_event(attempt, event),
-            Message::Follow { attempt, holder } => self.follow(attempt, holder),
-            Message::ToAgent { .. } => self.receive(message),
-        }
-    }
-
-    fn follow(&mut self, attempt: usize, holder: Holder) {
-        let is_leader =
-            |a: &&Attempt| a.id == holder.ballot.coordinator && !a.crashed && !self.partitioned;
-        let Some(leader) = self.attempts.iter().find(is_leader) else {
-            return self.handle_event(attempt, Event::FollowEnded(None));
-        };
-        match leader.answers.first().cloned() {
-            Some(answer) => self.handle_event(attempt, Event::FollowEnded(Some(answer))),
-            None => self.network.push(Message::Follow { attempt, holder }),
-        }
-    }
-
-    fn receive(&mut self, message: Message) {
-        let Message::ToAgent {
-            agent: at,
-            attempt,
-            ballot,
-            request,
-            duplicated,
-        } = &message
-        else {
-            return;
-        };
-        let (at, ballot) = (*at, *ballot);
-        let Attempt {
-            job,
-            view,
-            entry,
-            id,
-            ..
-        } = self.attempts[*attempt];
-        let claimant = Claimant {
-            id,
-            address: SocketAddr::from(([127, 0, 0, 1], entry as u16)),
-        };
-        let agent = &mut self.agents[at];
-        let wall = self.now + agent.peer.skew;
-        let leased = self.now < agent.peer.lease;
-        agent.gate.advance(wall);
-        agent.home.advance(wall);
-        let event = match request {
-            Request::Claim if leased => {
-                Event::Claimed(agent.home.claim(job, claimant, view, &agent.peer.views))
-            }
-            Request::Claim => Event::Claimed(Err(Refusal::NoLease)),
-            Request::Ask(tasks, wait) => {
-                let answers = agent.gate.ask(job, tasks, ballot, view);
-                if *wait && answers[0] == TaskStatus::Running {
-                    agent
-                        .gate
-                        .wait(job.task(tasks[0]), Waiter(agent.waiting_asks.len() as u64));
-                    agent.waiting_asks.push(message);
-                    return;
-                }
-                let answers = tasks.iter().copied().zip(answers).collect();
-                Event::AskReplied {
-                    agent: node(at),
-                    answers,
-                }
-            }
-            Request::Start(task) => {
-                let refusal = match agent.gate.start(job.task(*task), ballot, view) {
-                    Err(refusal) => refusal,
-                    Ok(()) if !leased => {
-                        agent.gate.retract(job.task(*task));
-                        self.network
-                            .retain(|m| !(*duplicated && m.is_duplicated_start()));
-                        Refusal::NoLease
-                    }
-                    Ok(()) => {
-                        self.executions.entry(job.task(*task)).or_default().push(id);
-                        let (task, attempt) = (job.task(*task), *attempt);
-                        self.running.push(Run {
-                            agent: at,
-                            task,
-                            attempt,
-                        });
-                        return;
-                    }
-                };
-                let reply = StartResult::Refused(refusal);
-                Event::StartEnded {
-                    task: *task,
-                    agent: node(at),
-                    reply,
-                }
-            }
-            Request::Cancel(tasks) => {
-                agent.gate.cancel(job, tasks, ballot);
-                return;
-            }
-        };
-        self.network.push(Message::ToCoordinator {
-            attempt: *attempt,
-            event,
-        });
-    }
-
     pub(crate) fn finish(&mut self, run: usize, outcome: Outcome) {
         let Run {
             agent,
@@ -500,40 +330,4 @@
         }
         panic!("the cluster does not settle");
     }
-
-    /// Checks that no task ran twice, and that each attempt was answered at most once and
-    /// in agreement with the executions.
-    pub(crate) fn check(&self) {
-        for (task, by) in &self.executions {
-            assert!(by.len() <= 1, "{task} ran twice, for {by:x?}");
-        }
-        for attempt in &self.attempts {
-            assert!(attempt.answers.len() <= 1, "{} answered twice", attempt.job);
-            for answer in &attempt.answers {
-                self.check_answer(attempt, answer);
-            }
-        }
-    }
-
-    fn check_answer(&self, attempt: &Attempt, answer: &Answer<Value>) {
-        assert_eq!(answer.job, attempt.job);
-        let done = answer
-            .tasks
-            .iter()
-            .all(|(outcome, _)| *outcome == Outcome::Done);
-        assert_eq!(answer.complete, done, "{answer:?}");
-        for (index, (outcome, value)) in (0..).zip(&answer.tasks) {
-            let task = attempt.job.task(index);
-            let ran = self.executions.get(&task);
-            match outcome {
-                Outcome::Done => assert_eq!(value, &Some(Value(task))),
-                Outcome::Failed => assert!(ran.is_some(), "{task} failed but never ran"),
-                Outcome::NotRun => {
-                    let own = ran.is_some_and(|by| by.contains(&attempt.id));
-                    assert!(!own, "{task} ran but was reported as not run");
-                }
-                Outcome::Unknown => {}
-            }
-        }
-    }
 }
--- a/crates/core/tests/platform_restart.rs
+++ b/crates/core/tests/platform_restart.rs
@@ -4,7 +4,8 @@
 
 use std::time::{Duration, Instant};
 
-use support::platform::{config, Platform};
+use support::platform::control::config;
+use support::platform::Platform;
 
 /// Longest time from the start of the processes until a leader answers, with a margin for a
 /// busy host. Without the vote of those who know the former leader, an election alone
--- a/crates/core/tests/soak.rs
+++ b/crates/core/tests/soak.rs
@@ -21,7 +21,8 @@
 use rand_pcg::Pcg64;
 use serde_json::Value;
 use support::observations::Observations;
-use support::platform::{call_control, config, job, DrainOrder, Platform};
+use support::platform::control::{call_control, config, DrainOrder};
+use support::platform::{job, Platform};
 use support::worker::Behavior;
 use support::{try_call, NO_ANSWER};
 
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -1,8 +1,18 @@
-//! Upstreams of one service, for the tests of placement.
+//! Upstreams of one service and tasks for them, for the tests of placement.
 
-use gentian_route::placement::{Placer, UpstreamReport};
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+
+use gentian_route::placement::{PlacementRequest, Placer, UpstreamReport};
 use gentian_wire::id::{Incarnation, Node, Service};
-use gentian_wire::need::Need;
+use gentian_wire::need::{Constraints, Need};
+
+pub(crate) const TASK: Need = Need {
+    cpu: 3_100,
+    memory: 64,
+    accelerators: 0,
+};
 
 pub(crate) fn service() -> Service {
     "desk".parse().expect("a valid name")
@@ -36,3 +46,26 @@
     }
     placer
 }
+
+pub(crate) fn place_one(
+    placer: &mut Placer,
+    constraints: &Constraints,
+    avoid: &[Node],
+) -> Option<Node> {
+    let request = PlacementRequest {
+        avoid,
+        ..PlacementRequest::new(TASK, constraints)
+    };
+    placer.place(&service(), &request).ok()
+}
+
+pub(crate) fn place_up_to(placer: &mut Placer, count: usize) -> BTreeMap<Node, usize> {
+    let mut placed = BTreeMap::new();
+    for _ in 0..count {
+        match place_one(placer, &Constraints::default(), &[]) {
+            Some(node) => *placed.entry(node).or_default() += 1,
+            None => break,
+        }
+    }
+    placed
+}
