Control: the error on an unreadable configuration where it is handled

Cause: the log line stood in an `inspect_err` before an `.ok()`, which reads like a dropped error. Change: one match with both arms. No behaviour changes.

--- a/crates/core/src/control/state/mod.rs
+++ b/crates/core/src/control/state/mod.rs
@@ -83,11 +83,14 @@
         self.view_ages.observe(now, self.state.window().number());
         let ledger = self.state.ledger();
         if ledger.version() != previous {
-            let read = Document::read(ledger.document()).inspect_err(|problems| {
-                let version = ledger.version();
-                log::error!("configuration version {version} can't be read: {problems:?}");
-            });
-            self.document = read.ok();
+            self.document = match Document::read(ledger.document()) {
+                Ok(document) => Some(document),
+                Err(problems) => {
+                    let version = ledger.version();
+                    log::error!("configuration version {version} can't be read: {problems:?}");
+                    None
+                }
+            };
         }
     }
 }
--- a/crates/route/src/placement/weight.rs
+++ b/crates/route/src/placement/weight.rs
@@ -8,7 +8,7 @@
 
 /// Score penalty for an upstream whose last runs failed, as a multiple of its capacity.
 /// Once no more upstreams may be ejected, further ones that fail every task stay in
-/// rotation; the penalty makes them the last to be chosen.
+/// rotation; the penalty makes them the last to be given tasks.
 pub(super) const SUSPECT_WEIGHT: f64 = 10.0;
 
 /// Score penalty of the last upstream in an entry's own order, as a share of an
