An entry that control has not confirmed lately calls no queue unknown

Cause: an entry goes on with a configuration for 15 s without confirmation, so that an outage of control stops no work. For that time it also states that a queue does not exist, which it can't know: renewals of this entry came late, since it lacked processor time.

Ruled out: an older version coming back (the version in force of a node only grows; the entry simply had not received version 10).

Change: a path that no queue matches is answered 404 only if control has confirmed the configuration within two renewals (1 s); else 503 with Retry-After. Queues that are known are served as before. That renewals come late is the overload itself, and is not changed here.

Test: an_entry_that_control_does_not_confirm_calls_no_queue_unknown, seen to fail before (404).

--- a/crates/core/src/entry/lease/api.rs
+++ b/crates/core/src/entry/lease/api.rs
@@ -29,6 +29,10 @@
 /// that the caller can still do something else.
 const CONFIG_WAIT_SHARE: f64 = 0.25;
 
+/// Time since control last confirmed the configuration for which a path that is missing from it
+/// is known to be missing: two renewals.
+const MAX_ABSENCE_AGE: Duration = Duration::from_millis(1_000);
+
 /// Retry delay for callers that are refused because there is no configuration.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -158,8 +162,7 @@
         };
         let held = self.config_or_wait(&arrival).await?;
         let queue = held.document.queue_for(&head.host, &path);
-        let queue = queue
-            .ok_or_else(|| Problem::new(404, "not found", "no queue matches this host and path"))?;
+        let queue = queue.ok_or_else(|| no_queue(&held, arrival.at))?;
         match Call::read(request.method(), &path[queue.prefix.len()..]) {
             Some(Call::Submit(id)) => {
                 self.submit(id, queue.clone(), arrival, &held, request)
@@ -278,6 +281,17 @@
     }
 }
 
+/// The answer to a request that no queue matches. Unless control has confirmed the configuration
+/// just now, a newer one may have the queue.
+fn no_queue(held: &LeaseState, now: Instant) -> Problem {
+    let confirmed = held.age(now).is_some_and(|age| age < MAX_ABSENCE_AGE);
+    if confirmed {
+        return Problem::new(404, "not found", "no queue matches this host and path");
+    }
+    Problem::busy("no queue matches in a configuration that control has not confirmed lately")
+        .retry_after(NO_CONFIG_RETRY_AFTER)
+}
+
 /// Jobs are forgotten once they have been answered.
 fn job_not_found() -> Problem {
     Problem::new(410, "gone", "no job in progress has this id")
--- a/crates/core/tests/platform_restart.rs
+++ b/crates/core/tests/platform_restart.rs
@@ -40,6 +40,26 @@
     assert_eq!(0, platform.running());
 }
 
+/// A new queue was refused as unknown by an entry that had not heard of it.
+#[test]
+fn an_entry_that_control_does_not_confirm_calls_no_queue_unknown() {
+    let mut platform = Platform::start(1, 1);
+    assert_eq!(404, platform.call(0, "GET", "/none/", "").0);
+    for control in &mut platform.controls {
+        control.kill();
+        control.wait();
+    }
+    std::thread::sleep(Duration::from_millis(1_200));
+    let (status, body) = platform.call(0, "GET", "/none/", "");
+    assert_eq!(503, status, "{body}");
+    let answer = platform.submit(0, "00000000000000a4", 1, 100);
+    assert_eq!(
+        (200, COMPLETED.to_owned()),
+        answer,
+        "known queues are served"
+    );
+}
+
 #[test]
 fn a_job_is_refused_after_its_wait_for_a_configuration() {
     let mut platform = Platform::start(1, 1);
