Entry dispatch: retries and health in modules of their own; configuration checks name their field

No change of behaviour: service.rs had 441 lines, of which retries and what reports show about upstreams are two jobs of their own; the checks of a configuration spelled the path of each field.

Measured: the tests of dispatch, config, burn and settings pass (no other was run).

--- a/crates/config/src/document/check.rs
+++ b/crates/config/src/document/check.rs
@@ -38,7 +38,7 @@
             }
         }
         let limits = &self.limits;
-        checker.range("limits.queue", limits.queue, 1..=MAX_QUEUE);
+        checker.range("limits", "queue", limits.queue, 1..=MAX_QUEUE);
         checker.problems
     }
 }
@@ -51,63 +51,28 @@
 impl Checker {
     fn service(&mut self, at: &str, service: &Service) {
         self.path(&format!("{at}.path"), &service.path);
-        self.range(
-            &format!("{at}.max_body"),
-            service.max_body,
-            MIN_BODY..=MAX_BODY,
-        );
-        self.range(
-            &format!("{at}.deadline_ms"),
-            service.deadline_ms,
-            1..=MAX_DEADLINE_MS,
-        );
-        self.range(
-            &format!("{at}.candidates"),
-            service.candidates,
-            1..=MAX_CANDIDATES,
-        );
-        self.range(
-            &format!("{at}.response_weight"),
-            service.response_weight,
-            0.0..=1.0,
-        );
-        self.range(
-            &format!("{at}.retry_budget"),
-            service.retry_budget,
-            0.0..=1.0,
-        );
+        self.range(at, "max_body", service.max_body, MIN_BODY..=MAX_BODY);
+        self.range(at, "deadline_ms", service.deadline_ms, 1..=MAX_DEADLINE_MS);
+        self.range(at, "candidates", service.candidates, 1..=MAX_CANDIDATES);
+        self.range(at, "response_weight", service.response_weight, 0.0..=1.0);
+        self.range(at, "retry_budget", service.retry_budget, 0.0..=1.0);
         self.objectives(&format!("{at}.objectives"), &service.objectives);
     }
 
     fn objectives(&mut self, at: &str, objectives: &Objectives) {
         self.range(
-            &format!("{at}.availability"),
+            at,
+            "availability",
             objectives.availability,
             0.0..=MAX_OBJECTIVE,
         );
-        self.range(
-            &format!("{at}.latency"),
-            objectives.latency,
-            0.0..=MAX_OBJECTIVE,
-        );
-        self.range(
-            &format!("{at}.latency_ms"),
-            objectives.latency_ms,
-            1..=MAX_DEADLINE_MS,
-        );
+        self.range(at, "latency", objectives.latency, 0.0..=MAX_OBJECTIVE);
+        self.range(at, "latency_ms", objectives.latency_ms, 1..=MAX_DEADLINE_MS);
     }
 
     fn team(&mut self, at: &str, team: &Team, document: &Document) {
-        self.range(
-            &format!("{at}.concurrent"),
-            team.concurrent,
-            0..=MAX_CONCURRENT,
-        );
-        self.range(
-            &format!("{at}.rate"),
-            team.rate.get(),
-            0.0..=MAX_RATE_PER_SECOND,
-        );
+        self.range(at, "concurrent", team.concurrent, 0..=MAX_CONCURRENT);
+        self.range(at, "rate", team.rate.get(), 0.0..=MAX_RATE_PER_SECOND);
         for service in &team.services {
             if !document.services.contains_key(service) {
                 let allowed = "a service named under services";
@@ -127,13 +92,9 @@
                 .map_or("", |service| service.as_str());
             self.report(&format!("{at}.service"), named, allowed.to_owned());
         }
-        self.range(&format!("{at}.attempts"), queue.attempts, 1..=u32::MAX);
-        self.range(&format!("{at}.stretch"), queue.stretch, 0.0..=f64::MAX);
-        self.range(
-            &format!("{at}.timeout_ms"),
-            queue.timeout_ms,
-            1..=MAX_DEADLINE_MS,
-        );
+        self.range(at, "attempts", queue.attempts, 1..=u32::MAX);
+        self.range(at, "stretch", queue.stretch, 0.0..=f64::MAX);
+        self.range(at, "timeout_ms", queue.timeout_ms, 1..=MAX_DEADLINE_MS);
     }
 
     fn path(&mut self, at: &str, path: &str) {
@@ -144,10 +105,17 @@
         }
     }
 
-    fn range<T: Display + PartialOrd>(&mut self, at: &str, value: T, allowed: RangeInclusive<T>) {
+    /// Checks the value of a field of the object at `at`.
+    fn range<T: Display + PartialOrd>(
+        &mut self,
+        at: &str,
+        field: &str,
+        value: T,
+        allowed: RangeInclusive<T>,
+    ) {
         if !allowed.contains(&value) {
             let allowed = format!("{} to {}", allowed.start(), allowed.end());
-            self.report(at, value, allowed);
+            self.report(&format!("{at}.{field}"), value, allowed);
         }
     }
 
--- a/crates/core/src/entry/dispatch/service.rs
+++ b/crates/core/src/entry/dispatch/service/mod.rs
@@ -1,5 +1,8 @@
 //! Queueing, placement and retries for one service.
 
+mod health;
+mod retry;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,12 +11,11 @@
 use gentian::limit::queue::{Cause, Entry, Flow, Queue, Ticket};
 use gentian::limit::quota::TeamQuotas;
 use gentian::limit::response_weight::ResponseWeight;
-use gentian::limit::retry::{Attempt, Budget};
+use gentian::limit::retry::Budget;
 use gentian::limit::retry_after::retry_after;
-use gentian::route::outlier::{Detector, Observation, Settings};
+use gentian::route::outlier::{Detector, Settings};
 use gentian::route::run_times::RunTimes;
-use gentian::route::view::{Index, Load, LoadView, Standing};
-use gentian::wire::agent;
+use gentian::route::view::{Index, Load, LoadView};
 use gentian::wire::id;
 use gentian::wire::outcome::Outcome;
 use rand_pcg::Pcg64Mcg;
@@ -27,14 +29,6 @@
 /// can't be estimated, such as while there is no upstream.
 const DEFAULT_WAIT: Duration = Duration::from_millis(500);
 
-/// How long a request that an agent has refused waits in the entry when the retry
-/// budget is spent.
-const SPENT_BUDGET_WAIT: Duration = Duration::from_millis(50);
-
-/// Number of completed tasks after which the view's decay time is set to the new mean run
-/// time.
-const DECAY_UPDATE_PERIOD: u64 = 32;
-
 /// One service: its queue, the view of its upstreams, and run time statistics.
 #[derive(Debug)]
 pub(super) struct Service {
@@ -257,44 +251,6 @@
         p90.min(median.max(left / 2))
     }
 
-    /// Retries a request at once or after a backoff, if the retry budget allows it.
-    fn retry(&mut self, pending: PendingRequest, outcome: Outcome, now: Duration) {
-        let earlier = pending.request.tried_agents.len().saturating_sub(1);
-        let tried = Attempt {
-            outcome,
-            // Request handlers only ask for retries that are safe.
-            idempotent: true,
-            previous_attempts: u32::try_from(earlier).unwrap_or(u32::MAX),
-            time_left: pending.deadline.saturating_sub(now),
-            expected_run_time: self.runtime.quantile(0.5).unwrap_or_default(),
-        };
-        match tried.retry_backoff(&mut self.budget, &mut self.rng) {
-            Some(Duration::ZERO) => self.enqueue(pending, now),
-            Some(backoff) => self.postpone(pending, backoff, now),
-            None if outcome == Outcome::NotRun
-                && tried.time_left > tried.expected_run_time + SPENT_BUDGET_WAIT =>
-            {
-                self.postpone(pending, SPENT_BUDGET_WAIT, now);
-            }
-            None => self.refuse(pending, Reason::RetryBudgetSpent, DEFAULT_WAIT),
-        }
-    }
-
-    fn postpone(&mut self, pending: PendingRequest, wait: Duration, now: Duration) {
-        self.backoff.insert((now + wait, pending.number), pending);
-    }
-
-    /// Queues the retries whose backoff has ended.
-    fn end_backoffs(&mut self, now: Duration) {
-        while let Some(first) = self.backoff.first_entry() {
-            if first.key().0 > now {
-                return;
-            }
-            let pending = first.remove();
-            self.enqueue(pending, now);
-        }
-    }
-
     /// Takes the next request out of the queue whose team has quota left and for which an
     /// upstream has a free slot.
     fn pop(&mut self, quotas: &TeamQuotas, now: Duration) -> Option<(PendingRequest, Index)> {
@@ -384,58 +340,4 @@
             drain.set_estimate(in_flight / mean.as_secs_f64().max(1e-3));
         }
     }
-
-    /// What a report shows about the health of its upstream; none if nothing.
-    fn observation(&self, report: &Report) -> Option<Observation> {
-        match (report.outcome, report.run) {
-            (Outcome::Done, Some(run)) => Some(Observation::Good {
-                run,
-                expected: self.runtime.quantile(0.5),
-            }),
-            (Outcome::Done, None) => None,
-            (Outcome::Failed | Outcome::Unknown, _) => Some(Observation::Bad),
-            (Outcome::NotRun, _) => is_agent_fault(report.reason).then_some(Observation::Refused),
-        }
-    }
-
-    fn detect_outlier(&mut self, node: &id::Node, observation: Observation, now: Duration) {
-        let changed = self.detector.observe(node, observation, now, &mut self.rng);
-        let Some(standing) = changed else {
-            return;
-        };
-        if standing == Standing::Ejected {
-            self.counts.ejected.add();
-        }
-        self.set_standing(node, standing, now);
-    }
-
-    /// Puts upstreams on trial whose ejection has ended.
-    fn readmit(&mut self, now: Duration) {
-        while let Some(agent) = self.detector.readmit(now) {
-            self.counts.readmitted.add();
-            self.set_standing(&agent, Standing::Trial, now);
-        }
-    }
-
-    fn set_standing(&mut self, agent: &id::Node, standing: Standing, now: Duration) {
-        log::info!("upstream of agent {agent} is now {standing}");
-        if let Some(index) = self.view.index_of(agent) {
-            self.view.set_standing(index, standing, now);
-        }
-    }
-
-    fn observe_run_time(&mut self, run: Duration) {
-        self.runtime.observe(run);
-        if self.runtime.count().is_multiple_of(DECAY_UPDATE_PERIOD) {
-            if let Some(mean) = self.runtime.mean() {
-                self.view.set_decay_time(mean);
-            }
-        }
-    }
-}
-
-/// Whether a refusal counts against the agent. Other reasons follow from the agent's
-/// load, from the task or from the entry's view, and healthy agents give them as well.
-fn is_agent_fault(reason: agent::Reason) -> bool {
-    matches!(reason, agent::Reason::NoLease | agent::Reason::NoUpstream)
 }
