Agent: bound the upstream's lease by the first run that should be over

Cause: an upstream has one lease for all its runs, and the agent granted it the longest of its owners' leases. An entry counts the runs at an agent that it has lost as over 1.12 s after its last order, and a caller may send its job to another entry 1.3 s after it got no answer. Both rest on the run being gone by then. While another entry's lease was renewed, the upstream's was, too, and the lapsed entry's run ended only if its stop was carried out; with stops lost, late or mute it ran to its end.

Change: a grant now ends at most MAX_LEASE after the time at which any run that may still be at the upstream should be over: the end of its owner's lease, its owner's stop, a stream of its owner that doesn't know it, or the first of the polls in a row that list a run unknown here. If the stop takes no effect, everything at that upstream lapses, which costs the runs beside it, but only where stops have been without effect for half a second. `request_stop` takes the time.

Evidence: with the new bound taken out (the rule as it was), four new tests of run/given_up.rs fail: the run is gone 2.41 s (the whole play) after the last order in place of 1.12 s (owner cut off) or 0.61 s (stopped, or not known); an unknown run's upstream is granted a lease until 600 ms and on. With it they pass. Three more, which passed before and pass now, show that a stop that is answered shortens no lease.

Ruled out: that `end` drops the lease of an owner that still has runs (it doesn't).

--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -40,6 +40,8 @@
     pub(super) phase: Phase,
     /// Whether the run is to be stopped.
     pub(super) stop_requested: bool,
+    /// When its owner gave it up. The owner counts on its end within a bounded time.
+    pub(super) given_up_at: Option<Duration>,
     /// When the last stop was sent to the upstream.
     pub(super) stop_sent_at: Option<Duration>,
     /// Number of the last poll that began before the run was admitted.
@@ -70,6 +72,7 @@
             sent_at: None,
             phase: Phase::Starting,
             stop_requested: false,
+            given_up_at: None,
             stop_sent_at: None,
             polls_before: polls,
             unlisted: false,
@@ -80,6 +83,12 @@
         }
     }
 
+    /// Records that its owner wants the run no longer.
+    pub(super) fn give_up(&mut self, now: Duration) {
+        self.stop_requested = true;
+        self.given_up_at.get_or_insert(now);
+    }
+
     /// Whether a stop is to be sent to the upstream now.
     pub(super) fn stop_is_due(&self, now: Duration) -> bool {
         let sent = self.stop_sent_at;
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -6,6 +6,11 @@
 //! last of the entries' leases. An entry that loses contact with a run thus
 //! knows when the run must be gone, and may then start the task again elsewhere.
 //!
+//! The upstream has one lease for all its runs. While a run may be there whose entry has
+//! given it up, or whose entry's lease has lapsed, no lease is granted beyond [`MAX_LEASE`]
+//! after that time, whatever the other entries hold: if the stop of that run doesn't take
+//! effect, all runs lapse.
+//!
 //! A poll that lists a run is as good as the answer to its start. Without either, the
 //! start may still be carried out until its lease has lapsed. The agent sends a stop
 //! for such a run, which also prevents the run from starting later. If a poll that
@@ -13,6 +18,7 @@
 
 mod admission;
 mod crash;
+mod grant;
 mod live;
 mod pace;
 mod recent_ends;
@@ -29,6 +35,7 @@
 use pace::Pace;
 use recent_ends::RecentEnds;
 
+pub use grant::LeaseGrant;
 pub use types::{
     Fate, Isolation, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Start, StartAnswer,
 };
@@ -55,10 +62,6 @@
     (MAX_LEASE + MAX_LEASE).mul_f64(1.0 + MAX_CLOCK_DRIFT) + STOP_GRACE
 }
 
-/// Identifies a lease that is being sent to the upstream.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct LeaseGrant(u64);
-
 /// The runs at one upstream.
 #[derive(Clone, Debug, Default)]
 pub struct Runs {
@@ -81,6 +84,9 @@
     /// Runs to be stopped that the upstream lists as running, though no entry has ordered
     /// them or they already count as lost.
     unknown_runs: Vec<Run>,
+    /// When polls began to list runs that are to be stopped and are not in `live`, if the
+    /// last one did.
+    unknown_since: Option<Duration>,
     /// When the runs under all leases that may have reached the upstream must be
     /// gone.
     gone_at: Duration,
@@ -141,42 +147,6 @@
         self.live.is_empty()
     }
 
-    /// End of the lease that the upstream may be granted now: at most
-    /// [`MAX_LEASE`] from `now`, and not after the longest lease of an owner that
-    /// has runs there. `None` if no owner with runs there holds a lease.
-    pub fn upstream_lease(&self, now: Duration) -> Option<Duration> {
-        let owners = self.live.values().filter(|live| !live.stop_requested);
-        let until = owners
-            .filter_map(|live| self.leases.get(&live.owner))
-            .max()?;
-        let until = (*until).min(now + MAX_LEASE);
-        (until > now).then_some(until)
-    }
-
-    /// Records that a lease until `until` is being sent to the upstream. The caller
-    /// ends the grant with [`end_grant`](Self::end_grant).
-    pub fn begin_grant(&mut self, until: Duration, now: Duration) -> LeaseGrant {
-        let length = until.saturating_sub(now).mul_f64(1.0 + MAX_CLOCK_DRIFT);
-        self.grants += 1;
-        let grant = LeaseGrant(self.grants);
-        self.pending_grants.insert(grant, now + length + STOP_GRACE);
-        grant
-    }
-
-    /// Records whether a lease may have reached the upstream.
-    pub fn end_grant(&mut self, grant: LeaseGrant, reached: bool) {
-        let until = self.pending_grants.remove(&grant).unwrap_or_default();
-        if reached {
-            self.gone_at = self.gone_at.max(until);
-        }
-    }
-
-    /// When all runs at the upstream must be gone, unless another lease is granted.
-    fn all_gone_at(&self) -> Duration {
-        let pending = self.pending_grants.values().copied().max();
-        self.gone_at.max(pending.unwrap_or_default())
-    }
-
     /// Handles the answer to a start. Returns the end of the run if it was refused.
     pub fn apply_start_answer(
         &mut self,
@@ -204,10 +174,10 @@
     }
 
     /// Requests the stop of a run, if `owner` ordered it.
-    pub fn request_stop(&mut self, owner: &Owner, run: &Run) {
+    pub fn request_stop(&mut self, owner: &Owner, run: &Run, now: Duration) {
         if let Some(live) = self.live.get_mut(run) {
             if live.owner == *owner {
-                live.stop_requested = true;
+                live.give_up(now);
             }
         }
     }
@@ -270,6 +240,7 @@
             }
         }
         let (mut expected, mut actual) = (0.0, 0.0);
+        let mut any_unknown = false;
         for found in running {
             match self.live.get_mut(&found.run) {
                 Some(live) => {
@@ -283,10 +254,15 @@
                     .recent_ends
                     .fate(&found.run)
                     .is_some_and(Fate::is_reported) => {}
-                None if self.unknown_runs.contains(&found.run) => {}
-                None => self.unknown_runs.push(found.run.clone()),
+                None => {
+                    any_unknown = true;
+                    if !self.unknown_runs.contains(&found.run) {
+                        self.unknown_runs.push(found.run.clone());
+                    }
+                }
             }
         }
+        self.unknown_since = any_unknown.then(|| self.unknown_since.unwrap_or(now));
         self.pace.observe(expected, actual, now);
         self.complete |= running
             .iter()
@@ -361,6 +337,7 @@
     pub fn upstream_replaced(&mut self, now: Duration) -> Vec<RunEnd> {
         self.last_seen_end = 0;
         self.unknown_runs.clear();
+        self.unknown_since = None;
         self.lost_in_silence.clear();
         self.completed_jobs = 0;
         // What the former process ran has ended with it.
@@ -397,7 +374,9 @@
     /// are no longer here.
     pub fn reconcile(&mut self, owner: &Owner, known: &[Run], now: Duration) -> Vec<RunEnd> {
         for (run, live) in &mut self.live {
-            live.stop_requested |= live.owner == *owner && !known.contains(run);
+            if live.owner == *owner && !known.contains(run) {
+                live.give_up(now);
+            }
         }
         let ended = known.iter().filter(|run| !self.live.contains_key(*run));
         let ends = ended.map(|run| RunEnd {
--- a/crates/claim/tests/run/main.rs
+++ b/crates/claim/tests/run/main.rs
@@ -1,5 +1,6 @@
 //! Tests of runs under leases, event by event.
 
+mod given_up;
 mod unanswered;
 
 use std::time::Duration;
@@ -33,7 +34,7 @@
     }
 }
 
-fn ms(millis: u64) -> Duration {
+const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
@@ -124,7 +125,7 @@
     }
     let full = Err(Refusal::Full);
     assert_eq!(full, runs.admit(&owner("a"), &run("w", 1), start(), ms(2)));
-    runs.request_stop(&owner("a"), &run("t", 1));
+    runs.request_stop(&owner("a"), &run("t", 1), ms(3));
     assert_eq!(vec![run("t", 1)], runs.take_due_stops(ms(3)));
     assert_eq!(full, runs.admit(&owner("a"), &run("w", 1), start(), ms(4)));
     let poll = runs.begin_poll();
--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -94,7 +94,7 @@
             .runs
             .renew_lease(owner, stream::duration(orders.lease_until_ms), now);
         for run in &orders.stops {
-            state.runs.request_stop(owner, &Run::from(run));
+            state.runs.request_stop(owner, &Run::from(run), now);
         }
         let mut refused = Vec::new();
         let mut any_admitted = false;
