Agent: check an admitted start again when it gets its permit

Cause: a start that was admitted may wait for one of four permits, or be sent again after its fencing token was refused. Only then is its order made, and it carried any lease that the upstream may have, which may be another owner's: nobody asked whether its own owner's lease had lapsed meanwhile, or whether the owner had stopped it. Its entry may have started the task elsewhere by then.

Change: `Runs::check_start` decides that at each sending, in the same critical section in which the order is made and the start recorded as sent.

Evidence: three new tests of run/given_up.rs. The decision that they test did not exist: the former code asked only whether the configuration gives the upstream work, and whether any owner holds a lease, which the tests show to be the case (`upstream_lease` is Some) where the start is refused now.

--- a/crates/claim/src/run/admission.rs
+++ b/crates/claim/src/run/admission.rs
@@ -81,6 +81,17 @@
         Ok(())
     }
 
+    /// Checks whether an admitted run may still be started. It may have waited, while its
+    /// owner lost contact and started the task elsewhere.
+    pub fn check_start(&self, run: &Run, now: Duration) -> Result<(), Refusal> {
+        if self.denied {
+            return Err(Refusal::Denied);
+        }
+        let wanted = |live: &&LiveRun| !live.stop_requested && self.lease_of(&live.owner) > now;
+        let live = self.live.get(run).filter(wanted);
+        live.map(|_| ()).ok_or(Refusal::Expired)
+    }
+
     /// Runs of the same task that are, or may be, at the upstream.
     fn live_runs_of_task<'a>(&'a self, run: &'a Run) -> impl Iterator<Item = &'a Run> {
         let first = Run {
--- a/crates/claim/src/run/grant.rs
+++ b/crates/claim/src/run/grant.rs
@@ -34,7 +34,7 @@
     }
 
     /// End of an owner's lease; zero without one.
-    fn lease_of(&self, owner: &Owner) -> Duration {
+    pub(super) fn lease_of(&self, owner: &Owner) -> Duration {
         self.leases.get(owner).copied().unwrap_or_default()
     }
 
--- a/crates/claim/src/run/types.rs
+++ b/crates/claim/src/run/types.rs
@@ -63,7 +63,8 @@
     Closed,
     /// The configuration gives the upstream no work, or is not known yet.
     Denied,
-    /// The order came after the lease of its owner had ended.
+    /// The owner's lease had ended, or the owner had ordered a stop, before the start was
+    /// sent.
     Expired,
     /// This run or a later one of the task was admitted before.
     OldRun,
--- a/crates/claim/tests/run/given_up.rs
+++ b/crates/claim/tests/run/given_up.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use gentian_claim::run::{
-    max_orphan_lifetime, Fate, Runs, StartAnswer, MAX_CLOCK_DRIFT, MAX_LEASE, STOP_GRACE,
+    max_orphan_lifetime, Fate, Refusal, Runs, StartAnswer, MAX_CLOCK_DRIFT, MAX_LEASE, STOP_GRACE,
 };
 use test_case::test_case;
 
@@ -143,3 +143,30 @@
         assert_eq!(full, runs.upstream_lease(now), "{now:?}");
     }
 }
+
+/// A start that waited for its permit past the lease of its owner was sent under the lease of
+/// another one.
+#[test_case(Loss::Cut; "its owner is cut off")]
+#[test_case(Loss::Stop; "its owner stops it")]
+#[test_case(Loss::Forgets; "its owner does not know it")]
+fn a_start_that_waited_is_not_sent_once_its_owner_gave_it_up(loss: Loss) {
+    let mut runs = two_owners();
+    let (waiting, at) = (run("w", 1), MAX_LEASE);
+    runs.admit(&owner("a"), &waiting, start(), ms(2))
+        .expect("capacity is free");
+    runs.renew_lease(&owner("b"), at + MAX_LEASE, at);
+    assert_eq!(Ok(()), runs.check_start(&waiting, at - ms(1)));
+    match loss {
+        Loss::Cut => {}
+        Loss::Stop => {
+            runs.renew_lease(&owner("a"), at + MAX_LEASE, at);
+            runs.request_stop(&owner("a"), &waiting, at);
+        }
+        Loss::Forgets => {
+            runs.renew_lease(&owner("a"), at + MAX_LEASE, at);
+            runs.reconcile(&owner("a"), &[], at);
+        }
+    }
+    assert!(runs.upstream_lease(at).is_some(), "another owner's lease");
+    assert_eq!(Err(Refusal::Expired), runs.check_start(&waiting, at));
+}
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -42,15 +42,12 @@
     let ordered_at = Instant::now();
     // Retries with a raised token if the upstream rejects the token as too low.
     for _ in 0..8 {
-        // The configuration may have changed while the start waited for its permit.
-        if supervisor.state().runs.is_denied() {
-            return handle_start_answer(&supervisor, &run, StartAnswer::Refused(Refusal::Denied));
-        }
-        let order = supervisor.next_order(&mut supervisor.state());
-        let Some(order) = order.filter(|order| order.authority.until.is_some()) else {
-            return handle_start_answer(&supervisor, &run, StartAnswer::Refused(Refusal::Expired));
+        let order = match supervisor.start_order(&run) {
+            Ok(order) => order,
+            Err(refusal) => {
+                return handle_start_answer(&supervisor, &run, StartAnswer::Refused(refusal))
+            }
         };
-        supervisor.state().runs.start_sent(&run, supervisor.now());
         let request = order::start(&order.id, &run, spec, order.authority);
         let answer = supervisor.send_order(&order, request, ANSWER_TIMEOUT).await;
         let read = answer.map(|answer| order::parse_start(answer.status, &answer.body));
--- a/crates/core/src/agent/lease/order.rs
+++ b/crates/core/src/agent/lease/order.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use gentian::claim::run::LeaseGrant;
+use gentian::claim::run::{LeaseGrant, Refusal, Run};
 use gentian_platform::order::{Authority, Clock};
 use http_body_util::Full;
 
@@ -44,6 +44,19 @@
         Some(order)
     }
 
+    /// Prepares the order to start an admitted run, which may have waited for long.
+    pub(super) fn start_order(&self, run: &Run) -> Result<Order, Refusal> {
+        let now = self.now();
+        let mut state = self.state();
+        state.runs.check_start(run, now)?;
+        let order = self.next_order(&mut state).ok_or(Refusal::Closed)?;
+        if order.authority.until.is_none() {
+            return Err(Refusal::Expired);
+        }
+        state.runs.start_sent(run, now);
+        Ok(order)
+    }
+
     /// Sends an order, and records whether the lease in it may have arrived.
     pub(super) async fn send_order(
         &self,
