Agent: measure the entries' leases by the boot-time clock

Cause: the agent's clock was `Instant`, which stands still while the instance is suspended. The entries' leases are times on that clock, so a start that had waited in the agent's sockets was still under a lease when it went on. A heartbeat that it read first gave it the upstream's present clock, so that the deadline in the order was valid there, too.

Change: clock.rs of control's replicas moves to the root of the crate, and the agent's clock is the boot-time clock. All times of the upstream's state are on it but one: the age of a reading of the upstream's own clock is measured by the steady clock, since that of the upstream stands still when the whole instance does, and a reading that is advanced too far makes a lease that ends too late. Both err on the early side.

Read, and left: an entry's `Link::last_orders_at` and `Timing::lease_until_ms` stand still with the entry, so it gives a run up later and asks for a lease that ends earlier, which is safe. A stream's `lease_until_ms` is computed from a report of the same stream, so nothing of the clock of an agent's former process reaches the next one.

--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -23,6 +23,7 @@
 mod pace;
 mod recent_ends;
 mod types;
+mod upstream_clock;
 mod wire;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,6 +40,7 @@
 pub use types::{
     Fate, Isolation, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Start, StartAnswer,
 };
+pub use upstream_clock::UpstreamClock;
 
 /// Longest lease of an upstream, and longest lease of an entry at an agent.
 pub const MAX_LEASE: Duration = Duration::from_millis(500);
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -160,7 +160,7 @@
             let mut state = supervisor.state();
             let has_runs = !state.runs.is_empty();
             let has_unacknowledged_ends = state.runs.last_seen_end() > state.acknowledged;
-            let is_unlisted = state.is_unlisted();
+            let is_unlisted = state.is_unlisted(supervisor.now());
             match has_runs || has_unacknowledged_ends || is_unlisted {
                 true => supervisor.next_order(&mut state).map(|order| {
                     let wait = if has_runs { POLL_WAIT } else { Duration::ZERO };
@@ -191,7 +191,7 @@
             Err(error) => supervisor.handle_failed_order(&mut supervisor.state(), &order, &error),
         };
         supervisor.end_lapsed_runs();
-        if !again || supervisor.state().is_unlisted() {
+        if !again || supervisor.state().is_unlisted(supervisor.now()) {
             tokio::time::sleep(POLL_RETRY_DELAY).await;
         }
     }
@@ -280,7 +280,7 @@
         self.send_stops(stops);
         self.report_ends(&mut state, ends);
         let was_open = state.runs.is_open();
-        state.update_admission(Instant::now());
+        state.update_admission(now);
         if was_open != state.runs.is_open() {
             log::warn!("upstream: accepting new runs changed to {}", !was_open);
             self.room_changed.notify_one();
--- a/crates/core/src/agent/lease/crashes.rs
+++ b/crates/core/src/agent/lease/crashes.rs
@@ -4,7 +4,7 @@
 //! If it didn't announce that, it has crashed. The refusal is not taken as proof that its
 //! runs are gone: they end with its lease, or when the next process reports.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gentian::claim::crash::{Crash, Process};
 use gentian::claim::run::Owner;
@@ -36,7 +36,7 @@
         if error.is_refused() {
             upstream.mark_down(now);
             let ended = upstream.clone();
-            state.update_admission(Instant::now());
+            state.update_admission(now);
             self.record_crash(state, &ended);
             self.room_changed.notify_one();
         }
@@ -52,7 +52,7 @@
         let now = self.now();
         // Without a sign of its end it may have ended right after it was last heard of. What
         // was sent later may never have reached it.
-        let last_heard = now.saturating_sub(ended.silent_for());
+        let last_heard = now.saturating_sub(ended.silent_for(now));
         let at = ended.ended_at().unwrap_or(last_heard);
         let incarnation = ended.incarnation();
         let crash = Crash {
--- a/crates/core/src/agent/lease/order.rs
+++ b/crates/core/src/agent/lease/order.rs
@@ -1,7 +1,7 @@
 //! Orders to the upstream: their addressee, their authority and the lease in them.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use gentian::claim::run::{LeaseGrant, Refusal, Run};
@@ -24,14 +24,14 @@
     /// Prepares an order to the upstream, with the lease that it may be granted now.
     /// Returns `None` if no upstream has reported yet.
     pub(super) fn next_order(&self, state: &mut State) -> Option<Order> {
-        let (now, at) = (self.now(), Instant::now());
+        let now = self.now();
         let upstream = state.upstream.as_ref()?;
         // The lease of an unresponsive upstream isn't extended, so that its runs lapse.
         let lease = state
             .runs
             .upstream_lease(now)
             .filter(|_| upstream.is_responsive());
-        let until = lease.map(|until| upstream.clock_at(at) + until.saturating_sub(now));
+        let until = lease.map(|until| upstream.clock() + until.saturating_sub(now));
         let order = Order {
             id: upstream.incarnation().id.clone(),
             address: upstream.report.address,
@@ -91,9 +91,10 @@
         else {
             return;
         };
-        let was_open = upstream.is_open(Instant::now());
+        let now = self.now();
+        let was_open = upstream.is_open(now);
         upstream.record_poll(error.is_none());
-        match (was_open, upstream.is_open(Instant::now()), error) {
+        match (was_open, upstream.is_open(now), error) {
             (true, false, Some(error)) => {
                 log::warn!(
                     "upstream {}: polls are not answered, so it gets no new runs: {error}",
@@ -106,7 +107,7 @@
             ),
             _ => return,
         }
-        state.update_admission(Instant::now());
+        state.update_admission(now);
         self.room_changed.notify_one();
     }
 
@@ -119,7 +120,7 @@
         if upstream.incarnation().id != order.id || upstream.is_other_incarnation(clock) {
             return true;
         }
-        upstream.set_clock(clock.now, Instant::now());
+        upstream.set_clock(clock.now, self.now());
         false
     }
 
@@ -136,10 +137,11 @@
             order.id
         );
         let ended = upstream.clone();
+        let now = self.now();
         upstream.mark_gone();
-        state.update_admission(Instant::now());
+        state.update_admission(now);
         self.record_crash(state, &ended);
-        let ends = state.runs.upstream_replaced(self.now());
+        let ends = state.runs.upstream_replaced(now);
         self.report_ends(state, ends);
         self.room_changed.notify_one();
     }
--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gentian::claim::run::{self, Fate, Isolation, Owner, Refusal, Run, RunEnd, Start};
 use gentian::wire::agent::{self, Orders, Reports};
@@ -89,7 +89,7 @@
         if state.streams.get(owner).is_none_or(|s| s.number != number) {
             return false;
         }
-        state.update_admission(Instant::now());
+        state.update_admission(now);
         state
             .runs
             .renew_lease(owner, stream::duration(orders.lease_until_ms), now);
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, MutexGuard};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, SystemTime};
 
 use gentian::claim::crash::{History, StartRates};
 use gentian::claim::run::{Owner, Run, Runs};
@@ -15,6 +15,7 @@
 use super::reports::Stream;
 use super::upstream::{Update, UpstreamState};
 use crate::client::Client;
+use crate::clock;
 use crate::metrics;
 use crate::panics::Mutex;
 use crate::renew::Announce;
@@ -31,7 +32,8 @@
     /// Name of this agent.
     pub(super) node: id::Node,
     pub(super) incarnation: u64,
-    origin: Instant,
+    /// Zero of the agent's own clock.
+    origin: Duration,
     state: Mutex<State>,
     pub(super) client: Client,
     pub(super) start_permits: Arc<Semaphore>,
@@ -83,7 +85,7 @@
                 .parse()
                 .expect("the settings hold a valid node name"),
             incarnation: node.incarnation,
-            origin: Instant::now(),
+            origin: clock::now(),
             state: Mutex::new(State {
                 runs,
                 crashes: History::default(),
@@ -108,9 +110,10 @@
         }
     }
 
-    /// Time since the start of this supervisor, which is the agent's own clock.
+    /// Time since the start of this supervisor, which is the agent's own clock. It goes on
+    /// while the system is suspended, like the leases that it measures.
     pub(super) fn now(&self) -> Duration {
-        self.origin.elapsed()
+        clock::now().saturating_sub(self.origin)
     }
 
     pub(super) fn state(&self) -> MutexGuard<'_, State> {
@@ -119,7 +122,7 @@
 
     /// Handles a heartbeat of the upstream.
     pub(super) fn handle_report(&self, report: Report) {
-        let now = Instant::now();
+        let now = self.now();
         let mut state = self.state();
         let incarnation = report.incarnation.clone();
         let ready = report.ready;
@@ -143,7 +146,7 @@
                 match &previous {
                     Some(previous) => {
                         self.record_crash(&mut state, previous);
-                        state.runs.upstream_replaced(self.now())
+                        state.runs.upstream_replaced(now)
                     }
                     None => Vec::new(),
                 }
@@ -165,7 +168,7 @@
                 log::info!("upstream {id}: shutting down; it gets no new runs");
             }
         }
-        state.update_admission(Instant::now());
+        state.update_admission(self.now());
         drop(state);
         self.room_changed.notify_one();
     }
@@ -174,7 +177,7 @@
     pub(super) fn refuse_new_runs(&self) {
         let mut state = self.state();
         state.leaving = true;
-        state.update_admission(Instant::now());
+        state.update_admission(self.now());
         drop(state);
         self.room_changed.notify_one();
     }
@@ -223,14 +226,14 @@
 
 impl State {
     /// Whether the upstream could take runs, but has to be asked first which it has.
-    pub(super) fn is_unlisted(&self) -> bool {
+    pub(super) fn is_unlisted(&self, now: Duration) -> bool {
         let upstream = self.upstream.as_ref();
-        let could = upstream.is_some_and(|upstream| upstream.is_open(Instant::now()));
+        let could = upstream.is_some_and(|upstream| upstream.is_open(now));
         could && !self.runs.is_complete()
     }
 
     /// Recomputes whether the upstream takes new runs.
-    pub(super) fn update_admission(&mut self, now: Instant) {
+    pub(super) fn update_admission(&mut self, now: Duration) {
         let Some(upstream) = &self.upstream else {
             return;
         };
--- a/crates/core/src/agent/lease/upstream.rs
+++ b/crates/core/src/agent/lease/upstream.rs
@@ -1,10 +1,13 @@
 //! The upstream's state, as known from its heartbeats and its answers to polls.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use gentian::claim::run::UpstreamClock;
 use gentian_platform::heartbeat::{Incarnation, Report};
 use gentian_platform::order::Clock;
 
+use crate::clock;
+
 /// Time without a heartbeat after which an upstream gets no new runs.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -27,7 +30,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct UpstreamState {
     pub(super) report: Report,
-    last_report_at: Instant,
+    last_report_at: Duration,
     /// Whether it announced its shutdown, or another incarnation answered an order.
     gone: bool,
     /// Number of polls in a row without an answer since the last heartbeat.
@@ -37,17 +40,17 @@
     broken_at: Option<Duration>,
     /// When it refused a connection, on the agent's clock; none if it has answered since.
     down_at: Option<Duration>,
-    /// The upstream's clock when it was last read.
-    last_clock: Duration,
-    /// When the agent received that reading, on its own clock.
-    last_clock_at: Instant,
+    /// The last reading of its clock, by [`clock::steady`].
+    clock: UpstreamClock,
+    /// When it was last heard of.
+    last_heard_at: Duration,
 }
 
 impl UpstreamState {
-    pub(super) fn new(report: Report, now: Instant) -> UpstreamState {
+    pub(super) fn new(report: Report, now: Duration) -> UpstreamState {
         UpstreamState {
-            last_clock: report.clock,
-            last_clock_at: now,
+            clock: UpstreamClock::new(report.clock, clock::steady()),
+            last_heard_at: now,
             last_report_at: now,
             gone: false,
             unanswered_polls: 0,
@@ -61,7 +64,7 @@
     pub(super) fn apply_report(
         upstream: &mut Option<UpstreamState>,
         report: Report,
-        now: Instant,
+        now: Duration,
     ) -> Update {
         let Some(previous) = upstream else {
             *upstream = Some(UpstreamState::new(report, now));
@@ -91,8 +94,8 @@
     }
 
     /// Whether the upstream may be given new runs.
-    pub(super) fn is_open(&self, now: Instant) -> bool {
-        let silent = now.saturating_duration_since(self.last_report_at) > HEARTBEAT_TIMEOUT;
+    pub(super) fn is_open(&self, now: Duration) -> bool {
+        let silent = now.saturating_sub(self.last_report_at) > HEARTBEAT_TIMEOUT;
         self.report.ready && !self.gone && !silent && self.is_responsive()
     }
 
@@ -116,8 +119,8 @@
     }
 
     /// Time since it was last heard of.
-    pub(super) fn silent_for(&self) -> Duration {
-        self.last_clock_at.elapsed()
+    pub(super) fn silent_for(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.last_heard_at)
     }
 
     /// Whether it announced its end.
@@ -155,15 +158,15 @@
         born != 0 && clock.born_ms != 0 && clock.born_ms != born
     }
 
-    /// Records a reading of the upstream's clock, taken at `now` or before.
-    pub(super) fn set_clock(&mut self, clock: Duration, now: Instant) {
-        self.last_clock = clock;
-        self.last_clock_at = now;
+    /// Records a reading of the upstream's clock, taken now or before.
+    pub(super) fn set_clock(&mut self, clock: Duration, now: Duration) {
+        self.clock = UpstreamClock::new(clock, clock::steady());
+        self.last_heard_at = now;
     }
 
-    /// The upstream's clock at `at`. The result may be too early, by the time that
-    /// the last reading was on its way.
-    pub(super) fn clock_at(&self, at: Instant) -> Duration {
-        self.last_clock + at.saturating_duration_since(self.last_clock_at)
+    /// The upstream's clock now. The result may be too early, by the time that the last
+    /// reading was on its way.
+    pub(super) fn clock(&self) -> Duration {
+        self.clock.lower_bound(clock::steady())
     }
 }
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -5,6 +5,7 @@
 mod agent;
 mod args;
 mod client;
+mod clock;
 mod control;
 mod entry;
 mod load;
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -7,6 +7,7 @@
 mod hosts;
 pub(crate) mod observations;
 pub(crate) mod platform;
+pub(crate) mod suspension;
 pub(crate) mod system;
 pub(crate) mod worker;
 
@@ -57,11 +58,21 @@
 impl Process {
     /// Starts `run` with these settings, in a file that lives as long as the process.
     pub(crate) fn start_with_settings(settings: &impl std::fmt::Display) -> Process {
+        Process::start_prepared(settings, |_| {})
+    }
+
+    /// Like [`Process::start_with_settings`], with the command changed by `prepare`.
+    pub(crate) fn start_prepared(
+        settings: &impl std::fmt::Display,
+        prepare: impl FnOnce(&mut Command),
+    ) -> Process {
         let mut file = tempfile::NamedTempFile::new().expect("a temporary file");
         file.write_all(settings.to_string().as_bytes())
             .expect("settings are written");
         let path = file.path().to_str().expect("a UTF-8 path").to_owned();
-        let mut process = Process::start(&["run", "--settings", &path]);
+        let mut command = gentiancove(&["run", "--settings", &path]);
+        prepare(&mut command);
+        let mut process = Process::spawn(command);
         process.keep_settings(file);
         process
     }
--- a/crates/core/tests/support/worker/mod.rs
+++ b/crates/core/tests/support/worker/mod.rs
@@ -3,6 +3,7 @@
 
 mod state;
 
+use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -166,11 +167,16 @@
 
     /// Kills the agent and starts it again at the same addresses.
     pub(crate) fn restart_agent(&mut self) {
+        self.restart_agent_prepared(|_| {});
+    }
+
+    /// Like [`Worker::restart_agent`], with the command changed by `prepare`.
+    pub(crate) fn restart_agent_prepared(&mut self, prepare: impl FnOnce(&mut Command)) {
         self.agent.kill();
         self.agent.wait();
         self.settings["agent"]["http"] = json!(self.agent_http);
         self.settings["agent"]["peer"] = json!(self.agent_peer);
-        self.agent = Process::start_with_settings(&self.settings);
+        self.agent = Process::start_prepared(&self.settings, prepare);
     }
 }
 
