Agent: advance a reading of the upstream's clock by what a slow clock does

Cause: leases are times on the upstream's clock, and the agent advanced the last reading of that clock by the reading's whole age.

Evidence: with the reading advanced by its whole age, two of the new cases of run/upstream_clock.rs fail: leases of 530 ms and 600 ms on a slow clock in place of 500 ms. With the change all pass.

Effect on service: a first lease after an idle time is shorter by 2 % of that time, at most 100 ms of 500 ms. Each answer to a poll gives a new reading.

--- a/crates/claim/src/run/upstream_clock.rs
+++ b/crates/claim/src/run/upstream_clock.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use super::MAX_CLOCK_DRIFT;
+
 /// A reading of the upstream's clock.
 ///
 /// The upstream measures its lease with a clock that stands still while its system is
@@ -23,8 +25,10 @@
         }
     }
 
-    /// The upstream's clock at `now`, or a time before that.
+    /// The upstream's clock at `now`, or a time before that: the clock may be slow by
+    /// [`MAX_CLOCK_DRIFT`].
     pub fn lower_bound(&self, now: Duration) -> Duration {
-        self.reading + now.saturating_sub(self.read_at)
+        let age = now.saturating_sub(self.read_at);
+        self.reading + age.mul_f64(1.0 - MAX_CLOCK_DRIFT)
     }
 }
--- a/crates/claim/tests/run/main.rs
+++ b/crates/claim/tests/run/main.rs
@@ -2,6 +2,7 @@
 
 mod given_up;
 mod unanswered;
+mod upstream_clock;
 
 use std::time::Duration;
 
