--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -42,15 +42,12 @@
     let ordered_at = Instant::now();
     // Retries with a raised token if the upstream rejects the token as too low.
     for _ in 0..8 {
-        // The configuration may have changed while the start waited for its permit.
-        if supervisor.state().runs.is_denied() {
-            return handle_start_answer(&supervisor, &run, StartAnswer::Refused(Refusal::Denied));
-        }
-        let order = supervisor.next_order(&mut supervisor.state());
-        let Some(order) = order.filter(|order| order.authority.until.is_some()) else {
-            return handle_start_answer(&supervisor, &run, StartAnswer::Refused(Refusal::Expired));
+        let order = match supervisor.start_order(&run) {
+            Ok(order) => order,
+            Err(refusal) => {
+                return handle_start_answer(&supervisor, &run, StartAnswer::Refused(refusal))
+            }
         };
-        supervisor.state().runs.start_sent(&run, supervisor.now());
         let request = order::start(&order.id, &run, spec, order.authority);
         let answer = supervisor.send_order(&order, request, ANSWER_TIMEOUT).await;
         let read = answer.map(|answer| order::parse_start(answer.status, &answer.body));
@@ -163,7 +160,7 @@
             let mut state = supervisor.state();
             let has_runs = !state.runs.is_empty();
             let has_unacknowledged_ends = state.runs.last_seen_end() > state.acknowledged;
-            let is_unlisted = state.is_unlisted();
+            let is_unlisted = state.is_unlisted(supervisor.now());
             match has_runs || has_unacknowledged_ends || is_unlisted {
                 true => supervisor.next_order(&mut state).map(|order| {
                     let wait = if has_runs { POLL_WAIT } else { Duration::ZERO };
@@ -194,7 +191,7 @@
             Err(error) => supervisor.handle_failed_order(&mut supervisor.state(), &order, &error),
         };
         supervisor.end_lapsed_runs();
-        if !again || supervisor.state().is_unlisted() {
+        if !again || supervisor.state().is_unlisted(supervisor.now()) {
             tokio::time::sleep(POLL_RETRY_DELAY).await;
         }
     }
@@ -283,7 +280,7 @@
         self.send_stops(stops);
         self.report_ends(&mut state, ends);
         let was_open = state.runs.is_open();
-        state.update_admission(Instant::now());
+        state.update_admission(now);
         if was_open != state.runs.is_open() {
             log::warn!("upstream: accepting new runs changed to {}", !was_open);
             self.room_changed.notify_one();
