Claim: runs that an entry has ordered as a module of its own

The decisions of an entry on the runs that it has ordered from an agent, when they count as lost and what a message to the agent orders, were spread over its link to the agent, which no test could reach. They are now crates/claim/src/ordered, with time as a Duration that is passed in.

--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -11,8 +11,9 @@
 //! ([`coordinator`]).
 //!
 //! Tasks that may run again once an earlier run is known to have ended need no
-//! claims or gates: their runs go on only while leases are renewed ([`run`]). A task under
-//! which upstreams crash is tried a few times only ([`crash`]).
+//! claims or gates: their runs go on only while leases are renewed. The agent tracks the
+//! runs at its upstream ([`run`]), and an entry those that it has ordered ([`ordered`]). A
+//! task under which upstreams crash is tried a few times only ([`crash`]).
 //!
 //! Nothing in this crate does I/O, reads a clock or draws random numbers: the
 //! caller passes in the wall time as a [`Duration`](std::time::Duration) since
@@ -25,6 +26,7 @@
 pub mod gate;
 pub mod home;
 pub mod key_window;
+pub mod ordered;
 pub mod placement;
 pub mod refusal;
 pub mod run;
--- /dev/null
+++ b/crates/claim/tests/ordered.rs
@@ -0,0 +1,105 @@
+//! Runs that an entry has ordered from one agent, event by event.
+
+use std::time::Duration;
+
+use gentian_claim::ordered::{Orders, Runs};
+use gentian_claim::run::{max_orphan_lifetime, Run};
+use gentian_wire::id::Incarnation;
+
+const FIRST: Incarnation = Incarnation(1);
+const SECOND: Incarnation = Incarnation(2);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn run(task: &str) -> Run {
+    Run {
+        task: task.into(),
+        number: 1,
+    }
+}
+
+/// The last time at which a run may go on whose lease was renewed at `sent_at`.
+fn last_moment(sent_at: Duration) -> Duration {
+    sent_at + max_orphan_lifetime() - ms(1)
+}
+
+/// A connected agent, to which the start of task `t` was sent at 100 ms.
+fn sent() -> Runs<u32> {
+    let mut runs = Runs::new(ms(0));
+    runs.open();
+    runs.connect(FIRST);
+    runs.start(run("t"), 7);
+    runs.take_orders(ms(100));
+    runs
+}
+
+fn expired(runs: &mut Runs<u32>, now: Duration) -> Vec<Run> {
+    let expired = runs.take_expired(now);
+    expired.into_iter().map(|(run, _)| run).collect()
+}
+
+#[test]
+fn an_order_is_sent_once() {
+    let mut runs = sent();
+    assert_eq!(Orders::default(), runs.take_orders(ms(110)));
+    assert_eq!(None, runs.stop(run("t")));
+    let stop = Orders {
+        starts: Vec::new(),
+        stops: vec![run("t")],
+    };
+    assert_eq!(stop, runs.take_orders(ms(120)));
+    assert_eq!(Orders::default(), runs.take_orders(ms(130)));
+}
+
+#[test]
+fn a_new_stream_lists_all_runs_and_repeats_the_stops() {
+    let mut runs = sent();
+    runs.start(run("u"), 8);
+    runs.stop(run("t"));
+    runs.take_orders(ms(110));
+    runs.disconnect();
+    let mut known = runs.open();
+    known.sort();
+    assert_eq!(vec![run("t"), run("u")], known);
+    runs.connect(FIRST);
+    let again = Orders {
+        starts: Vec::new(),
+        stops: vec![run("t")],
+    };
+    assert_eq!(again, runs.take_orders(ms(200)));
+}
+
+#[test]
+fn no_run_of_a_connected_agent_is_lost_in_silence() {
+    let mut runs = sent();
+    assert_eq!(None, runs.next_expiry());
+    assert!(expired(&mut runs, ms(60_000)).is_empty());
+    assert_eq!(Some(7), runs.end(&run("t")));
+    assert!(runs.is_empty());
+}
+
+#[test]
+fn runs_of_a_disconnected_agent_are_lost_once_their_leases_have_lapsed() {
+    let mut runs = sent();
+    assert!(runs.disconnect());
+    assert!(expired(&mut runs, last_moment(ms(100))).is_empty());
+    assert_eq!(Some(ms(100) + max_orphan_lifetime()), runs.next_expiry());
+    let lapsed = ms(100) + max_orphan_lifetime();
+    assert_eq!(vec![run("t")], expired(&mut runs, lapsed));
+    assert!(runs.is_empty());
+}
+
+#[test]
+fn runs_of_a_restarted_agent_are_lost_once_their_leases_have_lapsed() {
+    let mut runs = sent();
+    runs.disconnect();
+    runs.open();
+    runs.connect(SECOND);
+    runs.take_orders(ms(300));
+    assert_eq!(None, runs.end(&run("t")), "the restarted agent can't know");
+    assert!(expired(&mut runs, last_moment(ms(100))).is_empty());
+    let lapsed = ms(100) + max_orphan_lifetime();
+    assert_eq!(vec![run("t")], expired(&mut runs, lapsed));
+}
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -7,7 +7,6 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
-use gentian::claim::run::Run;
 use gentian::member::member::Member;
 use gentian::wire::agent::{Orders, Reports};
 use gentian::wire::control;
@@ -15,7 +14,7 @@
 use tokio::sync::{oneshot, Notify};
 
 use super::job::{Outcome, RefusalCause, Submission};
-use super::link::{Link, PlacedRun};
+use super::link::Link;
 use super::state::State;
 use crate::metrics;
 use crate::panics::Mutex;
@@ -184,10 +183,11 @@
     /// Adds an agent, unless it is known.
     pub(super) fn add_agent(&self, member: &Member) {
         let same_data_center = member.data_center == self.data_center;
+        let now = self.now();
         let mut state = self.state();
         state.first_agent_at.get_or_insert_with(Instant::now);
         let link = state.links.entry(member.node.clone());
-        link.or_insert_with(|| Link::new(member.node.clone(), same_data_center));
+        link.or_insert_with(|| Link::new(member.node.clone(), same_data_center, now));
     }
 
     /// Sets the agents whose upstreams the configuration gives no work.
@@ -205,13 +205,14 @@
 
     /// Removes an agent and counts its runs as lost.
     pub(super) fn remove_agent(&self, node: &Node) {
+        let now = self.now();
         let mut state = self.state();
         state.placer.remove(node);
         let Some(mut link) = state.links.remove(node) else {
             return;
         };
-        let lost: Vec<(Run, PlacedRun)> = link.runs.drain().collect();
-        for (run, placed) in lost {
+        link.runs.set_listed(false);
+        for (run, placed) in link.runs.take_expired(now) {
             state.run_lost(node, &run, &placed);
         }
     }
@@ -220,7 +221,7 @@
         self.state()
             .links
             .get(node)
-            .is_some_and(|link| link.connected)
+            .is_some_and(|link| link.runs.is_connected())
     }
 
     pub(super) fn has_runs(&self, node: &Node) -> bool {
@@ -228,7 +229,7 @@
         state
             .links
             .get(node)
-            .is_some_and(|link| !link.runs.is_empty())
+            .is_some_and(|link| link.runs.has_current())
     }
 
     /// Returns the [`Notify`] that is notified when there are orders for an agent.
@@ -255,9 +256,10 @@
     }
 
     pub(super) fn orders(&self, node: &Node, lease_until_ms: u64) -> Orders {
+        let now = self.now();
         let mut state = self.state();
         let link = state.links.get_mut(node);
-        link.map(|link| link.orders(lease_until_ms))
+        link.map(|link| link.orders(lease_until_ms, now))
             .unwrap_or_default()
     }
 
@@ -266,7 +268,7 @@
         let mut state = self.state();
         state.placer.set_reachable(node, false);
         let link = state.links.get_mut(node);
-        link.is_some_and(|link| std::mem::take(&mut link.connected))
+        link.is_some_and(|link| link.runs.disconnect())
     }
 
     /// Applies an agent's reports; `first` marks the first ones on a new stream.
@@ -279,8 +281,7 @@
         };
         link.last_report_at = Instant::now();
         if first {
-            link.set_incarnation(incarnation);
-            link.connected = true;
+            link.runs.connect(incarnation);
             state.placer.set_reachable(node, true);
         }
         if let Some(room) = reports.room {
@@ -302,14 +303,15 @@
     /// Counts as lost those runs of disconnected or restarted agents that must have
     /// ended by now, since no lease allows them to go on.
     pub(super) fn expire_runs(&self) {
-        let now = Instant::now();
+        let now = self.now();
         let mut state = self.state();
-        let due = |link: &Link| link.next_expiry().is_some_and(|at| at <= now);
+        let due = |link: &Link| link.runs.next_expiry().is_some_and(|at| at <= now);
         let nodes = state.links.iter().filter(|(_, link)| due(link));
         let nodes: Vec<Node> = nodes.map(|(node, _)| node.clone()).collect();
         for node in &nodes {
             let link = state.links.get_mut(node);
-            let expired = link.map(|link| link.take_expired(now)).unwrap_or_default();
+            let expired = link.map(|link| link.runs.take_expired(now));
+            let expired = expired.unwrap_or_default();
             log::warn!(
                 "agent {node}: gave up {} runs that reported no end before their leases lapsed",
                 expired.len()
@@ -318,7 +320,6 @@
                 state.run_lost(node, &run, &placed);
             }
         }
-        let now = self.now();
         state.readmit(now);
         state.release_queues(now);
         if !nodes.is_empty() {
--- a/crates/core/src/entry/lease/state/runs.rs
+++ b/crates/core/src/entry/lease/state/runs.rs
@@ -30,7 +30,7 @@
             return;
         };
         let link = self.links.get_mut(node);
-        let Some(placed) = link.and_then(|link| link.runs.remove(&run)) else {
+        let Some(placed) = link.and_then(|link| link.runs.end(&run)) else {
             return;
         };
         self.placer.release(node, placed.need);
--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -163,8 +163,6 @@
             ordered_at: Instant::now(),
             progress: (0, Instant::now()),
             isolation,
-            stop_ordered: false,
-            incarnation: link.incarnation,
         };
         link.start(&run, placed, &job.submission, expected);
         if is_sampled(&job.submission.id) {
