Entry: the runs of a removed agent are lost only once their leases have lapsed

Cause: an agent that control hasn't listed for 6 s was removed as soon as its stream broke, and all its runs counted as lost at that moment. Control not hearing from an agent says nothing of its upstream: the entry has renewed the leases there until a moment ago, so its runs may go on for max_orphan_lifetime() after its last orders, while their tasks start elsewhere. The runs of the agent's earlier incarnations (orphans) were dropped with the link: their tasks stayed without an end, and stopping_runs was never counted down for the id of a job that had ended.

Change: a removed agent gets no more tasks and no stream, but its link stays until no run is left, and they are lost by the same rule as those of any disconnected agent. One that is listed again keeps its runs, and its account of used capacity with them. The stream's task is awaited after it is aborted, so that none of its reports can mark a removed agent as connected. Readiness counts listed agents only, as before.

Ruled out by reading: update_agent (a new address) marks the link disconnected, and its runs wait for their leases; set_incarnation makes orphans of the runs of earlier incarnations, which wait likewise.

--- a/crates/claim/src/ordered/mod.rs
+++ b/crates/claim/src/ordered/mod.rs
@@ -155,22 +155,16 @@
     }
 
     /// Sets whether the agent is still to be called. The stream to one that is not has been
-    /// closed.
+    /// closed, but its runs may go on until their leases lapse.
     pub fn set_listed(&mut self, listed: bool) {
         self.listed = listed;
-        if !listed {
-            self.connected = false;
-            self.orphans.clear();
-        }
+        self.connected &= listed;
     }
 
     /// When all runs ordered so far have certainly ended, if no further orders renew
     /// the lease.
     fn expires_at(&self) -> Duration {
-        match self.listed {
-            true => self.last_orders_at + max_orphan_lifetime(),
-            false => Duration::ZERO,
-        }
+        self.last_orders_at + max_orphan_lifetime()
     }
 
     /// When the next run without a reported end counts as lost: an orphan, or any run
--- a/crates/claim/tests/ordered.rs
+++ b/crates/claim/tests/ordered.rs
@@ -5,6 +5,7 @@
 use gentian_claim::ordered::{Orders, Runs};
 use gentian_claim::run::{max_orphan_lifetime, Run};
 use gentian_wire::id::Incarnation;
+use test_case::test_case;
 
 const FIRST: Incarnation = Incarnation(1);
 const SECOND: Incarnation = Incarnation(2);
@@ -103,3 +104,53 @@
     let lapsed = ms(100) + max_orphan_lifetime();
     assert_eq!(vec![run("t")], expired(&mut runs, lapsed));
 }
+
+/// Guards against a task that runs twice at the same time: the runs of an agent that
+/// control had lost sight of were given up as soon as its stream broke.
+#[test]
+fn runs_of_an_unlisted_agent_are_lost_once_their_leases_have_lapsed() {
+    let mut runs = sent();
+    runs.set_listed(false);
+    assert!(expired(&mut runs, last_moment(ms(100))).is_empty());
+    let lapsed = ms(100) + max_orphan_lifetime();
+    assert_eq!(vec![run("t")], expired(&mut runs, lapsed));
+}
+
+/// Guards against tasks that never start again, and jobs that wait for ever for the runs
+/// of an earlier submission: the orphans of an unlisted agent were forgotten.
+#[test]
+fn orphans_of_an_unlisted_agent_are_lost_once_their_leases_have_lapsed() {
+    let mut runs = sent();
+    runs.disconnect();
+    runs.open();
+    runs.connect(SECOND);
+    runs.start(run("u"), 8);
+    runs.take_orders(ms(300));
+    runs.set_listed(false);
+    assert!(expired(&mut runs, last_moment(ms(100))).is_empty());
+    assert_eq!(vec![run("t")], expired(&mut runs, last_moment(ms(300))));
+    assert!(!runs.is_empty());
+    let lapsed = ms(300) + max_orphan_lifetime();
+    assert_eq!(vec![run("u")], expired(&mut runs, lapsed));
+    assert!(runs.is_empty());
+}
+
+/// Control lists the agent again before its leases have lapsed, and it still has the run.
+#[test_case(FIRST, Some(7) ; "the same process")]
+#[test_case(SECOND, None ; "a restarted process")]
+fn an_agent_that_is_listed_again_reports_the_ends_of_its_own_runs(
+    incarnation: Incarnation,
+    end: Option<u32>,
+) {
+    let mut runs = sent();
+    runs.set_listed(false);
+    runs.set_listed(true);
+    assert!(!runs.is_connected());
+    assert_eq!(vec![run("t")], runs.open());
+    runs.connect(incarnation);
+    runs.take_orders(ms(500));
+    assert_eq!(end, runs.end(&run("t")));
+    let lost = expired(&mut runs, ms(60_000));
+    assert_eq!(end.is_none(), lost == vec![run("t")]);
+    assert!(runs.is_empty());
+}
--- a/crates/core/src/entry/lease/agents.rs
+++ b/crates/core/src/entry/lease/agents.rs
@@ -45,20 +45,20 @@
         let in_view = latest.window.members().values();
         let listed = latest.present.iter().chain(in_view);
         for member in listed.clone() {
-            update_agent(&mut agents, member, &dispatcher);
+            update_agent(&mut agents, member, &dispatcher).await;
         }
         dispatcher.deny(denied_nodes(&latest, listed));
-        agents.retain(|node, agent| {
-            let kept = agent.listed_at.elapsed() < UNLISTED_GRACE || dispatcher.is_connected(node);
-            if !kept {
-                log::info!(
-                    "agent {node}: unlisted for {UNLISTED_GRACE:?} and not connected; removing it"
-                );
-                agent.task.abort();
-                dispatcher.remove_agent(node);
-            }
-            kept
+        let unlisted = agents.extract_if(.., |node, agent| {
+            agent.listed_at.elapsed() >= UNLISTED_GRACE && !dispatcher.is_connected(node)
         });
+        let unlisted: Vec<(Node, ListedAgent)> = unlisted.collect();
+        for (node, agent) in unlisted {
+            log::info!(
+                "agent {node}: unlisted for {UNLISTED_GRACE:?} and not connected; removing it"
+            );
+            close_stream(agent.task).await;
+            dispatcher.remove_agent(&node);
+        }
         if held.changed().await.is_err() {
             return;
         }
@@ -87,7 +87,7 @@
 }
 
 /// Opens a stream to a listed agent, unless there is one to its address already.
-fn update_agent(
+async fn update_agent(
     agents: &mut BTreeMap<Node, ListedAgent>,
     member: &Member,
     dispatcher: &Arc<Dispatcher>,
@@ -104,7 +104,7 @@
         return;
     }
     if let Some(agent) = agents.remove(&member.node) {
-        agent.task.abort();
+        close_stream(agent.task).await;
         dispatcher.mark_disconnected(&member.node);
     }
     let (node, address) = (member.node.clone(), member.address);
@@ -121,3 +121,10 @@
     };
     agents.insert(member.node.clone(), agent);
 }
+
+/// Ends the task that keeps a stream open, and returns once it can no longer handle a report.
+async fn close_stream(task: JoinHandle<()>) {
+    task.abort();
+    // The task ends with the error that it was aborted.
+    let _ = task.await;
+}
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -153,7 +153,8 @@
     /// yet.
     pub(super) fn is_ready(&self) -> bool {
         let state = self.state();
-        state.links.is_empty() || state.placer.any_reachable()
+        let listed = state.links.values().any(|link| link.runs.is_listed());
+        !listed || state.placer.any_reachable()
     }
 
     pub(super) fn metrics(&self) -> &metrics::Jobs {
@@ -180,14 +181,15 @@
             .count() as u64
     }
 
-    /// Adds an agent, unless it is known.
+    /// Adds an agent. One that was removed a moment ago still has its runs.
     pub(super) fn add_agent(&self, member: &Member) {
         let same_data_center = member.data_center == self.data_center;
         let now = self.now();
         let mut state = self.state();
         state.first_agent_at.get_or_insert_with(Instant::now);
         let link = state.links.entry(member.node.clone());
-        link.or_insert_with(|| Link::new(member.node.clone(), same_data_center, now));
+        let link = link.or_insert_with(|| Link::new(member.node.clone(), same_data_center, now));
+        link.runs.set_listed(true);
     }
 
     /// Sets the agents whose upstreams the configuration gives no work.
@@ -203,17 +205,12 @@
         self.state().placer.denied()
     }
 
-    /// Removes an agent and counts its runs as lost.
+    /// Removes an agent, whose stream is closed, once the ends of its runs are known.
     pub(super) fn remove_agent(&self, node: &Node) {
-        let now = self.now();
         let mut state = self.state();
-        state.placer.remove(node);
-        let Some(mut link) = state.links.remove(node) else {
-            return;
-        };
-        link.runs.set_listed(false);
-        for (run, placed) in link.runs.take_expired(now) {
-            state.run_lost(node, &run, &placed);
+        state.placer.set_reachable(node, false);
+        if let Some(link) = state.links.get_mut(node) {
+            link.runs.set_listed(false);
         }
     }
 
@@ -300,8 +297,8 @@
         state.schedule_all();
     }
 
-    /// Counts as lost those runs of disconnected or restarted agents that must have
-    /// ended by now, since no lease allows them to go on.
+    /// Counts as lost those runs of disconnected, restarted or removed agents that must
+    /// have ended by now, since no lease allows them to go on.
     pub(super) fn expire_runs(&self) {
         let now = self.now();
         let mut state = self.state();
@@ -320,6 +317,7 @@
                 state.run_lost(node, &run, &placed);
             }
         }
+        state.forget_removed_agents();
         state.readmit(now);
         state.release_queues(now);
         if !nodes.is_empty() {
--- a/crates/core/src/entry/lease/state/mod.rs
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -121,6 +121,18 @@
             .update(node, incarnation, same_data_center, report);
     }
 
+    /// Forgets the removed agents that have no runs left.
+    pub(super) fn forget_removed_agents(&mut self) {
+        let placer = &mut self.placer;
+        self.links.retain(|node, link| {
+            let kept = link.runs.is_listed() || !link.runs.is_empty();
+            if !kept {
+                placer.remove(node);
+            }
+            kept
+        });
+    }
+
     /// Puts upstreams on trial whose ejection has ended.
     pub(super) fn readmit(&mut self, now: Duration) {
         while let Some(node) = self.placer.readmit(now) {
