Addresses: one that can't be called ends nobody

Cause: an IPv6 address with a scope, such as [fe80::1%7]:80, is a valid socket address and no part of a valid URI. A heartbeat with one was taken; the agent's next poll panicked as it built the URI, which ends the process. The same address in an agent's announcement would do so to each entry that opens a stream to it, and in control's answers to each node that calls it; these two were found by reading.

Change: addresses that other processes announce are parsed in one place, which refuses a scope, and port 0, where nothing listens.

A check that no task was started again was left out before it landed: under load a start may go unanswered without any heartbeat (seen once).

--- a/crates/core/src/renew/control_peers.rs
+++ b/crates/core/src/renew/control_peers.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use gentian::wire::address;
 use gentian::wire::control::control_client::ControlClient;
 use tokio::sync::watch;
 use tonic::transport::{Channel, Endpoint};
@@ -62,7 +63,7 @@
 
     /// Replaces the addresses that control sent. Invalid ones are skipped.
     pub(super) fn set_members(&mut self, addresses: &[String]) {
-        let members = addresses.iter().filter_map(|address| address.parse().ok());
+        let members = addresses.iter().filter_map(|text| address::parse(text));
         self.members = members.collect();
     }
 
@@ -85,7 +86,7 @@
     pub(crate) fn follow_leader(&mut self, leader: &str) -> bool {
         let was_hinted = self.leader.is_some();
         self.rotate();
-        self.leader = leader.parse().ok();
+        self.leader = address::parse(leader);
         self.leader.is_some() && !was_hinted
     }
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -171,6 +171,12 @@
         assert_eq!(done, 0, "cannot set the limit of the file size");
     }
 
+    /// Whether the process has not exited.
+    pub(crate) fn is_running(&mut self) -> bool {
+        let status = self.child.try_wait().expect("child can be waited for");
+        status.is_none()
+    }
+
     /// Waits until the process has exited.
     pub(crate) fn wait(&mut self) -> ExitStatus {
         let start = Instant::now();
--- a/crates/member/src/member/mod.rs
+++ b/crates/member/src/member/mod.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use gentian_wire::control;
 use gentian_wire::id::{self, DataCenter, Incarnation, Node, Rack, Region};
+use gentian_wire::{address, control};
 use serde::{Deserialize, Serialize};
 
 /// The result of reading an announcement or view member from a message.
@@ -18,7 +18,7 @@
     /// The name of a node, location or service is malformed.
     #[error(transparent)]
     Name(#[from] id::Error),
-    /// The address is not an IP address with a port.
+    /// The address is not an IP address with a port at which the node can be called.
     #[error("address {0:?} is not an IP address and port")]
     Address(String),
 }
@@ -119,5 +119,5 @@
 }
 
 fn parse_address(text: &str) -> Result<SocketAddr> {
-    text.parse().map_err(|_| Error::Address(text.to_owned()))
+    address::parse(text).ok_or_else(|| Error::Address(text.to_owned()))
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 //! of the workspace uses the newtypes of [`id`], [`size`] and [`rate`], and converts
 //! where a message is sent or received.
 
+pub mod address;
 pub mod id;
 pub mod need;
 pub mod outcome;
--- a/crates/wire/tests/newtypes.rs
+++ b/crates/wire/tests/newtypes.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use gentian_wire::address;
 use gentian_wire::id::{Job, Service};
 use gentian_wire::outcome::Outcome;
 use gentian_wire::rate::PerSecond;
@@ -9,6 +10,16 @@
 use proptest::prelude::*;
 use test_case::test_case;
 
+#[test_case("10.0.0.9:8080", true; "address and port")]
+#[test_case("[::1]:8080", true; "address of six groups")]
+#[test_case("10.0.0.9:0", false; "port 0")]
+#[test_case("10.0.0.9:65536", false; "port out of range")]
+#[test_case("[fe80::1%7]:80", false; "address with a scope")]
+#[test_case("host:80", false; "name")]
+fn only_an_address_that_can_be_called_is_valid(text: &str, valid: bool) {
+    assert_eq!(address::parse(text).is_some(), valid);
+}
+
 #[test_case("512", 512)]
 #[test_case("64KiB", 65_536)]
 #[test_case("2MB", 2_000_000)]
