Agent: a heartbeat that names no upstream to use replaces none

What callers saw, in a test: a job in progress was answered 504, or failed, after one heartbeat of another writer at its agent.

Cause: any heartbeat of another id with a later start time, or with none, took the place of the agent's upstream. The platform says that a service that is not named in the configuration names no upstream to use, but the agent did not know the services. The runs of the true upstream counted as lost at once, and their tasks were started elsewhere, while they went on there: two runs of one task are possible that way. A start time far ahead made all later heartbeats of the true upstream look stale, so that it was not followed any more.

Evidence: the three new cases on the code before, two runs: a service that is not configured, with a start time (504) and without one (5 tasks started again, no two at once); a start time of 2^64-1 (job failed).

Ruled out: the class of heartbeats that can't be read (the four cases that passed before). Not handled: a heartbeat of a configured service with a usable address and a plausible start time, which can't be told from one of a new process; and one under the true id with a sequence number far ahead.

Change: the agent knows the services of the configuration. What was taken before the services were known gives way to any upstream of one.

--- a/crates/core/src/agent/lease/http.rs
+++ b/crates/core/src/agent/lease/http.rs
@@ -8,6 +8,7 @@
 use http::Method;
 
 use super::supervisor::Supervisor;
+use super::upstream::Update;
 use crate::metrics;
 use crate::serve::{self, Handler, Problem, Request, Response};
 
@@ -49,15 +50,27 @@
 
     async fn heartbeat(&self, id: &str, request: Request) -> Result<Response> {
         let body = serve::read_body(request.into_body(), MAX_BODY_BYTES, BODY_TIMEOUT).await?;
-        match Report::read(id, &body) {
-            Ok(report) => self.supervisor.handle_report(report),
-            Err(error) => {
-                self.metrics.unreadable();
-                log::warn!("upstream {id}: rejected an unreadable heartbeat: {error}");
-                return Err(Problem::bad(&error.to_string()));
+        let report = Report::read(id, &body).map_err(|error| self.reject(id, error))?;
+        let service = report.service.clone();
+        let born_ms = report.incarnation.born_ms;
+        match self.supervisor.handle_report(report) {
+            Update::Foreign => {
+                let reason = format!(
+                    "service {service} is not configured, or the start time {born_ms} is impossible"
+                );
+                Err(self.reject(id, reason))
+            }
+            Update::Stale | Update::Same | Update::Replaced => {
+                Ok(serve::respond("application/json", "{}".into()))
             }
         }
-        Ok(serve::respond("application/json", "{}".into()))
+    }
+
+    /// Counts and logs a heartbeat that names no upstream to use.
+    fn reject(&self, id: &str, reason: impl std::fmt::Display) -> Problem {
+        self.metrics.unreadable();
+        log::warn!("upstream {id}: rejected a heartbeat: {reason}");
+        Problem::bad(&reason.to_string())
     }
 }
 
--- a/crates/core/src/agent/lease/permission.rs
+++ b/crates/core/src/agent/lease/permission.rs
@@ -1,4 +1,5 @@
-//! Whether the configuration gives this agent's upstream work.
+//! What the configuration says of this agent's upstream: which service it may be of, and
+//! whether it is given work.
 
 use std::sync::Arc;
 use std::time::Instant;
@@ -47,8 +48,15 @@
 ) {
     let _essential = AbortOnPanic("the permission to run tasks");
     let location = Location::new(&node).expect("the settings hold valid names");
+    let mut version = 0;
     loop {
         let latest = held.borrow_and_update().clone();
+        let services = &latest.document.services;
+        // Before the first configuration there are none.
+        if latest.version != version && !services.is_empty() {
+            version = latest.version;
+            supervisor.set_services(services.keys().cloned().collect());
+        }
         // Until a configuration is known, the supervisor refuses runs.
         if let Some(age) = latest.age(Instant::now()) {
             let denied = location.is_denied(&latest);
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -1,6 +1,6 @@
 //! State that the calls to the upstream and the entries' streams share.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant, SystemTime};
 
@@ -52,6 +52,8 @@
     /// How often jobs are started at the upstream.
     pub(super) start_rates: StartRates,
     pub(super) upstream: Option<UpstreamState>,
+    /// Services of the configuration; none until one is known.
+    services: Option<BTreeSet<id::Service>>,
     pub(super) streams: BTreeMap<Owner, Stream>,
     /// Entries whose starts were refused for lack of capacity.
     pub(super) waiting: WaitingList<Owner>,
@@ -89,6 +91,7 @@
                 crashes: History::default(),
                 start_rates: StartRates::default(),
                 upstream: None,
+                services: None,
                 streams: BTreeMap::new(),
                 waiting: WaitingList::default(),
                 told_open: false,
@@ -117,16 +120,25 @@
         self.state.lock()
     }
 
-    /// Handles a heartbeat of the upstream.
-    pub(super) fn handle_report(&self, report: Report) {
+    /// Handles a heartbeat of the upstream; returns how it changes what is known of it.
+    pub(super) fn handle_report(&self, report: Report) -> Update {
         let now = Instant::now();
-        let mut state = self.state();
+        let wall = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+        let mut guard = self.state();
+        let state = &mut *guard;
         let incarnation = report.incarnation.clone();
         let ready = report.ready;
         let previous = state.upstream.clone();
         let was_ready = previous.as_ref().map(|upstream| upstream.report.ready);
-        let ends = match UpstreamState::apply_report(&mut state.upstream, report, now) {
-            Update::Stale => return,
+        let update = UpstreamState::apply_report(
+            &mut state.upstream,
+            report,
+            state.services.as_ref(),
+            wall.unwrap_or_default(),
+            now,
+        );
+        let ends = match update {
+            Update::Stale | Update::Foreign => return update,
             Update::Same => {
                 if was_ready != Some(ready) {
                     log::info!("upstream {}: ready changed to {ready}", incarnation.id);
@@ -142,7 +154,7 @@
                 state.acknowledged = 0;
                 match &previous {
                     Some(previous) => {
-                        self.record_crash(&mut state, previous);
+                        self.record_crash(state, previous);
                         state.runs.upstream_replaced(self.now())
                     }
                     None => Vec::new(),
@@ -150,10 +162,11 @@
             }
         };
         state.update_admission(now);
-        self.report_ends(&mut state, ends);
-        drop(state);
+        self.report_ends(state, ends);
+        drop(guard);
         self.room_changed.notify_one();
         self.poll_wakeup.notify_one();
+        update
     }
 
     /// Handles the upstream's notice that it is shutting down.
@@ -193,6 +206,11 @@
         changed
     }
 
+    /// Sets the services of the configuration. Only upstreams of these are followed.
+    pub(super) fn set_services(&self, services: BTreeSet<id::Service>) {
+        self.state().services = Some(services);
+    }
+
     /// Closes the streams of all entries.
     pub(super) fn close_streams(&self) {
         self.state().streams.clear();
--- a/crates/core/src/agent/lease/upstream.rs
+++ b/crates/core/src/agent/lease/upstream.rs
@@ -1,7 +1,9 @@
 //! The upstream's state, as known from its heartbeats and its answers to polls.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use gentian::wire::id;
 use gentian_platform::heartbeat::{Incarnation, Report};
 use gentian_platform::order::Clock;
 
@@ -12,11 +14,17 @@
 /// runs nor a lease until it answers a poll or reports again.
 const MAX_UNANSWERED_POLLS: u32 = 2;
 
+/// Longest time by which a process may have started after the present, by the time of day.
+/// Clocks are set back and ahead, but by less.
+const MAX_START_AHEAD: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// How a heartbeat changes what is known of the upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Update {
     /// Not at all: it is older than the last one.
     Stale,
+    /// Not at all: it comes from another writer and names no upstream to use.
+    Foreign,
     /// It comes from the same incarnation.
     Same,
     /// It comes from another incarnation, or is the first.
@@ -57,12 +65,26 @@
         }
     }
 
-    /// Applies a heartbeat, unless a later one has overtaken it on its way.
+    /// Applies a heartbeat, unless a later one has overtaken it on its way, or another writer
+    /// has sent it. `services` are those of the configuration, `wall` is the time since the
+    /// Unix epoch.
+    ///
+    /// A process that is known is followed whatever the configuration says of its service.
     pub(super) fn apply_report(
         upstream: &mut Option<UpstreamState>,
         report: Report,
+        services: Option<&BTreeSet<id::Service>>,
+        wall: Duration,
         now: Instant,
     ) -> Update {
+        let is_known = |upstream: &UpstreamState| upstream.incarnation() == &report.incarnation;
+        let is_configured =
+            |report: &Report| services.is_none_or(|services| services.contains(&report.service));
+        let born = Duration::from_millis(report.incarnation.born_ms);
+        let is_possible = is_configured(&report) && born <= wall + MAX_START_AHEAD;
+        if !upstream.as_ref().is_some_and(is_known) && !is_possible {
+            return Update::Foreign;
+        }
         let Some(previous) = upstream else {
             *upstream = Some(UpstreamState::new(report, now));
             return Update::Replaced;
@@ -79,7 +101,9 @@
             return Update::Same;
         }
         let start_unknown = report.incarnation.born_ms == 0;
-        if !start_unknown && report.incarnation.born_ms < previous.report.incarnation.born_ms {
+        let is_earlier = report.incarnation.born_ms < previous.report.incarnation.born_ms;
+        // What was taken before the services were known may have been of another writer.
+        if !start_unknown && is_earlier && is_configured(&previous.report) {
             return Update::Stale;
         }
         *upstream = Some(UpstreamState::new(report, now));
--- a/crates/core/src/metrics/runs.rs
+++ b/crates/core/src/metrics/runs.rs
@@ -33,7 +33,7 @@
         let registry = Registry::new();
         let unreadable_reports = IntCounter::new(
             "gentian_upstream_reports_unreadable_total",
-            "Reports of the upstream that can't be read",
+            "Heartbeats that can't be read or name no upstream to use",
         );
         let offers = IntCounter::new(
             "gentian_capacity_offers_total",
--- a/crates/core/tests/platform_odd.rs
+++ b/crates/core/tests/platform_odd.rs
@@ -81,4 +81,8 @@
     number_of_65_bits: heartbeat_with_text("clock-ms", "18446744073709551616");
     port_out_of_range: heartbeat(&[("address", json!("127.0.0.1:65536"))]);
     address_with_a_scope: heartbeat(&[("address", json!("[fe80::1%7]:80"))]);
+    service_that_is_not_configured: heartbeat(&[("service", json!("unknown"))]);
+    service_that_is_not_configured_and_no_start_time:
+        heartbeat(&[("service", json!("unknown")), ("born", json!(0))]);
+    start_time_too_large: heartbeat(&[("born", json!(u64::MAX))]);
 }
