--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -8,6 +8,7 @@
 mod clock;
 mod control;
 mod entry;
+mod lag;
 mod load;
 mod local;
 mod logging;
