Orders: a run that is stopped before its start was sent never begins

Cause: an entry that orders and stops a run between two messages to the agent, as when its caller leaves at once, when it lags or when a deadline passes while it was not running, sends both orders in one message. The agent carried out stops first: the stop found nothing, the start was admitted, and the run went on to its end under the entry's lease.

Change, at both ends. The entry takes back a start that was not sent: the run has never begun, its capacity is free at once, and it doesn't count among the runs that a job under the same id waits for. The agent doesn't begin a run that the same message stops, and reports it as stopped. A stop is no longer sent for a run that has ended, nor for an orphan, which the agent doesn't know: a later job of the same id may reuse the run's number in the same message.

Ruled out by reading: starts that a lost stream did not send. A new stream lists their runs as known, and the agent reports them lost. No message with these starts exists, since they were still with the entry. Starts that were sent on the former stream and arrive after the new one was opened are ignored by the stream's number; those that arrived before are found among the agent's runs. An agent of a new incarnation has other connections.

Tests: the stream of a simulated entry moves from platform_drains to support/agent_stream.rs, since two files use it; what platform_drains checks is unchanged.

--- a/crates/claim/src/ordered/mod.rs
+++ b/crates/claim/src/ordered/mod.rs
@@ -100,18 +100,25 @@
     }
 
     /// Orders the stop of a run. Returns its data if it is over with that, since its start
-    /// was never sent.
+    /// was never sent. An orphan can't be stopped: the agent doesn't know it.
     pub fn stop(&mut self, run: Run) -> Option<T> {
+        let starts = &mut self.pending.starts;
+        if let Some(unsent) = starts.iter().position(|start| *start == run) {
+            starts.remove(unsent);
+            return self.end(&run);
+        }
         if let Some(ordered) = self.current.get_mut(&run) {
             ordered.stop_ordered = true;
+            self.pending.stops.push(run);
         }
-        self.pending.stops.push(run);
         None
     }
 
     /// Removes a run whose end the agent has reported. Returns its data, unless it is not
     /// one of the present incarnation.
     pub fn end(&mut self, run: &Run) -> Option<T> {
+        // A later job with the same id may reuse the run's number in the same message.
+        self.pending.stops.retain(|stop| stop != run);
         self.current.remove(run).map(|ordered| ordered.data)
     }
 
--- a/crates/claim/tests/ordered.rs
+++ b/crates/claim/tests/ordered.rs
@@ -154,3 +154,45 @@
     assert_eq!(end.is_none(), lost == vec![run("t")]);
     assert!(runs.is_empty());
 }
+
+/// Guards against a run that goes on after its job has ended: its start and its stop were
+/// sent in one message.
+#[test]
+fn a_run_that_is_stopped_before_its_start_was_sent_has_never_begun() {
+    let mut runs = sent();
+    runs.start(run("u"), 8);
+    runs.start(run("v"), 9);
+    assert_eq!(Some(8), runs.stop(run("u")), "it is over at once");
+    let start = Orders {
+        starts: vec![run("v")],
+        stops: Vec::new(),
+    };
+    assert_eq!(start, runs.take_orders(ms(110)));
+    assert_eq!(None, runs.stop(run("v")), "it may have begun");
+    assert_eq!(Some(9), runs.end(&run("v")));
+}
+
+/// A stream that opens lists the run, so that the agent may report its end.
+#[test]
+fn a_run_that_a_new_stream_has_listed_is_not_over_when_it_is_stopped() {
+    let mut runs = sent();
+    runs.start(run("u"), 8);
+    runs.disconnect();
+    assert!(runs.open().contains(&run("u")));
+    assert_eq!(None, runs.stop(run("u")));
+    assert_eq!(Some(8), runs.end(&run("u")));
+}
+
+/// The job is submitted again as soon as its last run has ended, and numbers runs anew.
+#[test]
+fn a_run_that_ends_before_its_stop_is_sent_may_start_again_at_once() {
+    let mut runs = sent();
+    runs.stop(run("t"));
+    assert_eq!(Some(7), runs.end(&run("t")));
+    runs.start(run("t"), 8);
+    let start = Orders {
+        starts: vec![run("t")],
+        stops: Vec::new(),
+    };
+    assert_eq!(start, runs.take_orders(ms(110)));
+}
--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -1,6 +1,6 @@
 //! Streams of the entries: their orders, and the reports of ends and of free capacity.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -96,8 +96,9 @@
         for run in &orders.stops {
             state.runs.request_stop(owner, &Run::from(run));
         }
-        let mut refused = Vec::new();
+        let mut ends = Vec::new();
         let mut any_admitted = false;
+        let stops: BTreeSet<Run> = orders.stops.iter().map(Run::from).collect();
         for batch in orders.starts {
             // A batch without a need is one of tasks that need nothing.
             let start = Start {
@@ -109,6 +110,11 @@
             let estimate = stream::duration(batch.estimate_ms.into());
             let mut batch_admitted = false;
             for run in batch.runs.iter().map(Run::from) {
+                // The entry has ordered both since its last message, the stop last.
+                if stops.contains(&run) {
+                    ends.push(end_before_start(owner, run, Fate::Stopped));
+                    continue;
+                }
                 match state.runs.admit(owner, &run, start.clone(), now) {
                     Ok(()) => {
                         batch_admitted = true;
@@ -124,9 +130,7 @@
                             state.waiting.add(owner.clone(), need, now);
                         }
                         self.metrics.refused(refusal);
-                        let end = refused_end(owner, run, refusal);
-                        log_end(&end);
-                        refused.push(end);
+                        ends.push(end_before_start(owner, run, Fate::Refused(refusal)));
                     }
                 }
             }
@@ -135,13 +139,14 @@
                 state.start_rates.record(&start.queue, now);
             }
         }
+        ends.iter().for_each(log_end);
         let stops = state.runs.take_due_stops(now);
         self.send_stops(stops);
         // The entry needs no answer to starts that were admitted, as long as it hears
         // from this agent often enough to know its clock and that it is there.
-        let only_admitted = any_admitted && refused.is_empty();
+        let only_admitted = any_admitted && ends.is_empty();
         if !only_admitted || state.is_report_due(owner, now) {
-            self.send_report(&mut state, owner, refused);
+            self.send_report(&mut state, owner, ends);
         }
         drop(state);
         self.poll_wakeup.notify_one();
@@ -321,11 +326,12 @@
     );
 }
 
-fn refused_end(owner: &Owner, run: Run, refusal: Refusal) -> RunEnd {
+/// The end of a run that has not begun and never will.
+fn end_before_start(owner: &Owner, run: Run, fate: Fate) -> RunEnd {
     RunEnd {
         owner: owner.clone(),
         run,
-        fate: Fate::Refused(refusal),
+        fate,
         ran: Duration::ZERO,
     }
 }
--- a/crates/core/src/entry/lease/link.rs
+++ b/crates/core/src/entry/lease/link.rs
@@ -90,10 +90,19 @@
         self.orders_ready.notify_one();
     }
 
-    /// Adds a stop to the next message. Returns the run if it is over with that.
+    /// Adds a stop to the next message. Returns the run if it is over with that, since its
+    /// start was still to be sent.
     pub(super) fn stop(&mut self, run: Run) -> Option<PlacedRun> {
-        self.orders_ready.notify_one();
-        self.runs.stop(run)
+        let message = agent::Run::from(&run);
+        let Some(unsent) = self.runs.stop(run) else {
+            self.orders_ready.notify_one();
+            return None;
+        };
+        for batch in &mut self.pending_starts {
+            batch.runs.retain(|start| *start != message);
+        }
+        self.pending_starts.retain(|batch| !batch.runs.is_empty());
+        Some(unsent)
     }
 
     /// The next message: all pending orders and the lease.
--- a/crates/core/src/entry/lease/state/mod.rs
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -184,9 +184,12 @@
         self.blocked_jobs.remove(&id);
         self.dequeue(&job.lane, &job.rank);
         for (node, run) in job.tasks.iter_mut().filter_map(|task| task.run.take()) {
-            if let Some(link) = self.links.get_mut(&node) {
-                link.stop(run);
-                *self.stopping_runs.entry(id.clone()).or_default() += 1;
+            let Some(link) = self.links.get_mut(&node) else {
+                continue;
+            };
+            match link.stop(run) {
+                Some(unsent) => self.placer.release(&node, unsent.need),
+                None => *self.stopping_runs.entry(id.clone()).or_default() += 1,
             }
         }
         for sender in job.callers.into_values() {
--- a/crates/core/src/entry/lease/state/runs.rs
+++ b/crates/core/src/entry/lease/state/runs.rs
@@ -207,8 +207,9 @@
         if let Some(job) = self.jobs.get_mut(&placed.job) {
             job.tasks[placed.index].moving = true;
         }
-        if let Some(link) = self.links.get_mut(node) {
-            link.stop(run);
+        let link = self.links.get_mut(node);
+        if let Some(unsent) = link.and_then(|link| link.stop(run.clone())) {
+            self.run_lost(node, &run, &unsent);
         }
     }
 }
--- a/crates/core/tests/platform_drains.rs
+++ b/crates/core/tests/platform_drains.rs
@@ -5,15 +5,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use gentian::wire::agent::agent_client::AgentClient;
-use gentian::wire::agent::{Batch, End, Fate, Need, Orders, Refusal, Run};
+use gentian::wire::agent::{End, Fate, Refusal};
 use serde_json::{json, Value};
+use support::agent_stream::{start, AgentStream};
 use support::platform::control::{call_control, drain_path, DrainOrder};
 use support::platform::{Platform, COMPLETED};
 use support::system::poll;
 use support::{output, text};
 use test_case::test_case;
-use tokio_stream::wrappers::ReceiverStream;
 
 /// Time from the acknowledgement of a drain until nothing starts there any more.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
@@ -117,47 +116,9 @@
 /// Orders a run from an agent, as an entry that does not know of any drain; returns how the
 /// run ended.
 fn order_run(platform: &Platform, worker: usize) -> End {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    let agent = format!("http://{}", platform.workers[worker].agent_peer);
-    runtime.expect("a runtime").block_on(async {
-        let mut client = AgentClient::connect(agent).await.expect("a connection");
-        let (orders, receiver) = tokio::sync::mpsc::channel(8);
-        let first = Orders {
-            entry: "entry-unaware".to_owned(),
-            incarnation: 1,
-            ..Orders::default()
-        };
-        orders.send(first).await.expect("the stream is open");
-        let reports = client.lease(ReceiverStream::new(receiver)).await;
-        let mut reports = reports.expect("a stream").into_inner();
-        let report = reports.message().await.expect("an open stream");
-        let clock = report.expect("a report").clock_ms;
-        let run = Run {
-            task: "00000000000000ee.0.0.0".to_owned(),
-            run: 1,
-        };
-        let batch = Batch {
-            service: "desk".to_owned(),
-            spec: "20".into(),
-            need: Some(Need::default()),
-            runs: vec![run],
-            ..Batch::default()
-        };
-        let order = Orders {
-            lease_until_ms: clock + 500,
-            starts: vec![batch],
-            ..Orders::default()
-        };
-        orders.send(order).await.expect("the stream is open");
-        loop {
-            let report = reports.message().await.expect("an open stream");
-            if let Some(end) = report.expect("a report").ends.pop() {
-                return end;
-            }
-        }
-    })
+    let mut stream = AgentStream::open(&platform.workers[worker].agent_peer);
+    let (_, batch) = start("00000000000000ee.0.0.0", 20);
+    stream.order(vec![batch], Vec::new())
 }
 
 /// Entries that are cut off from control, and those that learn late, go by what they knew.
--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -7,6 +7,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use gentian::wire::agent::Fate;
+use support::agent_stream::{start, AgentStream};
 use support::platform::{job, Platform, COMPLETED};
 use support::system::poll;
 use support::worker::Behavior;
@@ -292,3 +294,17 @@
     }
     platform.assert_no_concurrent_runs();
 }
+
+/// Guards against a run that goes on after its job has ended: one message ordered its start
+/// and its stop, and the agent carried out the stop first.
+#[test]
+fn a_run_that_one_message_starts_and_stops_does_not_begin() {
+    let platform = Platform::start(1, 1);
+    let mut stream = AgentStream::open(&platform.workers[0].agent_peer);
+    let task = "00000000000000ee.0.0.0";
+    let (run, batch) = start(task, 200);
+    let end = stream.order(vec![batch], vec![run]);
+    assert_eq!(Fate::Stopped, end.fate());
+    let observed = platform.observed.lock().expect("the lock is not poisoned");
+    assert_eq!(None, observed.starts.get(task));
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod agent_stream;
 pub(crate) mod cluster;
 mod hosts;
 pub(crate) mod observations;
