Entry: a run that is lost while a stream opens is stopped

Cause: the first message of a stream lists the runs that the entry knows, and the agent keeps these. When their leases lapse between that message and the agent's answer, the entry gives them up and starts their tasks elsewhere, and its next message renews the lease at the agent. An agent that was not running in between, and an upstream that was suspended with it, then go on with runs that nobody owns, to their end.

Change: runs that are given up while the agent is disconnected are stopped by the first message that renews the lease. A stream that lists its runs later doesn't list them, which stops them as before.

Evidence: crates/claim/tests/ordered.rs, of 13 tests a_run_that_is_lost_while_a_stream_opens_is_stopped failed on the parent (no stop was sent); 13 pass. Not seen in a system.

--- a/crates/claim/src/ordered/mod.rs
+++ b/crates/claim/src/ordered/mod.rs
@@ -189,6 +189,8 @@
         let due = self.orphans.extract_if(.., |_, (at, _)| *at <= now);
         expired.extend(due.map(|(run, (_, data))| (run, data)));
         if !self.connected && self.expires_at() <= now {
+            // A stream that is being opened may have listed them as known.
+            self.pending.stops.extend(self.current.keys().cloned());
             let all = self.current.drain();
             expired.extend(all.map(|(run, ordered)| (run, ordered.data)));
         }
--- a/crates/claim/tests/ordered.rs
+++ b/crates/claim/tests/ordered.rs
@@ -196,3 +196,16 @@
     };
     assert_eq!(start, runs.take_orders(ms(110)));
 }
+
+/// Guards against a run beside the next one of its task: the first message of a stream had
+/// listed it as known, it was given up before the agent answered, and nothing stopped it.
+#[test]
+fn a_run_that_is_lost_while_a_stream_opens_is_stopped() {
+    let mut runs = sent();
+    runs.disconnect();
+    assert_eq!(vec![run("t")], runs.open());
+    let lapsed = ms(100) + max_orphan_lifetime();
+    assert_eq!(vec![run("t")], expired(&mut runs, lapsed));
+    runs.connect(FIRST);
+    assert_eq!(vec![run("t")], runs.take_orders(lapsed).stops);
+}
