Lag of a process: measured, exported, and beside each judgement of a stream

Neither logs nor metrics tell whether it was the peer or the judge that was silent.

A task that is due each 20 ms measures by how much the process is late (limit::lag, a decision without I/O; crate::lag runs it). Time for which the system was suspended is told from time without processor by the boot-time clock, which moves from the replica to the root of the crate, since it has a second user now. A stream that is given up for want of a report says for how much of that time the process ran.

The counter of dropped log lines moves into the registry of the process, where it needs no text of its own. No decision changes.

--- a/crates/core/src/control/replica/clock.rs
+++ b/crates/core/src/clock.rs
@@ -1,8 +1,7 @@
-//! The clock that leader leases are measured with.
+//! The boot-time clock, which includes the time for which the system was suspended.
 //!
 //! `Instant` doesn't advance while a virtual machine is suspended, so a leader that
-//! resumes would take an expired lease for valid. The boot-time clock includes
-//! suspended time.
+//! resumes would take an expired lease for valid.
 
 use std::time::Duration;
 
--- a/crates/core/src/control/replica/mod.rs
+++ b/crates/core/src/control/replica/mod.rs
@@ -3,7 +3,6 @@
 //! One thread owns the replica and its store. Everything else sends it requests
 //! through a [`Handle`].
 
-mod clock;
 mod member_changes;
 mod repair;
 mod replicated_log;
@@ -35,6 +34,7 @@
 use thread::{Event, EventSender, ReplicaThread};
 use transport::{Outbox, MAX_BATCH_BYTES};
 
+use crate::clock;
 use crate::panics::Mutex;
 
 /// Capacity of the queue of events for the replica's thread.
--- a/crates/core/src/control/replica/repair.rs
+++ b/crates/core/src/control/replica/repair.rs
@@ -13,7 +13,8 @@
 use tokio::sync::watch;
 
 use super::thread::Event;
-use super::{clock, Handle};
+use super::Handle;
+use crate::clock;
 use crate::renew::ControlPeers;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/core/src/control/replica/status.rs
+++ b/crates/core/src/control/replica/status.rs
@@ -9,7 +9,7 @@
 use gentian::quorum::{Members, Replica};
 use rand::Rng;
 
-use super::clock;
+use crate::clock;
 use crate::panics::Mutex;
 
 /// The replica's status after its last event.
--- a/crates/core/src/control/replica/thread.rs
+++ b/crates/core/src/control/replica/thread.rs
@@ -21,7 +21,8 @@
 
 use super::status::SharedStatus;
 use super::transport::Outbox;
-use super::{clock, Error, Result};
+use super::{Error, Result};
+use crate::clock;
 use crate::panics::AbortOnPanic;
 
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
--- a/crates/core/src/entry/lease/stream.rs
+++ b/crates/core/src/entry/lease/stream.rs
@@ -14,6 +14,7 @@
 use tonic::Streaming;
 
 use super::dispatcher::Dispatcher;
+use crate::lag;
 use crate::panics::AbortOnPanic;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -54,6 +55,8 @@
     last_report: Option<(Duration, Instant)>,
     /// When the first message after the last report was sent; none if there is none.
     unanswered_since: Option<Instant>,
+    /// For how long this process had run by then.
+    ran_before: Duration,
     last_sent: Instant,
 }
 
@@ -127,6 +130,7 @@
     let mut timing = Timing {
         last_report: None,
         unanswered_since: Some(Instant::now()),
+        ran_before: lag::running_time(),
         last_sent: Instant::now(),
     };
     loop {
@@ -150,7 +154,11 @@
             () = orders_ready.notified(), if timing.last_report.is_some() => {}
             () = sleep_until_if_some(Some(next_message_at)), if timing.last_report.is_some() => {}
             () = sleep_until_if_some(timeout) => {
-                let message = format!("no report within {REPORT_TIMEOUT:?}");
+                let ran = lag::running_time().saturating_sub(timing.ran_before);
+                let message = format!(
+                    "no report within {REPORT_TIMEOUT:?}, in which this process ran for {ran:?}; its lag is {:?}",
+                    lag::last()
+                );
                 return tonic::Status::unavailable(message);
             }
         }
@@ -159,7 +167,10 @@
             return tonic::Status::unavailable("the agent does not read orders");
         }
         timing.last_sent = Instant::now();
-        timing.unanswered_since = timing.unanswered_since.or(Some(timing.last_sent));
+        if timing.unanswered_since.is_none() {
+            timing.unanswered_since = Some(timing.last_sent);
+            timing.ran_before = lag::running_time();
+        }
     }
 }
 
--- /dev/null
+++ b/crates/core/src/lag.rs
@@ -0,0 +1,85 @@
+//! By how much this process is behind with its work.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use gentian::limit::lag::{Clocks, Meter, Sample, State, PERIOD};
+
+use crate::clock;
+use crate::metrics::PROCESS;
+use crate::panics::AbortOnPanic;
+
+/// The last measured lag, in microseconds.
+static LAST: AtomicU64 = AtomicU64::new(0);
+/// Time for which the process has run, in microseconds.
+static RUNNING: AtomicU64 = AtomicU64::new(0);
+
+/// The lag that was measured last.
+pub(crate) fn last() -> Duration {
+    Duration::from_micros(LAST.load(Ordering::Relaxed))
+}
+
+/// Time for which this process has run and done what there was to do, in steps of
+/// [`PERIOD`]; it stands still while the process gets no processor.
+pub(crate) fn running_time() -> Duration {
+    Duration::from_micros(RUNNING.load(Ordering::Relaxed))
+}
+
+/// Measures the lag for as long as the process runs.
+pub(crate) async fn measure() {
+    let _essential = AbortOnPanic("the measurement of lag");
+    let origin = Instant::now();
+    let clocks = || Clocks {
+        monotonic: origin.elapsed(),
+        boot_time: clock::now(),
+    };
+    let mut meter = Meter::new(clocks());
+    let mut summary = Summary::default();
+    loop {
+        tokio::time::sleep(PERIOD).await;
+        let sample = meter.measure(clocks());
+        LAST.store(micros(sample.lag), Ordering::Relaxed);
+        RUNNING.store(micros(meter.running_time()), Ordering::Relaxed);
+        PROCESS.lag(&sample);
+        if meter.state() == State::Late || sample.change.is_some() {
+            summary.add(&sample);
+        }
+        if let Some(state) = sample.change {
+            summary.log(state);
+        }
+    }
+}
+
+/// What is told of a time for which the process was late.
+#[derive(Clone, Copy, Debug, Default)]
+struct Summary {
+    largest: Duration,
+    total: Duration,
+    suspended: Duration,
+}
+
+impl Summary {
+    fn add(&mut self, sample: &Sample) {
+        self.largest = self.largest.max(sample.lag);
+        self.total += sample.lag;
+        self.suspended += sample.suspended;
+    }
+
+    /// Logs the change to `state`, and begins anew once the process is on time.
+    fn log(&mut self, state: State) {
+        tracing::warn!(
+            event = "lag",
+            state = %state,
+            largest_ms = self.largest.as_millis() as u64,
+            total_ms = self.total.as_millis() as u64,
+            suspended_ms = self.suspended.as_millis() as u64,
+        );
+        if state == State::OnTime {
+            *self = Summary::default();
+        }
+    }
+}
+
+fn micros(duration: Duration) -> u64 {
+    u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
+}
--- a/crates/core/src/metrics/mod.rs
+++ b/crates/core/src/metrics/mod.rs
@@ -8,6 +8,7 @@
 mod control;
 mod entry;
 mod jobs;
+mod process;
 mod runs;
 
 use bytes::Bytes;
@@ -22,9 +23,9 @@
 pub(crate) use control::{Control, ControlStatus};
 pub(crate) use entry::Entry;
 pub(crate) use jobs::{JobStatus, Jobs};
+pub(crate) use process::PROCESS;
 pub(crate) use runs::Runs;
 
-use crate::logging;
 use crate::renew::LeaseState;
 use crate::serve::{respond, Response};
 
@@ -164,19 +165,10 @@
     collector
 }
 
-/// Everything but the value of the counter of dropped log lines, in the Prometheus
-/// text format.
-const DROPPED_LINES_HEADER: &str = "\
-# HELP gentian_log_lines_dropped_total Log lines that were not written, since too many waited
-# TYPE gentian_log_lines_dropped_total counter
-gentian_log_lines_dropped_total ";
-
-/// Encodes a registry and the process-wide log metrics as the response of `/metrics`.
+/// Encodes a registry and the metrics of the whole process as the response of `/metrics`.
 fn page(registry: &Registry) -> Response {
-    let text = TextEncoder::new().encode_to_string(&registry.gather());
+    let families = [registry.gather(), PROCESS.gather()].concat();
+    let text = TextEncoder::new().encode_to_string(&families);
     let text = text.expect("gathered metrics can be encoded");
-    // The log belongs to the whole process, so its counter is in no role's registry.
-    let dropped = logging::dropped();
-    let text = format!("{text}{DROPPED_LINES_HEADER}{dropped}\n");
     respond(prometheus::TEXT_FORMAT, Bytes::from(text))
 }
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -13,7 +13,7 @@
 use tokio::task::JoinHandle;
 
 use crate::settings::Settings;
-use crate::{agent, control, entry, logging, reload};
+use crate::{agent, control, entry, lag, logging, reload};
 
 /// Time that the control role has to finish requests in progress when it stops.
 const CONTROL_DRAIN_TIMEOUT: Duration = Duration::from_secs(10);
@@ -76,6 +76,7 @@
     let (control, control_addresses) = watch::channel(settings.control.clone());
     let roles = Roles::bind(settings, control_addresses).await?;
     tokio::spawn(logging::report_dropped_lines());
+    tokio::spawn(lag::measure());
     tokio::spawn(reload::watch_file(
         path.to_owned(),
         settings.clone(),
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backfill;
 pub mod headroom;
 pub mod job_queue;
+pub mod lag;
 pub mod queue;
 pub mod quota;
 pub mod response_weight;
