Entry: a job whose deadline passed before it was read is refused

Cause: an entry counted a request's age from when it read it. What came while the entry was frozen, suspended or out of processor waits in its socket; its caller may have given the job up at its deadline and sent it to another entry, where it runs. The entry then ran it for another whole deadline.

Change: limit::unread bounds how long a request may have waited that is read now, by the gaps of 100 ms and more in which the process showed no sign of life, which the measurement of lag gives each 20 ms on the boot-time clock. What is read in a gap, or while the process catches up on it, is taken for as old as the gap, and its deadline moves forward by that. A job whose deadline has passed when it is admitted is refused as not run, with cause deadline. Gaps below 100 ms are within what callers wait before they resend, less the time that runs last which nobody renews. Only the deadline moves: admission goes by the time since the request was read, as before, so that an entry that is always a little late refuses no more for that.

Ruled out: TCP_INFO (time since the last data on a socket) would be exact, but counts on the kernel's clock, which need not be that of the process.

Remains: an entry that takes longer than 250 ms to read what waited, in requests whose connections are still open, counts the last of them as new. A job that was read before the gap goes by the monotonic clock, which stands still during a suspension.

--- a/crates/core/src/entry/lease/api.rs
+++ b/crates/core/src/entry/lease/api.rs
@@ -17,6 +17,7 @@
 use crate::renew::LeaseState;
 use crate::serve::{self, Handler, Problem, Request, Response};
 use crate::settings;
+use crate::unread;
 
 /// Longest time to receive a request's body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -46,10 +47,12 @@
     config_wait: Duration,
 }
 
-/// A request's headers, and when they arrived. The request may have waited since then.
+/// A request's headers, and when they were read. The request may have waited since then.
 struct Arrival<'a> {
     head: &'a Head,
     at: Instant,
+    /// Longest time that it may have waited before.
+    unread: Duration,
 }
 
 /// Removes a caller from its job when dropped, so also when the caller hangs up and
@@ -155,6 +158,7 @@
         let arrival = Arrival {
             head: &head,
             at: Instant::now(),
+            unread: unread::longest_wait(),
         };
         let held = self.config_or_wait(&arrival).await?;
         let queue = held.document.queue_for(&head.host, &path);
@@ -185,10 +189,11 @@
         &self,
         id: &str,
         queue: Queue,
-        Arrival { head, at: arrived }: Arrival<'_>,
+        arrival: Arrival<'_>,
         held: &LeaseState,
         request: Request,
     ) -> Result<Response> {
+        let (head, arrived) = (arrival.head, arrival.at);
         let body = serve::read_body(request.into_body(), self.max_body, BODY_TIMEOUT).await?;
         let submission = caller::Submission::read(id, &body);
         let job = match submission.map_err(|error| Problem::bad(&error.to_string()))? {
@@ -204,7 +209,9 @@
         let service =
             service.ok_or_else(|| Problem::busy("no service is configured for this queue"))?;
         // The caller's own deadline takes precedence over the queue's timeout.
+        // Past it, the caller may have sent the job to another entry.
         let deadline = arrived + head.deadline.unwrap_or(queue.timeout());
+        let deadline = deadline.checked_sub(arrival.unread).unwrap_or(arrived);
         let submission = Submission {
             id: id.into(),
             queue,
@@ -223,7 +230,8 @@
                 tasks = submission.task_count(),
                 cpu = submission.max_cpu(),
                 declared_ms = submission.critical_path().as_millis() as u64,
-                deadline_ms = (deadline - arrived).as_millis() as u64,
+                deadline_ms = deadline.saturating_duration_since(arrived).as_millis() as u64,
+                unread_ms = arrival.unread.as_millis() as u64,
                 version = config.0,
                 version_age_ms = config.1.as_millis() as u64,
             );
@@ -251,7 +259,7 @@
         arrived: Instant,
         deadline: Instant,
     ) -> Outcome {
-        let mut ticket = self.dispatcher.submit(submission, arrived);
+        let mut ticket = self.dispatcher.submit(submission, arrived, deadline);
         let job = ticket.job;
         let guard = CallerGuard {
             dispatcher: self.dispatcher.clone(),
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -13,7 +13,7 @@
 use gentian::wire::id::{self, Incarnation, Node};
 use tokio::sync::{oneshot, Notify};
 
-use super::job::{Outcome, RefusalCause, Submission};
+use super::job::{Outcome, RefusalCause, Submission, Times};
 use super::link::Link;
 use super::state::State;
 use crate::metrics;
@@ -72,8 +72,14 @@
 
     /// Accepts or refuses a job. A caller that submits the id of a job in progress
     /// waits for that job's outcome; the new submission is dropped. `arrived` is the time of
-    /// the caller's request, which may have waited for a configuration.
-    pub(super) fn submit(&self, submission: Submission, arrived: Instant) -> Ticket {
+    /// the caller's request, which may have waited for a configuration, and `deadline` the
+    /// time at which the caller gives it up.
+    pub(super) fn submit(
+        &self,
+        submission: Submission,
+        arrived: Instant,
+        deadline: Instant,
+    ) -> Ticket {
         let mut state = self.state();
         let (sender, outcome) = oneshot::channel();
         state.last_number += 1;
@@ -91,7 +97,8 @@
             job.map(|job| job.callers.insert(caller, sender));
             return ticket;
         }
-        state.admit(caller, submission, objective, arrived, sender);
+        let times = Times { arrived, deadline };
+        state.admit(caller, submission, objective, times, sender);
         ticket
     }
 
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -71,6 +71,13 @@
     }
 }
 
+/// When a job was received, and when its caller gives it up.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Times {
+    pub(super) arrived: Instant,
+    pub(super) deadline: Instant,
+}
+
 /// How a job ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Outcome {
--- a/crates/core/src/entry/lease/state/admission.rs
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -7,7 +7,7 @@
 use gentian::wire::need::Constraints;
 use tokio::sync::oneshot;
 
-use super::super::job::{Job, Lane, Outcome, Refusal, RefusalCause, Submission};
+use super::super::job::{Job, Lane, Outcome, Refusal, RefusalCause, Submission, Times};
 use super::{crashes, State};
 
 /// Retry delay for refused callers when the wait can't be estimated.
@@ -48,13 +48,13 @@
     }
 
     /// Adds a job under this number, or answers its caller at once: that it is refused, or that
-    /// it has failed before at another entry. `arrived` is the time of the caller's request.
+    /// it has failed before at another entry.
     pub(in crate::entry::lease) fn admit(
         &mut self,
         number: u64,
         submission: Submission,
         objective: Objective,
-        arrived: Instant,
+        times: Times,
         caller: oneshot::Sender<Outcome>,
     ) {
         let rank = Rank {
@@ -69,9 +69,8 @@
         if given_up.is_none() {
             self.record_demand(&submission, &objective, &lane);
         }
-        let waited = arrived.elapsed();
         let outcome = given_up.or_else(|| {
-            let refusal = self.refuse_on_arrival(&submission, &objective, &lane, &rank, waited)?;
+            let refusal = self.refuse_on_arrival(&submission, &objective, &lane, &rank, times)?;
             Some(Outcome::Refused(refusal))
         });
         if let Some(outcome) = outcome {
@@ -81,31 +80,34 @@
             return;
         }
         let mut job = Job::new(submission, objective, lane, rank);
-        job.arrived_at = arrived;
+        job.arrived_at = times.arrived;
         job.callers.insert(number, caller);
         self.insert_job(number, job);
     }
 
-    /// Refuses a job that no upstream can run or that would wait for too long, and counts and
-    /// logs that; returns none if the job is admitted.
+    /// Refuses a job that no upstream can run, that would wait for too long or that its caller
+    /// has given up, and counts and logs that; returns none if the job is admitted.
     fn refuse_on_arrival(
         &mut self,
         submission: &Submission,
         objective: &Objective,
         lane: &Lane,
         rank: &Rank,
-        waited: Duration,
+        times: Times,
     ) -> Option<Refusal> {
-        let late = !objective.allows_start_after(waited);
+        let waited = times.arrived.elapsed();
+        let overdue = Instant::now() >= times.deadline;
+        let late = match (overdue, objective.allows_start_after(waited)) {
+            (true, _) => Some(RefusalCause::Deadline),
+            (false, false) => Some(RefusalCause::Waited),
+            (false, true) => None,
+        };
         let refusal = match late {
-            true => Some(Refusal::new(
-                RefusalCause::Waited,
-                self.retry_after(lane, rank),
-            )),
-            false => self.find_refusal(submission, objective, lane, rank),
+            Some(cause) => Some(Refusal::new(cause, self.retry_after(lane, rank))),
+            None => self.find_refusal(submission, objective, lane, rank),
         };
         let refusal = refusal?;
-        if lane.confined && !late {
+        if lane.confined && late.is_none() {
             self.refused_at.insert(lane.clone(), Instant::now());
         }
         self.record_refusal(submission, refusal, waited);
--- a/crates/core/src/lag.rs
+++ b/crates/core/src/lag.rs
@@ -5,9 +5,9 @@
 
 use gentian::limit::lag::{Clocks, Meter, Sample, State, PERIOD};
 
-use crate::clock;
 use crate::metrics::PROCESS;
 use crate::panics::AbortOnPanic;
+use crate::{clock, unread};
 
 /// The last measured lag, in microseconds.
 static LAST: AtomicU64 = AtomicU64::new(0);
@@ -37,6 +37,7 @@
     let mut summary = Summary::default();
     loop {
         tokio::time::sleep(PERIOD).await;
+        unread::record();
         let sample = meter.measure(clocks());
         LAST.store(micros(sample.lag), Ordering::Relaxed);
         RUNNING.store(micros(meter.running_time()), Ordering::Relaxed);
--- a/crates/core/src/main.rs
+++ b/crates/core/src/main.rs
@@ -20,6 +20,7 @@
 mod run;
 mod serve;
 mod settings;
+mod unread;
 mod upstream;
 
 fn main() -> ExitCode {
--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use std::io::Read;
 use std::net::TcpListener;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -308,3 +309,31 @@
     let observed = platform.observed.lock().expect("the lock is not poisoned");
     assert_eq!(None, observed.starts.get(task));
 }
+
+/// Guards against a task that runs for two entries at once: its job waited in the socket of
+/// a frozen entry until its caller gave it up and sent it to another one.
+#[test_case(false; "the end of the connection is lost")]
+#[test_case(true; "the caller closes the connection")]
+fn a_job_whose_deadline_passed_before_it_was_read_runs_nowhere(closed: bool) {
+    let platform = Platform::start(2, 2);
+    platform.entries[0].signal(libc::SIGSTOP);
+    let id = "0000000000000001";
+    let deadline = Duration::from_millis(500);
+    let mut stale = Some(platform.send(0, id, &job(4, 1_500), 500));
+    thread::sleep(deadline);
+    if closed {
+        stale = None;
+    }
+    thread::sleep(RESEND_DELAY);
+    let resent = platform.spawn_submit(1, id, 4, 1_500);
+    poll(|| (platform.running() == 4).then_some(()));
+    platform.entries[0].signal(libc::SIGCONT);
+    let answer = resent.join().expect("the thread does not panic");
+    assert_eq!((200, COMPLETED.to_owned()), answer);
+    platform.assert_no_concurrent_runs();
+    if let Some(mut stale) = stale {
+        let mut answer = String::new();
+        stale.read_to_string(&mut answer).expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+    }
+}
--- a/crates/core/tests/support/platform/mod.rs
+++ b/crates/core/tests/support/platform/mod.rs
@@ -236,17 +236,25 @@
 
     /// Submits a job and closes the connection once a task runs.
     pub(crate) fn submit_and_disconnect(&self, entry: usize, id: &str, job: &Value) {
+        let _stream = self.send(entry, id, job, 10_000);
+        poll(|| (self.running() > 0).then_some(()));
+    }
+
+    /// Sends a job that its caller gives up after `deadline` milliseconds; doesn't wait for
+    /// the answer.
+    pub(crate) fn send(&self, entry: usize, id: &str, job: &Value, deadline: u64) -> TcpStream {
         let body = job.to_string();
         let mut stream =
             TcpStream::connect(&self.entry_http_addresses[entry]).expect("the connection opens");
+        let length = body.len();
         let head = format!(
-            "POST /q/{id} HTTP/1.1\r\nhost: {HOST}\r\ncontent-length: {}\r\n\r\n",
-            body.len()
+            "POST /q/{id} HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\n\
+             deadline-ms: {deadline}\r\ncontent-length: {length}\r\n\r\n"
         );
         stream
             .write_all((head + &body).as_bytes())
             .expect("the request is sent");
-        poll(|| (self.running() > 0).then_some(()));
+        stream
     }
 
     /// Calls an entry; returns status and body.
