Agent: fence off what was sent to the upstream's former process

Cause: a new process of the upstream has seen no fencing token, knows no stop that the former one answered, and its clock begins anew, so that the deadline in a start that was sent before is far off. The agent kept its token, and asked the new process nothing until there was work for it. Besides it - counted a start that was sent to the former process as never begun 1.12 s after the restart, by its own clock; - took the answer to a stop from the former process for one of the new; - granted leases by the former process's clock until the new one reported; - counted all runs as lost as soon as a heartbeat named another id, which proves nothing of the process that has them; - sent a start that waited for its permit to whatever process was there when it got it.

Change: each replacement raises the token, and the new process is polled at once and gets no runs before it has answered: from then on it refuses whatever was sent before. An order remembers how many replacements came before it, and its answer tells nothing of a later process. A start that may reach a process with the same id is over once that process has answered a stop of it, or after MAX_ORDER_DELAY. Runs of a process that may still be there count until their lease has lapsed. Whether it may be there is one typed decision (`Replacement`): another process under the same id, or at the same address, proves its end; another id alone doesn't.

Changed in a test: crash.rs `jobs_of_limited_isolation_are_few_until_some_are_completed` expected that a new process is given a job before it was asked anything. It now expects the refusal before its first answer to a poll, and the same as before after it. Other tests only pass the new argument of `upstream_replaced`.

Remains: between the start of a new process and the first order that reaches it (a heartbeat, a poll), it still carries out what was sent to the former one; an upstream that reports no start time (`born`) and restarts under its id is not noticed as a new process by its answers.

--- a/crates/claim/src/run/admission.rs
+++ b/crates/claim/src/run/admission.rs
@@ -87,6 +87,10 @@
         if self.denied {
             return Err(Refusal::Denied);
         }
+        let replaced = |live: &LiveRun| live.phase_after_replacement.is_some();
+        if self.live.get(run).is_some_and(replaced) {
+            return Err(Refusal::Closed);
+        }
         let wanted = |live: &&LiveRun| !live.stop_requested && self.lease_of(&live.owner) > now;
         let live = self.live.get(run).filter(wanted);
         live.map(|_| ()).ok_or(Refusal::Expired)
--- a/crates/claim/src/run/crash.rs
+++ b/crates/claim/src/run/crash.rs
@@ -30,6 +30,7 @@
     /// sent there by then.
     pub(super) fn crashed(&self, run: &Run, at: Duration) -> Option<CrashedRun> {
         let began = match self.phase {
+            Phase::Former { .. } => return None,
             Phase::Starting | Phase::Unanswered { .. } => {
                 self.sent_at.filter(|sent| *sent <= at)?
             }
--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -23,6 +23,8 @@
     /// the run. Polls with a number above `after`, which is set by that answer, then show
     /// whether the run has begun.
     Unanswered { until: Duration, after: Option<u64> },
+    /// It was ordered from a former process of the upstream, which may have it until then.
+    Former { until: Duration },
 }
 
 /// One run that is, or may be, at the upstream.
@@ -49,6 +51,9 @@
     /// Whether a poll that began later was answered without listing the run, or the
     /// upstream has been replaced: without an answer to its start the run is then stopped.
     pub(super) unlisted: bool,
+    /// Its phase if its start gets no answer, since the upstream's process was replaced
+    /// meanwhile.
+    pub(super) phase_after_replacement: Option<Phase>,
     /// Whether its start got no answer, even if a poll found the run since.
     pub(super) start_unanswered: bool,
     /// Progress at the last poll that listed it.
@@ -76,6 +81,7 @@
             stop_sent_at: None,
             polls_before: polls,
             unlisted: false,
+            phase_after_replacement: None,
             start_unanswered: false,
             percent: 0,
             last_found_at: now,
@@ -93,13 +99,15 @@
     pub(super) fn stop_is_due(&self, now: Duration) -> bool {
         let sent = self.stop_sent_at;
         let again = sent.is_none_or(|at| now >= at + STOP_RETRY_INTERVAL);
-        self.stop_requested && again && !matches!(self.phase, Phase::Starting)
+        let is_there = matches!(self.phase, Phase::Running { .. } | Phase::Unanswered { .. });
+        self.stop_requested && again && is_there
     }
 
     /// Records that the start got no answer. The run is stopped once a poll doesn't list
     /// it: before that, it may well have begun and only the answer be lost.
     pub(super) fn set_unanswered(&mut self, until: Duration) {
-        self.phase = Phase::Unanswered { until, after: None };
+        let unanswered = Phase::Unanswered { until, after: None };
+        self.phase = self.phase_after_replacement.unwrap_or(unanswered);
         self.start_unanswered = true;
         self.stop_requested |= self.unlisted;
     }
@@ -134,6 +142,7 @@
     pub(super) fn missing(&self, poll: u64, now: Duration) -> Option<Fate> {
         match self.phase {
             Phase::Starting => None,
+            Phase::Former { until } => (now > until).then_some(Fate::Lost),
             Phase::Running { after } => (poll > after).then_some(Fate::Lost),
             Phase::Unanswered { until, after } => {
                 let never_begins = now > until || after.is_some_and(|after| poll > after);
@@ -142,6 +151,18 @@
         }
     }
 
+    /// When it is certainly gone from the upstream, unless it is found there before, given the
+    /// time at which all runs are gone whose lease has lapsed; `None` while its start is
+    /// under way.
+    pub(super) fn gone_at(&self, all_gone_at: Duration) -> Option<Duration> {
+        match self.phase {
+            Phase::Starting => None,
+            Phase::Running { .. } => Some(all_gone_at),
+            Phase::Unanswered { until, .. } => Some(all_gone_at.max(until)),
+            Phase::Former { until } => Some(until),
+        }
+    }
+
     /// Whether it has run for longer than `SLOW_FACTOR` times its estimate.
     pub(super) fn is_slow(&self, now: Duration) -> bool {
         let ran = now.saturating_sub(self.admitted_at);
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -15,6 +15,10 @@
 //! start may still be carried out until its lease has lapsed. The agent sends a stop
 //! for such a run, which also prevents the run from starting later. If a poll that
 //! begins after the stop was answered doesn't list the run, the run has never begun.
+//!
+//! A new process of the upstream knows neither the fencing tokens nor the deadlines that the
+//! former one has seen. Each gets a higher token than the one before, so that an order with it
+//! fences off all that were sent before. See [`Replacement`].
 
 mod admission;
 mod crash;
@@ -22,6 +26,7 @@
 mod live;
 mod pace;
 mod recent_ends;
+mod replacement;
 mod types;
 mod upstream_clock;
 mod wire;
@@ -37,6 +42,7 @@
 use recent_ends::RecentEnds;
 
 pub use grant::LeaseGrant;
+pub use replacement::{Replacement, MAX_ORDER_DELAY};
 pub use types::{
     Fate, Isolation, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Start, StartAnswer,
 };
@@ -315,13 +321,11 @@
         self.pace.get()
     }
 
-    /// Ends all runs that must be gone because the upstream's lease has lapsed.
+    /// Ends all runs that must be gone because their lease has lapsed at the upstream.
     pub fn end_lapsed(&mut self, now: Duration) -> Vec<RunEnd> {
-        if now < self.all_gone_at() {
-            return Vec::new();
-        }
-        let starting = |live: &LiveRun| matches!(live.phase, Phase::Starting);
-        let gone = self.live.iter().filter(|(_, live)| !starting(live));
+        let all_gone_at = self.all_gone_at();
+        let gone = |live: &LiveRun| live.gone_at(all_gone_at).is_some_and(|at| at <= now);
+        let gone = self.live.iter().filter(|(_, live)| gone(live));
         let gone: Vec<Run> = gone.map(|(run, _)| run.clone()).collect();
         let lost = gone
             .iter()
@@ -331,42 +335,7 @@
         self.end_all(&gone, now)
     }
 
-    /// Ends all runs that had begun, since the upstream process was replaced.
-    ///
-    /// Starts without an answer may still be carried out by the new process if it
-    /// has the id of the old one. They are stopped there like any other run whose
-    /// start got no answer.
-    pub fn upstream_replaced(&mut self, now: Duration) -> Vec<RunEnd> {
-        self.last_seen_end = 0;
-        self.unknown_runs.clear();
-        self.unknown_since = None;
-        self.lost_in_silence.clear();
-        self.completed_jobs = 0;
-        // What the former process ran has ended with it.
-        self.complete = true;
-        self.gone_at = Duration::ZERO;
-        self.pending_grants.clear();
-        self.pace = Pace::default();
-        let mut gone = Vec::new();
-        for (run, live) in &mut self.live {
-            match &mut live.phase {
-                Phase::Running { .. } => gone.push(run.clone()),
-                Phase::Starting => {
-                    self.gone_at = now + max_orphan_lifetime();
-                    live.unlisted = true;
-                }
-                Phase::Unanswered { until, after } => {
-                    self.gone_at = now + max_orphan_lifetime();
-                    (*until, *after) = (self.gone_at, None);
-                    live.stop_requested = true;
-                    live.stop_sent_at = None;
-                }
-            }
-        }
-        self.end_all(&gone, now)
-    }
-
-    fn end_all(&mut self, runs: &[Run], now: Duration) -> Vec<RunEnd> {
+    pub(super) fn end_all(&mut self, runs: &[Run], now: Duration) -> Vec<RunEnd> {
         let ends = runs.iter().filter_map(|run| self.end(run, Fate::Lost, now));
         ends.collect()
     }
--- a/crates/claim/tests/crash.rs
+++ b/crates/claim/tests/crash.rs
@@ -4,7 +4,8 @@
 
 use gentian_claim::crash::{Crash, CrashedRun, History, Process, StartRates, Verdict};
 use gentian_claim::run::{
-    Fate, Isolation, ListedEnd, Owner, Refusal, Run, Runs, Start, StartAnswer, MAX_LEASE,
+    Fate, Isolation, ListedEnd, Owner, Refusal, Replacement, Run, Runs, Start, StartAnswer,
+    MAX_LEASE,
 };
 use gentian_wire::id::{Incarnation, Node};
 use gentian_wire::need::Need;
@@ -291,11 +292,22 @@
     assert_eq!(Ok(()), admit(&mut runs, "e", "a.0", limited));
     assert_eq!(Ok(()), admit(&mut runs, "f", "b.0", limited));
     assert_eq!(Err(Refusal::Full), admit(&mut runs, "f", "c.0", limited));
-    runs.upstream_replaced(ms(40));
+    let restarted = Replacement {
+        same_id: true,
+        former_ended: true,
+    };
+    runs.upstream_replaced(restarted, ms(40));
     for task in ["a.0", "b.0"] {
         let refused = StartAnswer::Refused(Refusal::Closed);
         runs.apply_start_answer(&numbered(task), refused, ms(41));
     }
+    assert_eq!(
+        Err(Refusal::Closed),
+        admit(&mut runs, "e", "d.0", limited),
+        "before the new process has answered a poll"
+    );
+    let poll = runs.begin_poll();
+    runs.apply_poll(poll, &[], &[], ms(42));
     assert_eq!(Ok(()), admit(&mut runs, "e", "d.0", limited));
     assert_eq!(Err(Refusal::Full), admit(&mut runs, "f", "e.0", limited));
 }
--- a/crates/claim/tests/run/main.rs
+++ b/crates/claim/tests/run/main.rs
@@ -1,6 +1,7 @@
 //! Tests of runs under leases, event by event.
 
 mod given_up;
+mod replacement;
 mod unanswered;
 mod upstream_clock;
 
@@ -280,7 +281,10 @@
         ms(10),
     );
     assert_eq!(9, runs.last_seen_end());
-    assert_eq!(vec![Fate::Lost], fates(&runs.upstream_replaced(ms(20))));
+    assert_eq!(
+        vec![Fate::Lost],
+        fates(&runs.upstream_replaced(replacement::RESTARTED, ms(20)))
+    );
     assert_eq!(0, runs.last_seen_end());
     assert!(runs.is_empty());
 }
--- a/crates/claim/tests/run/unanswered.rs
+++ b/crates/claim/tests/run/unanswered.rs
@@ -2,6 +2,7 @@
 
 use gentian_claim::run::{max_orphan_lifetime, Fate, Refusal, StartAnswer, MAX_LEASE};
 
+use super::replacement::RESTARTED;
 use super::{fates, listed_end, listed_run, ms, owner, run, runs, start, starting};
 
 #[test]
@@ -94,7 +95,7 @@
 fn a_start_under_way_may_reach_the_replaced_upstream() {
     let mut runs = starting();
     assert!(
-        runs.upstream_replaced(ms(10)).is_empty(),
+        runs.upstream_replaced(RESTARTED, ms(10)).is_empty(),
         "the start may reach the new process"
     );
     assert_eq!(
@@ -128,7 +129,7 @@
     assert!(runs.apply_poll(poll, &[], &[], ms(6)).is_empty());
     assert_eq!(vec![run("t", 1)], runs.take_due_stops(ms(6)));
     runs.stop_answered(&run("t", 1));
-    assert!(runs.upstream_replaced(ms(10)).is_empty());
+    assert!(runs.upstream_replaced(RESTARTED, ms(10)).is_empty());
     assert_eq!(
         vec![run("t", 1)],
         runs.take_due_stops(ms(11)),
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -56,7 +56,7 @@
             Ok(Ok((clock, begun))) => {
                 let mut state = supervisor.state();
                 if clock.is_some_and(|clock| supervisor.update_clock(&mut state, &order, clock)) {
-                    supervisor.handle_replacement(&mut state, &order);
+                    supervisor.handle_replacement(&mut state, &order, true);
                     drop(state);
                     // The run may have begun at an incarnation that has not reported yet.
                     return handle_start_answer(&supervisor, &run, StartAnswer::Unknown);
@@ -84,7 +84,7 @@
                 }
             }
             Ok(Err(order::Error::Replaced)) => {
-                supervisor.handle_replacement(&mut supervisor.state(), &order);
+                supervisor.handle_replacement(&mut supervisor.state(), &order, false);
                 return handle_start_answer(
                     &supervisor,
                     &run,
@@ -137,10 +137,10 @@
     let request = order::stop(&order.id, &run, order.authority);
     let answer = supervisor.send_order(&order, request, ANSWER_TIMEOUT).await;
     match answer.map(|answer| order::parse_stop(answer.status)) {
-        Ok(Ok(true)) => supervisor.state().runs.stop_answered(&run),
+        Ok(Ok(true)) => supervisor.handle_stop_answer(&order, &run),
         Ok(Ok(false)) => supervisor.raise_token(&mut supervisor.state(), order.authority.token),
         Ok(Err(order::Error::Replaced)) => {
-            supervisor.handle_replacement(&mut supervisor.state(), &order)
+            supervisor.handle_replacement(&mut supervisor.state(), &order, false)
         }
         // The stop is sent again as long as the upstream may have the run.
         Ok(Err(error)) => {
@@ -198,6 +198,15 @@
 }
 
 impl Supervisor {
+    /// Handles the answer to a stop, which tells nothing of a process that has taken the
+    /// upstream's place since.
+    fn handle_stop_answer(&self, order: &Order, run: &Run) {
+        let mut state = self.state();
+        if !order.is_outdated(&state) {
+            state.runs.stop_answered(run);
+        }
+    }
+
     /// Handles the answer to a poll. Returns whether it was usable.
     fn handle_poll_answer(
         self: &Arc<Self>,
@@ -213,7 +222,7 @@
                 false
             }
             Err(order::Error::Replaced) => {
-                self.handle_replacement(&mut self.state(), order);
+                self.handle_replacement(&mut self.state(), order, false);
                 false
             }
             Err(error) => {
@@ -244,7 +253,7 @@
             );
         }
         if self.update_clock(&mut state, order, list.clock) {
-            self.handle_replacement(&mut state, order);
+            self.handle_replacement(&mut state, order, true);
             return false;
         }
         state.acknowledged = state.acknowledged.max(last_end);
--- a/crates/core/src/agent/lease/crashes.rs
+++ b/crates/core/src/agent/lease/crashes.rs
@@ -25,9 +25,8 @@
         error: &client::Error,
     ) -> bool {
         let now = self.now();
-        let upstream = state.upstream.as_mut();
-        let Some(upstream) = upstream.filter(|upstream| upstream.incarnation().id == order.id)
-        else {
+        let outdated = order.is_outdated(state);
+        let Some(upstream) = state.upstream.as_mut().filter(|_| !outdated) else {
             return false;
         };
         if matches!(error, client::Error::Broken(_)) {
--- a/crates/core/src/agent/lease/order.rs
+++ b/crates/core/src/agent/lease/order.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use gentian::claim::run::{LeaseGrant, Refusal, Run};
+use gentian::claim::run::{LeaseGrant, Refusal, Replacement, Run};
 use gentian_platform::order::{Authority, Clock};
 use http_body_util::Full;
 
@@ -18,6 +18,15 @@
     pub(super) authority: Authority,
     /// Lease that the order grants to the upstream, if any.
     grant: Option<LeaseGrant>,
+    /// Number of processes that had taken the upstream's place by then.
+    replacements: u64,
+}
+
+impl Order {
+    /// Whether another process has taken the upstream's place since the order was prepared.
+    pub(super) fn is_outdated(&self, state: &State) -> bool {
+        state.replacements != self.replacements
+    }
 }
 
 impl Supervisor {
@@ -26,11 +35,10 @@
     pub(super) fn next_order(&self, state: &mut State) -> Option<Order> {
         let now = self.now();
         let upstream = state.upstream.as_ref()?;
-        // The lease of an unresponsive upstream isn't extended, so that its runs lapse.
         let lease = state
             .runs
             .upstream_lease(now)
-            .filter(|_| upstream.is_responsive());
+            .filter(|_| upstream.may_hold_lease());
         let until = lease.map(|until| upstream.clock() + until.saturating_sub(now));
         let order = Order {
             id: upstream.incarnation().id.clone(),
@@ -40,6 +48,7 @@
                 until,
             },
             grant: lease.map(|until| state.runs.begin_grant(until, now)),
+            replacements: state.replacements,
         };
         Some(order)
     }
@@ -86,9 +95,8 @@
         order: &Order,
         error: Option<&client::Error>,
     ) {
-        let upstream = state.upstream.as_mut();
-        let Some(upstream) = upstream.filter(|upstream| upstream.incarnation().id == order.id)
-        else {
+        let outdated = order.is_outdated(state);
+        let Some(upstream) = state.upstream.as_mut().filter(|_| !outdated) else {
             return;
         };
         let now = self.now();
@@ -114,21 +122,26 @@
     /// Records the clock in an answer to `order`. Returns true if another
     /// incarnation of the upstream answered, or has reported since the order was sent.
     pub(super) fn update_clock(&self, state: &mut State, order: &Order, clock: Clock) -> bool {
+        if order.is_outdated(state) {
+            return true;
+        }
         let Some(upstream) = &mut state.upstream else {
             return true;
         };
-        if upstream.incarnation().id != order.id || upstream.is_other_incarnation(clock) {
+        if upstream.is_other_incarnation(clock) {
             return true;
         }
         upstream.set_clock(clock.now, self.now());
         false
     }
 
-    /// Ends all runs, since another incarnation of the upstream answered `order`. Does
-    /// nothing if an incarnation with another id has reported already.
-    pub(super) fn handle_replacement(&self, state: &mut State, order: &Order) {
+    /// Ends all runs, since another incarnation of the upstream answered `order`; `same_id`
+    /// tells whether it has the id of the former one. Does nothing if the replacement is known
+    /// already.
+    pub(super) fn handle_replacement(&self, state: &mut State, order: &Order, same_id: bool) {
+        let outdated = order.is_outdated(state);
         let upstream = state.upstream.as_mut();
-        let Some(upstream) = upstream.filter(|upstream| upstream.incarnation().id == order.id)
+        let Some(upstream) = upstream.filter(|upstream| !outdated && !upstream.is_replaced())
         else {
             return;
         };
@@ -138,10 +151,14 @@
         );
         let ended = upstream.clone();
         let now = self.now();
-        upstream.mark_gone();
+        upstream.mark_replaced();
         state.update_admission(now);
         self.record_crash(state, &ended);
-        let ends = state.runs.upstream_replaced(now);
+        let replacement = Replacement {
+            same_id,
+            former_ended: true,
+        };
+        let ends = state.replace_upstream(replacement, now);
         self.report_ends(state, ends);
         self.room_changed.notify_one();
     }
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, SystemTime};
 
 use gentian::claim::crash::{History, StartRates};
-use gentian::claim::run::{Owner, Run, Runs};
+use gentian::claim::run::{Owner, Replacement, Run, RunEnd, Runs};
 use gentian::limit::waiting_list::WaitingList;
 use gentian::wire::{control, id};
-use gentian_platform::heartbeat::Report;
+use gentian_platform::heartbeat::{Incarnation, Report};
 use tokio::sync::{Notify, Semaphore};
 
 use super::calls;
@@ -54,6 +54,8 @@
     /// How often jobs are started at the upstream.
     pub(super) start_rates: StartRates,
     pub(super) upstream: Option<UpstreamState>,
+    /// Number of processes that have taken the upstream's place so far.
+    pub(super) replacements: u64,
     pub(super) streams: BTreeMap<Owner, Stream>,
     /// Entries whose starts were refused for lack of capacity.
     pub(super) waiting: WaitingList<Owner>,
@@ -91,6 +93,7 @@
                 crashes: History::default(),
                 start_rates: StartRates::default(),
                 upstream: None,
+                replacements: 0,
                 streams: BTreeMap::new(),
                 waiting: WaitingList::default(),
                 told_open: false,
@@ -136,20 +139,16 @@
                 }
                 Vec::new()
             }
-            Update::Replaced => {
-                let born = incarnation.born_ms;
-                log::info!(
-                    "upstream {} incarnation {born}: first heartbeat, ready {ready}",
-                    incarnation.id
-                );
-                state.acknowledged = 0;
-                match &previous {
-                    Some(previous) => {
-                        self.record_crash(&mut state, previous);
-                        state.runs.upstream_replaced(now)
-                    }
-                    None => Vec::new(),
+            Update::First => {
+                log_first_heartbeat(&incarnation, ready);
+                Vec::new()
+            }
+            Update::Replaced(replacement) => {
+                log_first_heartbeat(&incarnation, ready);
+                if let Some(previous) = &previous {
+                    self.record_crash(&mut state, previous);
                 }
+                state.replace_upstream(replacement, now)
             }
         };
         state.update_admission(now);
@@ -225,11 +224,26 @@
 }
 
 impl State {
-    /// Whether the upstream could take runs, but has to be asked first which it has.
+    /// Whether the upstream has to be asked which runs it has, so that it can take others.
+    /// That also shows it the present fencing token.
     pub(super) fn is_unlisted(&self, now: Duration) -> bool {
         let upstream = self.upstream.as_ref();
-        let could = upstream.is_some_and(|upstream| upstream.is_open(now));
-        could && !self.runs.is_complete()
+        let reachable = upstream.is_some_and(|upstream| upstream.is_reachable(now));
+        reachable && !self.runs.is_complete()
+    }
+
+    /// Handles the replacement of the upstream's process. The fencing token is raised, since
+    /// the new process has not seen the present one: what was sent to the former process may
+    /// still arrive, and is refused once the new one has seen a higher token.
+    pub(super) fn replace_upstream(
+        &mut self,
+        replacement: Replacement,
+        now: Duration,
+    ) -> Vec<RunEnd> {
+        self.replacements += 1;
+        self.token += 1;
+        self.acknowledged = 0;
+        self.runs.upstream_replaced(replacement, now)
     }
 
     /// Recomputes whether the upstream takes new runs.
@@ -242,6 +256,11 @@
     }
 }
 
+fn log_first_heartbeat(incarnation: &Incarnation, ready: bool) {
+    let Incarnation { id, born_ms } = incarnation;
+    log::info!("upstream {id} incarnation {born_ms}: first heartbeat, ready {ready}");
+}
+
 impl Announce for Supervisor {
     fn upstreams(&self) -> Vec<control::Upstream> {
         let state = self.state();
--- a/crates/core/src/agent/lease/upstream.rs
+++ b/crates/core/src/agent/lease/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gentian::claim::run::UpstreamClock;
+use gentian::claim::run::{Replacement, UpstreamClock};
 use gentian_platform::heartbeat::{Incarnation, Report};
 use gentian_platform::order::Clock;
 
@@ -22,8 +22,10 @@
     Stale,
     /// It comes from the same incarnation.
     Same,
-    /// It comes from another incarnation, or is the first.
-    Replaced,
+    /// It is the first.
+    First,
+    /// It comes from another incarnation.
+    Replaced(Replacement),
 }
 
 /// What is known of the agent's upstream.
@@ -33,6 +35,8 @@
     last_report_at: Duration,
     /// Whether it announced its shutdown, or another incarnation answered an order.
     gone: bool,
+    /// Whether another incarnation answered an order.
+    replaced: bool,
     /// Number of polls in a row without an answer since the last heartbeat.
     unanswered_polls: u32,
     /// When a connection to it broke for the first time since it last answered, on the
@@ -53,6 +57,7 @@
             last_heard_at: now,
             last_report_at: now,
             gone: false,
+            replaced: false,
             unanswered_polls: 0,
             broken_at: None,
             down_at: None,
@@ -68,7 +73,7 @@
     ) -> Update {
         let Some(previous) = upstream else {
             *upstream = Some(UpstreamState::new(report, now));
-            return Update::Replaced;
+            return Update::First;
         };
         if previous.report.incarnation == report.incarnation {
             if report.number <= previous.report.number {
@@ -85,8 +90,16 @@
         if !start_unknown && report.incarnation.born_ms < previous.report.incarnation.born_ms {
             return Update::Stale;
         }
+        // A heartbeat proves the end of the former process only if it is of a later process
+        // with the same id.
+        let same_id = previous.incarnation().id == report.incarnation.id;
+        let former_known = previous.incarnation().born_ms != 0;
+        let former_ended = previous.replaced || (same_id && former_known && !start_unknown);
         *upstream = Some(UpstreamState::new(report, now));
-        Update::Replaced
+        Update::Replaced(Replacement {
+            same_id,
+            former_ended,
+        })
     }
 
     pub(super) fn incarnation(&self) -> &Incarnation {
@@ -95,8 +108,13 @@
 
     /// Whether the upstream may be given new runs.
     pub(super) fn is_open(&self, now: Duration) -> bool {
+        self.report.ready && self.is_reachable(now)
+    }
+
+    /// Whether it is there and answers.
+    pub(super) fn is_reachable(&self, now: Duration) -> bool {
         let silent = now.saturating_sub(self.last_report_at) > HEARTBEAT_TIMEOUT;
-        self.report.ready && !self.gone && !silent && self.is_responsive()
+        !self.gone && !silent && self.is_responsive()
     }
 
     /// Records that a connection broke. Returns whether it is the first since the last
@@ -146,11 +164,27 @@
         self.down_at.is_none() && self.unanswered_polls < MAX_UNANSWERED_POLLS
     }
 
-    /// Records that this incarnation has ended or is about to.
+    /// Records that this incarnation is about to end.
     pub(super) fn mark_gone(&mut self) {
         self.gone = true;
     }
 
+    /// Records that another incarnation has answered an order.
+    pub(super) fn mark_replaced(&mut self) {
+        (self.gone, self.replaced) = (true, true);
+    }
+
+    /// Whether another incarnation has answered an order.
+    pub(super) fn is_replaced(&self) -> bool {
+        self.replaced
+    }
+
+    /// Whether it may be granted a lease. One that is unresponsive may not, so that its runs
+    /// lapse; nor may a process that has not reported, since its clock is not known.
+    pub(super) fn may_hold_lease(&self) -> bool {
+        self.is_responsive() && !self.replaced
+    }
+
     /// Whether an answer with this clock comes from another incarnation than the one
     /// that reported. False if either start time is unknown.
     pub(super) fn is_other_incarnation(&self, clock: Clock) -> bool {
--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -79,6 +79,22 @@
     platform.assert_no_concurrent_runs();
 }
 
+/// A restarted worker carried out starts that were sent to the process before it and had been
+/// stopped there. The tasks had long been started elsewhere.
+#[test]
+fn a_restarted_worker_starts_nothing_that_was_sent_before() {
+    let platform = Platform::start(2, 1);
+    for id in ["00000000000000a1", "00000000000000a2"] {
+        platform.workers[0].set_behavior(Behavior::LateStarts);
+        let job = platform.spawn_submit(0, id, 12, 3_000);
+        thread::sleep(Duration::from_millis(600));
+        platform.workers[0].restart_worker();
+        let answer = job.join().expect("the thread does not panic");
+        assert_eq!((200, COMPLETED.to_owned()), answer);
+    }
+    platform.assert_no_concurrent_runs();
+}
+
 /// The worker is late to end a run whose lease is over, and so is no witness that the run
 /// went on beside the next one.
 #[test]
--- a/crates/core/tests/support/worker/mod.rs
+++ b/crates/core/tests/support/worker/mod.rs
@@ -49,6 +49,9 @@
     Crashed,
     /// Every eighth order is carried out two seconds late and gets no answer.
     Late,
+    /// Every second start is carried out two seconds late and gets no answer, even if the
+    /// worker has restarted since.
+    LateStarts,
     /// Every second start is carried out after the stop that follows it, and gets no
     /// answer.
     Reorders,
@@ -244,6 +247,7 @@
     let every_second_start = is_start && state.starts.is_multiple_of(2);
     match state.behavior {
         Behavior::Late if state.orders.is_multiple_of(8) => Fault::Delay(ORDER_DELAY),
+        Behavior::LateStarts if every_second_start => Fault::Delay(ORDER_DELAY),
         Behavior::Reorders if every_second_start => Fault::Delay(SHORT_ORDER_DELAY),
         Behavior::LosesAnswers if every_second_start => Fault::LostAnswer,
         _ => Fault::None,
