Control: a patch nested too deeply for the log is refused

What callers saw, in a test: one PATCH /v1/config ended all three control instances, which would have ended again at each start.

Cause: a merge patch of up to 126 levels passes as the body of a request. The log entry that holds it has three levels more, so the reader of the entry refuses it: "log entry 9 is unreadable: recursion limit exceeded". A replica that can't read an entry must stop, and the entry stays in the log. Patches that are invalid for other reasons are proposed too, so that the answer to them is remembered.

Evidence: the new test with real processes, on the code before: the leader panicked with the message above, and the caller got no answer.

Change: a patch of more than 64 levels is an invalid one, and is answered without being proposed.

--- a/crates/config/src/patch/mod.rs
+++ b/crates/config/src/patch/mod.rs
@@ -17,6 +17,10 @@
 /// Maximum size of a merge patch, serialized as compact JSON.
 pub const MAX_PATCH_BYTES: usize = MAX_DOCUMENT_BYTES;
 
+/// Maximum number of levels of a merge patch. It is well below the limit of a reader of JSON,
+/// since the log entry that holds the patch has some levels of its own.
+pub const MAX_PATCH_DEPTH: usize = 64;
+
 /// Unique id of a patch. A resent patch keeps its id, so that it is not applied
 /// twice.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
@@ -71,6 +75,12 @@
         document
     }
 
+    /// Whether the patch is nested too deeply for a log entry. It must not be proposed then:
+    /// replicas could not read the entry.
+    pub fn is_too_deep(&self) -> bool {
+        depth(&self.merge) > MAX_PATCH_DEPTH
+    }
+
     /// Lists the problems of the patch itself, regardless of the document.
     pub fn check(&self) -> Vec<Problem> {
         let valid_length = (1..=MAX_AUTHOR_BYTES).contains(&self.author.len());
@@ -95,6 +105,12 @@
                 format!("{size} bytes"),
                 format!("up to {MAX_PATCH_BYTES} bytes"),
             ),
+            (
+                !self.is_too_deep(),
+                "merge",
+                format!("{} levels", depth(&self.merge)),
+                format!("up to {MAX_PATCH_DEPTH} levels"),
+            ),
         ];
         checks
             .into_iter()
@@ -119,6 +135,16 @@
     }
 }
 
+/// Number of levels of a value; 0 if it is neither an array nor an object.
+fn depth(value: &Value) -> usize {
+    let deepest = match value {
+        Value::Array(items) => items.iter().map(depth).max(),
+        Value::Object(fields) => fields.values().map(depth).max(),
+        _ => return 0,
+    };
+    1 + deepest.unwrap_or(0)
+}
+
 /// Returns the merge patch from one value to another, or `None` if they are equal.
 fn difference(from: &Value, to: &Value) -> Option<Value> {
     let (Value::Object(from), Value::Object(to)) = (from, to) else {
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -103,8 +103,12 @@
     }
 
     /// Proposes a patch and returns the answer to it. A repeated patch gets its first
-    /// answer again.
+    /// answer again. One that no replica could read is refused without being proposed.
     pub(crate) async fn patch(&self, patch: Patch) -> Result<Answer, Error> {
+        if patch.is_too_deep() {
+            let problems = patch.check();
+            return Ok(Answer::Invalid { problems });
+        }
         let known = self.read(|applied| {
             let ledger = applied.state.ledger();
             match ledger.first_answer(&patch) {
--- a/crates/core/tests/replica.rs
+++ b/crates/core/tests/replica.rs
@@ -195,3 +195,25 @@
     assert_eq!(cluster.version(), version);
     assert_eq!(cluster.patch("after"), version + 1);
 }
+
+/// A patch within the limits of a request was nested too deeply for the log entry that holds it,
+/// so every instance ended as it applied the entry, and again after each restart.
+#[test]
+fn a_deeply_nested_patch_ends_no_instance() {
+    let cluster = Cluster::start(3);
+    let version = cluster.patch("before");
+    for depth in [20, 100, 118, 120, 122, 124, 126, 1_000, 100_000] {
+        let merge = r#"{"services":"#.repeat(depth) + "{}" + &"}".repeat(depth);
+        let id = uuid::Uuid::now_v7();
+        let patch = format!(r#"{{"id":"{id}","base":{version},"author":"ada","merge":{merge}}}"#);
+        let leader = &cluster.instances[cluster.wait_for_leader()];
+        let url = format!("http://{}/v1/config", leader.http);
+        let (status, body) = support::call("PATCH", &url, &[], &patch);
+        assert!(
+            [400, 422].contains(&status.as_u16()),
+            "depth {depth}: {status} {body}"
+        );
+    }
+    assert_eq!(version, cluster.version());
+    assert_eq!(version + 1, cluster.patch("after"));
+}
--- a/crates/member/tests/state.rs
+++ b/crates/member/tests/state.rs
@@ -4,7 +4,7 @@
 
 use common::member;
 use gentian_config::ledger::{Answer, Proposal};
-use gentian_config::patch::{Id, Patch};
+use gentian_config::patch::{Id, Patch, MAX_PATCH_DEPTH};
 use gentian_member::state::{Command, Reply, State};
 use gentian_member::view::Event;
 use gentian_wire::id::{Version, View};
@@ -82,3 +82,27 @@
     assert!(State::default().apply(4, b"{\"grow\":1}").is_err());
     assert!(State::restore(b"{}").is_err());
 }
+
+/// A replica that can't read an entry of the log must stop, and reads it again when it starts.
+#[test]
+fn every_patch_that_may_be_proposed_is_readable_in_the_log() {
+    for (levels, may_be_proposed) in [(1, true), (MAX_PATCH_DEPTH, true), (126, false)] {
+        let mut state = State::default();
+        let merge = (1..levels).fold(json!({}), |inner, _| json!({ "services": inner }));
+        let patch = Patch {
+            id: Id(uuid::Uuid::from_u128(1)),
+            base: Version(0),
+            author: "vet".to_owned(),
+            merge,
+        };
+        assert_eq!(may_be_proposed, !patch.is_too_deep(), "{levels} levels");
+        assert_eq!(may_be_proposed, patch.check().is_empty());
+        let command = Command::Patch(Proposal {
+            verdict: state.ledger().validate(&patch),
+            patch,
+            wall_ms: 7,
+        });
+        let applied = state.apply(1, &command.encode().expect("a command"));
+        assert_eq!(may_be_proposed, applied.is_ok(), "{levels} levels");
+    }
+}
