Entries: an agent that can't be read is left out of the list alone

Cause: one agent in control's list that could not be read made the whole answer to a renewal invalid. Each entry would then have held neither lease nor configuration for as long as it was listed. Control checks what agents announce, so it takes a control instance of another release to list one.

Evidence: by reading; the list had no reader of its own that a test could call.

Change: the others hold; each one left out is logged, and /v1/status tells how many there are. Not changed: an agent that can't be read among the numbered views still spoils the answer, since all nodes must agree on the members of a view.

--- a/crates/core/src/renew/state.rs
+++ b/crates/core/src/renew/state.rs
@@ -52,6 +52,8 @@
     /// Agents that renew their lease, including those not yet in the view. Sent to
     /// entries only.
     pub(crate) present: Arc<Vec<member::Member>>,
+    /// Number of agents in the last list that could not be read.
+    pub(crate) unreadable: usize,
     /// When the last successful renewal was sent.
     renewed_at: Option<Instant>,
     /// The view in force and the earlier views that are still needed.
@@ -72,6 +74,7 @@
             members: Vec::new(),
             roster: 0,
             present: Arc::default(),
+            unreadable: 0,
             renewed_at: None,
             window: Arc::default(),
         }
@@ -137,7 +140,7 @@
         })?;
         state.apply_document(reply)?;
         state.apply_view(received, reply)?;
-        state.apply_present(reply)?;
+        state.apply_present(reply);
         state.renewed_at = Some(sent);
         Ok(state)
     }
@@ -152,13 +155,17 @@
         Ok(())
     }
 
-    fn apply_present(&mut self, reply: &RenewReply) -> Result<()> {
-        if reply.roster != self.roster {
-            let present = reply.present.iter().map(member::Member::try_from);
-            self.present = Arc::new(present.collect::<member::Result<_>>()?);
-            self.roster = reply.roster;
+    fn apply_present(&mut self, reply: &RenewReply) {
+        if reply.roster == self.roster {
+            return;
         }
-        Ok(())
+        let (present, errors) = member::read_list(&reply.present);
+        for error in &errors {
+            log::warn!("skipped an agent that control lists: {error}");
+        }
+        self.unreadable = errors.len();
+        self.present = Arc::new(present);
+        self.roster = reply.roster;
     }
 
     fn apply_view(&mut self, received: Instant, reply: &RenewReply) -> Result<()> {
--- a/crates/core/src/renew/status.rs
+++ b/crates/core/src/renew/status.rs
@@ -43,6 +43,7 @@
             "view_age_ms": state.view_age(now).as_millis() as u64,
             "oldest_view": state.window.floor(),
             "members": state.window.members().len(),
+            "unreadable_agents": state.unreadable,
         });
         serve::json(&status)
     }
--- a/crates/member/src/member/mod.rs
+++ b/crates/member/src/member/mod.rs
@@ -53,6 +53,19 @@
     pub connections: u32,
 }
 
+/// Reads a list of members. The second list holds the reasons why entries were left out; none
+/// of them spoils the others.
+pub fn read_list(messages: &[control::Member]) -> (Vec<Member>, Vec<Error>) {
+    let (mut members, mut errors) = (Vec::new(), Vec::new());
+    for message in messages {
+        match Member::try_from(message) {
+            Ok(member) => members.push(member),
+            Err(error) => errors.push(error),
+        }
+    }
+    (members, errors)
+}
+
 impl TryFrom<&control::Member> for Member {
     type Error = Error;
 
