Control: an instance that starts while its disk is full waits for room

Cause: opening the store writes a new file. With a full disk this fails, and the process ended with an error, whereas a process that runs tries again.

Evidence: `an_instance_that_starts_with_a_full_disk_serves_once_it_has_room` on the code before: "the process has ended".

By reading: a halted member keeps sending join requests, so the repair does not take it for lost; the last opened store starts from what is synced.

Change: the start waits, with a log line each 2 s, and ends on SIGTERM. A limit of the file size and a quota count as a full disk, too.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -63,7 +63,8 @@
         let state = SharedState::new();
         let address = peer.local_addr()?.to_string();
         let tolerated = section.tolerates.unwrap_or(0) as usize;
-        let replica = Handle::start(&section.data, address, tolerated, state.clone())?;
+        let store = replica::open_store(&section.data).await?;
+        let replica = Handle::start(&section.data, store, address, tolerated, state.clone())?;
         Ok(Role {
             http,
             peer,
--- a/crates/core/src/control/replica/mod.rs
+++ b/crates/core/src/control/replica/mod.rs
@@ -21,6 +21,7 @@
 use crossbeam::channel;
 use gentian::quorum::repair::MembershipRepair;
 use gentian::quorum::replica::{self, Settings};
+use gentian::quorum::store::disk::Folder;
 use gentian::quorum::store::{self, FileStore};
 use gentian::quorum::{Replica, StateMachine};
 use gentian::wire::quorum::quorum_server::QuorumServer;
@@ -32,7 +33,7 @@
 pub(crate) use status::Status;
 
 use status::SharedStatus;
-use thread::{Event, EventSender, ReplicaThread};
+use thread::{Event, EventSender, ReplicaThread, REOPEN_DELAY};
 use transport::{Outbox, MAX_BATCH_BYTES};
 
 use crate::panics::Mutex;
@@ -76,6 +77,26 @@
     Thread(#[from] io::Error),
 }
 
+/// Opens the store in a data folder, and waits for as long as its disk is full: to end would
+/// bring no room, and the next start would end as well.
+pub(crate) async fn open_store(path: &Path) -> std::result::Result<FileStore<Folder>, StartError> {
+    loop {
+        let error = match FileStore::open_path(path, &mut StdRng::from_os_rng()) {
+            Ok(store) => return Ok(store),
+            Err(error) => error,
+        };
+        let path = path.display().to_string();
+        if !error.is_full() {
+            let source = error;
+            return Err(StartError::Store { path, source });
+        }
+        log::error!(
+            "data folder {path} can't be opened, trying again in {REOPEN_DELAY:?}: {error}"
+        );
+        tokio::time::sleep(REOPEN_DELAY).await;
+    }
+}
+
 /// Sends requests to the replica of this instance.
 #[derive(Clone, Debug)]
 pub(crate) struct Handle {
@@ -86,14 +107,15 @@
 }
 
 impl Handle {
-    /// Opens the data folder and starts the thread. Must be called within a tokio
-    /// runtime.
+    /// Starts the thread with the store in the data folder `path`. Must be called within a
+    /// tokio runtime.
     ///
     /// `address` is sent to other instances as this one's address until it is a member
     /// with an address. `tolerated` is the number of lost members that a cluster with
     /// automatic membership must tolerate at once.
     pub(crate) fn start<M>(
         path: &Path,
+        store: FileStore<Folder>,
         address: String,
         tolerated: usize,
         machine: M,
@@ -101,11 +123,7 @@
     where
         M: StateMachine + Send + 'static,
     {
-        let mut rng = StdRng::from_os_rng();
-        let store = FileStore::open_path(path, &mut rng).map_err(|source| StartError::Store {
-            path: path.display().to_string(),
-            source,
-        })?;
+        let rng = StdRng::from_os_rng();
         let id = store.state().id;
         let replica = Replica::new(
             Settings::default(),
--- a/crates/core/src/control/replica/thread.rs
+++ b/crates/core/src/control/replica/thread.rs
@@ -26,7 +26,7 @@
 
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Time between a store error and the next attempt to open the store.
-const REOPEN_DELAY: Duration = Duration::from_secs(2);
+pub(super) const REOPEN_DELAY: Duration = Duration::from_secs(2);
 /// Maximum number of further events handled before the actions are carried out.
 const MAX_GROUP_EVENTS: usize = 256;
 /// Number of entries applied since the last snapshot after which the log is compacted.
--- a/crates/core/src/run.rs
+++ b/crates/core/src/run.rs
@@ -74,7 +74,10 @@
     let mut signals = Signals::listen()?;
     let hangups = signal(SignalKind::hangup())?;
     let (control, control_addresses) = watch::channel(settings.control.clone());
-    let roles = Roles::bind(settings, control_addresses).await?;
+    let roles = tokio::select! {
+        roles = Roles::bind(settings, control_addresses) => roles?,
+        () = signals.wait() => return Ok(()),
+    };
     tokio::spawn(logging::report_dropped_lines());
     tokio::spawn(reload::watch_file(
         path.to_owned(),
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -44,6 +44,16 @@
         self.process.listen_address("control-peer");
     }
 
+    /// Starts the process again while its disk is full, until
+    /// [`Process::limit_file_size`] removes the limit.
+    pub(crate) fn restart_with_full_disk(&mut self) {
+        let limit = libc::rlimit {
+            rlim_cur: 1,
+            rlim_max: libc::RLIM_INFINITY,
+        };
+        self.process = start_process_with(&self.http, &self.peer, &self.data, Some(limit));
+    }
+
     /// Kills the process and replaces its data folder by an empty one.
     pub(crate) fn lose_disk(&mut self) {
         self.kill();
@@ -86,16 +96,29 @@
 }
 
 fn start_process(http: &str, peer: &str, data: &TempDir) -> Process {
+    start_process_with(http, peer, data, None)
+}
+
+/// Starts a process with this limit of the size of files that it writes.
+fn start_process_with(
+    http: &str,
+    peer: &str,
+    data: &TempDir,
+    limit: Option<libc::rlimit>,
+) -> Process {
     let file = write_settings(http, peer, data);
     let mut command = gentiancove(&["run", "--settings", path_of(&file)]);
-    // SAFETY: between fork and exec, only signal(2) is called, which is
+    // SAFETY: between fork and exec, only signal(2) and setrlimit(2) are called, which are
     // async-signal-safe.
     unsafe {
-        command.pre_exec(|| {
+        command.pre_exec(move || {
             // By default SIGXFSZ ends a process that writes beyond its file size limit.
             // When ignored, the write fails with an error, which stands in for a
             // full disk.
             libc::signal(libc::SIGXFSZ, libc::SIG_IGN);
+            if let Some(limit) = limit {
+                libc::setrlimit(libc::RLIMIT_FSIZE, &limit);
+            }
             Ok(())
         });
     }
--- a/crates/quorum/src/store/mod.rs
+++ b/crates/quorum/src/store/mod.rs
@@ -125,9 +125,13 @@
 }
 
 impl Error {
-    /// Whether the disk is full.
+    /// Whether the disk, or what this process may use of it, is full.
     pub fn is_full(&self) -> bool {
-        matches!(self, Self::Io { source, .. } if source.kind() == io::ErrorKind::StorageFull)
+        use io::ErrorKind::{FileTooLarge, QuotaExceeded, StorageFull};
+        let Self::Io { source, .. } = self else {
+            return false;
+        };
+        matches!(source.kind(), StorageFull | QuotaExceeded | FileTooLarge)
     }
 }
 
--- a/crates/quorum/tests/common/mod.rs
+++ b/crates/quorum/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+mod full_disk;
 pub(crate) mod model;
 mod network;
 pub(crate) mod ops;
@@ -34,6 +35,8 @@
     EarlySync,
     /// An instance that lost its disk keeps its id.
     SameId,
+    /// Never opens a store again that has refused a write.
+    StaysHalted,
 }
 
 /// One instance.
@@ -44,6 +47,8 @@
     clock_offset: Duration,
     /// True time until which the process handles no events.
     frozen_until: Duration,
+    /// True time until which the disk takes no writes.
+    full_until: Duration,
     up: bool,
     /// Identifies one run of the process; events of earlier runs are dropped.
     incarnation: u64,
@@ -72,6 +77,10 @@
     },
     /// A crashed instance starts again.
     Start,
+    /// The driver opens the store again that has refused a write.
+    Reopen {
+        incarnation: u64,
+    },
 }
 
 /// All instances, their network, and the operator who changes the members.
@@ -297,6 +306,7 @@
             store,
             clock_offset,
             frozen_until: Duration::ZERO,
+            full_until: Duration::ZERO,
             up: true,
             incarnation,
             proposed,
@@ -349,6 +359,7 @@
             } if up && of == incarnation => {
                 self.call_replica(to, |r, now| r.synced(now, number));
             }
+            Event::Reopen { incarnation: of } if up && of == incarnation => self.reopen(to),
             Event::Start if !up => {
                 let node = self.nodes.remove(&to).unwrap();
                 self.start_instance(to, node.store, node.clock_offset);
@@ -374,6 +385,7 @@
         for action in actions {
             match action {
                 Action::Send { to, message, .. } => self.send(id, to, message),
+                Action::Write(_) if self.is_full(id) => return self.fail(id),
                 Action::Write(write) => self.write(id, &write),
                 Action::Apply(entry) => self.apply(id, &entry),
                 Action::Restore(snapshot) => self.model.check_restored(&snapshot),
