Entry: refuse jobs unread while it has too little processor for them

Cause: the entry took each job that it had read. Every message then waited behind all others, so that each job ended late; starts reached the agents after the lease that was sent with them had run out, streams were given up for want of reports that waited in the entry's own sockets, and their runs were given up. All that costs processor as well: a metastable overload.

Streams that are lost begin 0.9 s after the lag does.

Change: limit::throttle, a decision without I/O. The share of the jobs that is taken falls while the process lags by more than 10 ms and rises again once it doesn't: slowly while there is load, since most of the work of a job comes after it was taken, and fast once the lag has been small for 400 ms. Half of what is taken is spread over all priorities, the rest goes to the most urgent; no priority is starved. The entry asks before it reads the body; a job in progress that is sent again is never refused, as "not run" would not be true. Retry-After grows as fewer jobs are taken, with jitter. Counted as cause `lag`; the log line is sampled.

Ruled out: a share that follows the lag alone at one speed.

--- a/crates/core/src/entry/lease/api.rs
+++ b/crates/core/src/entry/lease/api.rs
@@ -11,7 +11,8 @@
 use tokio::sync::watch;
 
 use super::dispatcher::Dispatcher;
-use super::job::{Outcome, RefusalCause, Submission};
+use super::job::{Outcome, Refusal, RefusalCause, Submission};
+use crate::lag;
 use crate::logging::is_sampled;
 use crate::metrics;
 use crate::renew::LeaseState;
@@ -189,6 +190,10 @@
         held: &LeaseState,
         request: Request,
     ) -> Result<Response> {
+        // Decided before the body is read, so that a refusal costs little.
+        if let Some(refusal) = self.dispatcher.refuse_by_lag(id, queue.priority) {
+            return self.refuse_unread(id, head, &queue, refusal, arrived);
+        }
         let body = serve::read_body(request.into_body(), self.max_body, BODY_TIMEOUT).await?;
         let submission = caller::Submission::read(id, &body);
         let job = match submission.map_err(|error| Problem::bad(&error.to_string()))? {
@@ -245,6 +250,32 @@
         response(outcome)
     }
 
+    /// Refuses a job whose body was not read.
+    fn refuse_unread(
+        &self,
+        id: &str,
+        head: &Head,
+        queue: &Queue,
+        refusal: Refusal,
+        arrived: Instant,
+    ) -> Result<Response> {
+        let outcome = Outcome::Refused(refusal);
+        let metrics = self.dispatcher.metrics();
+        metrics.answered(outcome.name(), arrived.elapsed());
+        if is_sampled(id) {
+            tracing::info!(
+                event = "refused",
+                request = id,
+                request_id = head.id,
+                queue = queue.name,
+                cause = %refusal.cause,
+                retry_after_ms = refusal.retry_after.as_millis() as u64,
+                lag_ms = lag::current().as_millis() as u64,
+            );
+        }
+        response(outcome)
+    }
+
     async fn dispatch(
         &self,
         submission: Submission,
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -14,11 +14,11 @@
 use gentian::wire::id::{self, Incarnation, Node};
 use tokio::sync::{oneshot, Notify};
 
-use super::job::{Outcome, RefusalCause, Submission};
+use super::job::{Outcome, Refusal, RefusalCause, Submission};
 use super::link::{Link, PlacedRun};
 use super::state::State;
-use crate::metrics;
 use crate::panics::Mutex;
+use crate::{lag, metrics};
 
 /// Shared access to the jobs in progress, the queues and the links to agents.
 #[derive(Debug)]
@@ -127,6 +127,20 @@
         }
     }
 
+    /// Refuses the first sight of a job if this entry has too little processor for it; a
+    /// caller that submits a job in progress again waits for that one.
+    pub(super) fn refuse_by_lag(&self, id: &str, priority: u32) -> Option<Refusal> {
+        let now = self.now();
+        let mut state = self.state();
+        let known = state.numbers_by_id.contains_key(id);
+        let refusal = (!known).then(|| state.refuse_by_lag(priority, lag::current(), now))?;
+        drop(state);
+        if refusal.is_some() {
+            self.metrics.refused(&RefusalCause::Lag.to_string());
+        }
+        refusal
+    }
+
     /// Whether the job in progress with this id has started a task; none if there
     /// is no such job.
     pub(super) fn has_started(&self, id: &str) -> Option<bool> {
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -127,6 +127,8 @@
     TooLarge,
     /// The work queued ahead of the job would make it wait for too long.
     Overload,
+    /// This entry has too little processor for all jobs that it is sent.
+    Lag,
     /// Its queue is confined to a few upstreams, since its tasks crash them, and none of
     /// these takes runs.
     Confined,
--- a/crates/core/src/entry/lease/state/admission.rs
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -47,6 +47,21 @@
         declared.mul_f64(ratio)
     }
 
+    /// Refuses a job, of which nothing but its priority need be known, if this process lags
+    /// so much that it can't take all.
+    pub(in crate::entry::lease) fn refuse_by_lag(
+        &mut self,
+        priority: u32,
+        lag: Duration,
+        now: Duration,
+    ) -> Option<Refusal> {
+        if self.throttle.admit(priority, lag, now) {
+            return None;
+        }
+        let delay = retry_after(self.throttle.retry_delay(), &mut self.rng);
+        Some(Refusal::new(RefusalCause::Lag, delay))
+    }
+
     /// Adds a job under this number, or answers its caller at once: that it is refused, or that
     /// it has failed before at another entry. `arrived` is the time of the caller's request.
     pub(in crate::entry::lease) fn admit(
--- a/crates/core/src/entry/lease/state/mod.rs
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -17,6 +17,7 @@
 use gentian::claim::crash;
 use gentian::limit::headroom::Headroom;
 use gentian::limit::job_queue::JobQueue;
+use gentian::limit::throttle::Throttle;
 use gentian::route::bulkhead::Bulkhead;
 use gentian::route::placement::{Placer, UpstreamReport};
 use gentian::route::run_times;
@@ -42,6 +43,8 @@
     metrics: Arc<metrics::Jobs>,
     /// Chooses upstreams and keeps account of their free capacity.
     pub(super) placer: Placer,
+    /// Which jobs are taken while this entry has too little processor for all.
+    throttle: Throttle,
     /// Jobs with tasks that wait for capacity.
     job_queues: BTreeMap<Lane, JobQueue>,
     /// What the jobs of each lane are expected to need, which is kept free for urgent ones.
@@ -79,6 +82,7 @@
             origin,
             metrics,
             placer: Placer::new(entry),
+            throttle: Throttle::default(),
             job_queues: BTreeMap::new(),
             headrooms: BTreeMap::new(),
             crashes: crash::History::default(),
--- a/crates/core/src/entry/lease/stream.rs
+++ b/crates/core/src/entry/lease/stream.rs
@@ -157,7 +157,7 @@
                 let ran = lag::running_time().saturating_sub(timing.ran_before);
                 let message = format!(
                     "no report within {REPORT_TIMEOUT:?}, in which this process ran for {ran:?}; its lag is {:?}",
-                    lag::last()
+                    lag::current()
                 );
                 return tonic::Status::unavailable(message);
             }
--- a/crates/core/src/lag.rs
+++ b/crates/core/src/lag.rs
@@ -1,6 +1,7 @@
 //! By how much this process is behind with its work.
 
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 
 use gentian::limit::lag::{Clocks, Meter, Sample, State, PERIOD};
@@ -9,14 +10,26 @@
 use crate::metrics::PROCESS;
 use crate::panics::AbortOnPanic;
 
+/// Zero of the times below.
+static ORIGIN: LazyLock<Instant> = LazyLock::new(Instant::now);
 /// The last measured lag, in microseconds.
 static LAST: AtomicU64 = AtomicU64::new(0);
+/// When that was, in microseconds; 0 if nothing measures the lag.
+static MEASURED_AT: AtomicU64 = AtomicU64::new(0);
 /// Time for which the process has run, in microseconds.
 static RUNNING: AtomicU64 = AtomicU64::new(0);
 
-/// The lag that was measured last.
-pub(crate) fn last() -> Duration {
-    Duration::from_micros(LAST.load(Ordering::Relaxed))
+/// The lag of now: what was measured last, or more if the next measurement is overdue.
+pub(crate) fn current() -> Duration {
+    let measured_at = MEASURED_AT.load(Ordering::Relaxed);
+    if measured_at == 0 {
+        return Duration::ZERO;
+    }
+    let since = ORIGIN
+        .elapsed()
+        .saturating_sub(Duration::from_micros(measured_at));
+    let last = Duration::from_micros(LAST.load(Ordering::Relaxed));
+    last.max(since.saturating_sub(PERIOD))
 }
 
 /// Time for which this process has run and done what there was to do, in steps of
@@ -28,9 +41,8 @@
 /// Measures the lag for as long as the process runs.
 pub(crate) async fn measure() {
     let _essential = AbortOnPanic("the measurement of lag");
-    let origin = Instant::now();
     let clocks = || Clocks {
-        monotonic: origin.elapsed(),
+        monotonic: ORIGIN.elapsed(),
         boot_time: clock::now(),
     };
     let mut meter = Meter::new(clocks());
@@ -39,6 +51,7 @@
         tokio::time::sleep(PERIOD).await;
         let sample = meter.measure(clocks());
         LAST.store(micros(sample.lag), Ordering::Relaxed);
+        MEASURED_AT.store(micros(ORIGIN.elapsed()), Ordering::Relaxed);
         RUNNING.store(micros(meter.running_time()), Ordering::Relaxed);
         PROCESS.lag(&sample);
         if meter.state() == State::Late || sample.change.is_some() {
--- a/crates/gentian/tests/fleet/cluster.rs
+++ b/crates/gentian/tests/fleet/cluster.rs
@@ -10,15 +10,13 @@
 use rand_pcg::Pcg64;
 
 use super::agent::{Agent, Kind, CPU};
-use super::entry::{Entry, Methods, Start};
+use super::entry::{Entry, Methods, Start, JOB_TIME, MESSAGE_TIME, REFUSAL_TIME};
 use super::load;
+use super::outcome::Outcome;
 
 /// Time for a message within a data centre and between two of them.
 const NEAR_DELAY: Duration = Duration::from_micros(300);
 const FAR_DELAY: Duration = Duration::from_micros(1_100);
-/// Time that an entry, which has little processor, spends on a message and on a job.
-const MESSAGE_TIME: Duration = Duration::from_micros(100);
-const JOB_TIME: Duration = Duration::from_millis(1);
 /// Time between two periodic reports of an agent, for each entry that it reports to.
 const REPORT_SPACING: Duration = Duration::from_millis(8);
 /// Time until free capacity is offered to the next entry.
@@ -40,6 +38,8 @@
     pub(crate) methods: Methods,
     /// Whether all entries prefer the upstreams in the same order.
     pub(crate) same_order: bool,
+    /// How many times as long as usual everything takes at the first entry.
+    pub(crate) first_slowness: f64,
 }
 
 impl Default for Settings {
@@ -55,43 +55,10 @@
                 speeds: true,
                 backfills: true,
                 headroom: true,
+                throttle: true,
             },
             same_order: false,
-        }
-    }
-}
-
-/// What became of all jobs, as shares of them, and what it took.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Outcome {
-    pub(crate) in_time: f64,
-    /// Share of the jobs of the most urgent kind that ended in time.
-    pub(crate) urgent_in_time: f64,
-    /// Core-seconds a second of the jobs that ended in time.
-    pub(crate) work_in_time: f64,
-    pub(crate) late: f64,
-    pub(crate) refused: f64,
-    /// Share of the starts that full upstreams turned away.
-    pub(crate) turned_away: f64,
-    /// Messages that an entry received, on average.
-    pub(crate) messages_per_s: f64,
-    /// Share of its time for which the busiest entry was busy.
-    pub(crate) busiest: f64,
-}
-
-impl Outcome {
-    pub(crate) fn mean(outcomes: Vec<Outcome>) -> Outcome {
-        let count = outcomes.len() as f64;
-        let mean = |value: fn(&Outcome) -> f64| outcomes.iter().map(value).sum::<f64>() / count;
-        Outcome {
-            in_time: mean(|outcome| outcome.in_time),
-            urgent_in_time: mean(|outcome| outcome.urgent_in_time),
-            work_in_time: mean(|outcome| outcome.work_in_time),
-            late: mean(|outcome| outcome.late),
-            refused: mean(|outcome| outcome.refused),
-            turned_away: mean(|outcome| outcome.turned_away),
-            messages_per_s: mean(|outcome| outcome.messages_per_s),
-            busiest: mean(|outcome| outcome.busiest),
+            first_slowness: 1.0,
         }
     }
 }
@@ -193,6 +160,7 @@
             service,
             settings,
         };
+        cluster.entries[0].slowness = cluster.settings.first_slowness;
         cluster.add_callers();
         for entry in 0..cluster.entries.len() {
             for agent in 0..cluster.agents.len() {
@@ -237,6 +205,7 @@
         let jobs = in_time + late + refused;
         let busy = self.entries.iter().map(|entry| entry.busy.as_secs_f64());
         let seconds = length.as_secs_f64();
+        let first = &self.entries[0];
         Outcome {
             in_time: in_time / jobs,
             urgent_in_time: sum(|tally| tally.urgent_in_time) / sum(|tally| tally.urgent),
@@ -246,6 +215,9 @@
             turned_away: sum(|tally| tally.turned_away) / sum(|tally| tally.starts),
             messages_per_s: sum(|tally| tally.messages) / seconds / self.entries.len() as f64,
             busiest: busy.fold(0.0, f64::max) / seconds,
+            first_jobs_per_s: first.tally.submitted as f64 / seconds,
+            first_useful: first.useful_share(length),
+            first_busy: first.busy.as_secs_f64() / seconds,
         }
     }
 
@@ -286,7 +258,9 @@
                 others,
                 fate,
             } => {
-                self.entries[entry].tally.messages += 1;
+                let tally = &mut self.entries[entry].tally;
+                tally.messages += 1;
+                tally.reports += u64::from(fate.is_none());
                 let at = self.entries[entry].spend(MESSAGE_TIME, self.now);
                 self.schedule(
                     at,
@@ -318,6 +292,10 @@
         self.schedule_submit(caller);
         let entry = self.callers[caller];
         let job = load::draw(&mut self.rng);
+        if !self.entries[entry].has_processor(&job, self.now) {
+            self.entries[entry].spend(REFUSAL_TIME, self.now);
+            return;
+        }
         self.entries[entry].spend(JOB_TIME, self.now);
         if let Some((job, start_by)) = self.entries[entry].submit(job, self.now) {
             self.schedule(start_by, Event::Expire { entry, job });
--- a/crates/gentian/tests/fleet/entry.rs
+++ b/crates/gentian/tests/fleet/entry.rs
@@ -6,6 +6,7 @@
 use gentian::limit::backfill::Backfill;
 use gentian::limit::headroom::Headroom;
 use gentian::limit::job_queue::{JobQueue, Objective, Rank};
+use gentian::limit::throttle::Throttle;
 use gentian::route::bulkhead::Pool;
 use gentian::route::outlier::Observation;
 use gentian::route::placement::{Blocked, Due, PlacementRequest, Placer};
@@ -18,6 +19,12 @@
 
 use super::load;
 
+/// Time that an entry, which has little processor, spends on a message and on a job.
+pub(crate) const MESSAGE_TIME: Duration = Duration::from_micros(100);
+pub(crate) const JOB_TIME: Duration = Duration::from_millis(1);
+/// Time that it spends on a job that it refuses unread.
+pub(crate) const REFUSAL_TIME: Duration = Duration::from_micros(150);
+
 /// Stretch and constant of every job's time limit.
 const STRETCH: f64 = 1.6;
 const TARGET: Duration = Duration::from_millis(60);
@@ -31,6 +38,8 @@
     pub(crate) backfills: bool,
     /// Whether it keeps capacity free for urgent jobs.
     pub(crate) headroom: bool,
+    /// Whether it refuses jobs for which it has too little processor.
+    pub(crate) throttle: bool,
 }
 
 /// A job in progress.
@@ -75,6 +84,7 @@
 /// What became of an entry's jobs and starts.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Tally {
+    pub(crate) submitted: u64,
     pub(crate) in_time: u64,
     /// Jobs of the most urgent kind, and those of them that ended in time.
     pub(crate) urgent: u64,
@@ -86,6 +96,12 @@
     pub(crate) starts: u64,
     pub(crate) turned_away: u64,
     pub(crate) messages: u64,
+    /// Messages that tell only of the tasks of other entries.
+    pub(crate) reports: u64,
+    /// Jobs that were refused unread.
+    unread: u64,
+    /// Time spent on jobs that ended in time.
+    useful: Duration,
 }
 
 #[derive(Debug)]
@@ -97,6 +113,9 @@
     pub(crate) busy: Duration,
     /// When all that has arrived is handled.
     pub(crate) idle_at: Duration,
+    /// How many times as long as usual everything takes here.
+    pub(crate) slowness: f64,
+    throttle: Throttle,
     service: Service,
     methods: Methods,
     /// Ratios of actual to declared run times; a ratio of 1 is one second.
@@ -121,6 +140,8 @@
             tally: Tally::default(),
             busy: Duration::ZERO,
             idle_at: Duration::ZERO,
+            slowness: 1.0,
+            throttle: Throttle::default(),
             service,
             methods,
             ratios: RunTimes::default(),
@@ -134,11 +155,30 @@
 
     /// Spends time on what has arrived now; returns when it is handled.
     pub(crate) fn spend(&mut self, time: Duration, now: Duration) -> Duration {
+        let time = time.mul_f64(self.slowness);
         self.busy += time;
         self.idle_at = self.idle_at.max(now) + time;
         self.idle_at
     }
 
+    /// Whether there is processor for a job that arrives now; counts the job.
+    pub(crate) fn has_processor(&mut self, load: &load::Job, now: Duration) -> bool {
+        self.tally.submitted += 1;
+        let lag = self.idle_at.saturating_sub(now);
+        let admitted = !self.methods.throttle || self.throttle.admit(load.priority, lag, now);
+        self.tally.unread += u64::from(!admitted);
+        admitted
+    }
+
+    /// Share of the time, without that for reports and refusals, that was spent on jobs that
+    /// ended in time.
+    pub(crate) fn useful_share(&self, length: Duration) -> f64 {
+        let reports = MESSAGE_TIME.mul_f64(self.tally.reports as f64);
+        let refusals = REFUSAL_TIME.mul_f64(self.tally.unread as f64);
+        let left = length.saturating_sub((reports + refusals).mul_f64(self.slowness));
+        self.tally.useful.as_secs_f64() / left.as_secs_f64()
+    }
+
     /// Admits or refuses a job. Returns the number of an admitted one, and the time by
     /// which one of its tasks must have started.
     pub(crate) fn submit(&mut self, load: load::Job, now: Duration) -> Option<(u64, Duration)> {
@@ -312,6 +352,8 @@
         match now - job.arrived_at <= limit {
             true => {
                 self.tally.in_time += 1;
+                let time = JOB_TIME + MESSAGE_TIME * job.load.runs.len() as u32;
+                self.tally.useful += time.mul_f64(self.slowness);
                 self.tally.urgent_in_time += u64::from(job.load.priority == 0);
                 let work: f64 = job.load.runs.iter().map(Duration::as_secs_f64).sum();
                 self.tally.work_in_time += work * f64::from(job.load.cpu) / 1e3;
--- a/crates/gentian/tests/fleet/load.rs
+++ b/crates/gentian/tests/fleet/load.rs
@@ -57,6 +57,11 @@
     work.iter().sum()
 }
 
+/// Mean number of tasks of a job.
+pub(crate) fn mean_width() -> f64 {
+    KINDS.iter().map(|kind| kind.share * kind.width).sum()
+}
+
 /// A job that has arrived.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
--- a/crates/gentian/tests/fleet/main.rs
+++ b/crates/gentian/tests/fleet/main.rs
@@ -9,22 +9,33 @@
 mod cluster;
 mod entry;
 mod load;
+mod outcome;
 
 use std::time::Duration;
 
 use agent::Kind;
-use cluster::{Cluster, Outcome, Settings};
-use entry::Methods;
+use cluster::{Cluster, Settings};
+use entry::{Methods, JOB_TIME, MESSAGE_TIME};
+use outcome::Outcome;
 use test_case::test_case;
 
 /// Share of its time that an entry may spend on messages and jobs.
 const MAX_BUSY: f64 = 0.5;
 
+/// Share of its time that an entry with too little processor is to spend on jobs that end in
+/// time.
+const CLOSE: f64 = 0.85;
+
 /// Runs the settings with a few seeds; returns the means of the outcomes.
 fn run(settings: &Settings) -> Outcome {
     run_seeds(settings, 3)
 }
 
+/// Runs the settings for so long that jobs in progress at the end hardly count.
+fn run_long(settings: &Settings) -> Outcome {
+    Cluster::new(settings.clone(), 1).run(Duration::from_secs(5))
+}
+
 fn run_seeds(settings: &Settings, seeds: u64) -> Outcome {
     let length = Duration::from_secs(2);
     let outcomes = (1..=seeds).map(|seed| Cluster::new(settings.clone(), seed).run(length));
@@ -209,3 +220,51 @@
     println!("{few:?}\n{many:?}");
     assert!(many.messages_per_s < few.messages_per_s);
 }
+
+/// Time that an entry spends on a job.
+fn job_time() -> f64 {
+    JOB_TIME.as_secs_f64() + load::mean_width() * MESSAGE_TIME.as_secs_f64()
+}
+
+/// How many times as long as usual everything has to take at the first entry for it to be
+/// sent `need` times as many jobs as it has time for, beside the reports of others' tasks.
+fn slowness(usual: &Outcome, need: f64) -> f64 {
+    let jobs = usual.first_jobs_per_s * job_time();
+    let reports = usual.first_busy - jobs;
+    1.0 / (reports + jobs / need)
+}
+
+/// One entry has less processor than it needs for the jobs that it is sent; the others have
+/// plenty. It served next to nothing.
+#[test_case(1.0 ; "as much as it needs")]
+#[test_case(2.0 ; "half of what it needs")]
+#[test_case(4.0 ; "a quarter of what it needs")]
+fn an_entry_with_too_little_processor_serves_what_it_can(need: f64) {
+    let large = Kind {
+        speed: 1.0,
+        size: 30.0,
+    };
+    let enough = Settings {
+        load: 0.5,
+        entries: 6,
+        agents: 12,
+        data_centers: 6,
+        kinds: vec![large],
+        ..Settings::default()
+    };
+    let usual = run_long(&enough);
+    let short = Settings {
+        first_slowness: slowness(&usual, need),
+        ..enough
+    };
+    let outcome = run_long(&short);
+    println!("{outcome:?}");
+    assert!(outcome.first_useful >= CLOSE, "{outcome:?}");
+    let methods = Methods {
+        throttle: false,
+        ..short.methods
+    };
+    let naive = run_long(&Settings { methods, ..short });
+    println!("{naive:?}");
+    assert!(naive.first_useful < outcome.first_useful, "{naive:?}");
+}
--- /dev/null
+++ b/crates/gentian/tests/fleet/outcome.rs
@@ -0,0 +1,46 @@
+//! What became of the jobs of a replay.
+
+/// What became of all jobs, as shares of them, and what it took.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) in_time: f64,
+    /// Share of the jobs of the most urgent kind that ended in time.
+    pub(crate) urgent_in_time: f64,
+    /// Core-seconds a second of the jobs that ended in time.
+    pub(crate) work_in_time: f64,
+    pub(crate) late: f64,
+    pub(crate) refused: f64,
+    /// Share of the starts that full upstreams turned away.
+    pub(crate) turned_away: f64,
+    /// Messages that an entry received, on average.
+    pub(crate) messages_per_s: f64,
+    /// Share of its time for which the busiest entry was busy.
+    pub(crate) busiest: f64,
+    /// Jobs that the first entry was sent.
+    pub(crate) first_jobs_per_s: f64,
+    /// Share of its time, without that for reports and refusals, that the first entry spent
+    /// on jobs that ended in time.
+    pub(crate) first_useful: f64,
+    /// Share of its time for which the first entry was busy.
+    pub(crate) first_busy: f64,
+}
+
+impl Outcome {
+    pub(crate) fn mean(outcomes: Vec<Outcome>) -> Outcome {
+        let count = outcomes.len() as f64;
+        let mean = |value: fn(&Outcome) -> f64| outcomes.iter().map(value).sum::<f64>() / count;
+        Outcome {
+            in_time: mean(|outcome| outcome.in_time),
+            urgent_in_time: mean(|outcome| outcome.urgent_in_time),
+            work_in_time: mean(|outcome| outcome.work_in_time),
+            late: mean(|outcome| outcome.late),
+            refused: mean(|outcome| outcome.refused),
+            turned_away: mean(|outcome| outcome.turned_away),
+            messages_per_s: mean(|outcome| outcome.messages_per_s),
+            busiest: mean(|outcome| outcome.busiest),
+            first_jobs_per_s: mean(|outcome| outcome.first_jobs_per_s),
+            first_useful: mean(|outcome| outcome.first_useful),
+            first_busy: mean(|outcome| outcome.first_busy),
+        }
+    }
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod response_weight;
 pub mod retry;
 pub mod retry_after;
+pub mod throttle;
 pub mod waiting_list;
