--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod response_weight;
 pub mod retry;
 pub mod retry_after;
+pub mod throttle;
 pub mod unread;
 pub mod waiting_list;
