--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -116,6 +116,24 @@
         self.folder = Some(folder);
     }
 
+    /// The process's id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Processor time that the process has used, of all its threads that live.
+    pub(crate) fn processor_time(&self) -> Duration {
+        let folder = format!("/proc/{}/task", self.child.id());
+        let threads = std::fs::read_dir(&folder).expect("threads of a running process");
+        let times = threads.map(|thread| {
+            let path = thread.expect("a thread").path().join("schedstat");
+            let line = std::fs::read_to_string(path).unwrap_or_default();
+            let nanos = line.split_whitespace().next();
+            nanos.and_then(|nanos| nanos.parse().ok()).unwrap_or(0)
+        });
+        Duration::from_nanos(times.sum())
+    }
+
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
         self.signal(libc::SIGTERM);
--- a/crates/core/tests/support/platform/mod.rs
+++ b/crates/core/tests/support/platform/mod.rs
@@ -40,6 +40,8 @@
     entry_settings: Vec<Value>,
     data_folders: Vec<tempfile::TempDir>,
     log_folder: tempfile::TempDir,
+    /// One in this many requests is logged.
+    log_sample: u32,
 }
 
 impl Platform {
@@ -54,15 +56,25 @@
         entries: usize,
         entry_log: Option<&Path>,
     ) -> Platform {
-        Platform::start_with(&vec!["d"; workers], entries, entry_log)
+        Platform::start_with(&vec!["d"; workers], entries, entry_log, 1)
+    }
+
+    /// Like [`Platform::start`], but the processes log one in `sample` requests.
+    pub(crate) fn start_with_log_sample(workers: usize, entries: usize, sample: u32) -> Platform {
+        Platform::start_with(&vec!["d"; workers], entries, None, sample)
     }
 
     /// Like [`Platform::start`], with one worker in each of these data centres.
     pub(crate) fn start_in(data_centers: &[&str], entries: usize) -> Platform {
-        Platform::start_with(data_centers, entries, None)
+        Platform::start_with(data_centers, entries, None, 1)
     }
 
-    fn start_with(data_centers: &[&str], entries: usize, entry_log: Option<&Path>) -> Platform {
+    fn start_with(
+        data_centers: &[&str],
+        entries: usize,
+        entry_log: Option<&Path>,
+        log_sample: u32,
+    ) -> Platform {
         let hosts = Hosts::new();
         let [http, peer] = hosts.free_ports();
         let seeds = (0..3).map(|i| format!("{}:{peer}", hosts.get(i)));
@@ -80,6 +92,7 @@
             entry_settings: Vec::new(),
             data_folders: Vec::new(),
             log_folder: log_folder(),
+            log_sample,
         };
         for (index, seed) in seeds.iter().enumerate() {
             let folder = tempfile::tempdir().expect("a temporary folder");
@@ -130,10 +143,10 @@
         platform
     }
 
-    /// Log settings of a process: a file of its own, with lines for every request.
+    /// Log settings of a process, with a file of its own.
     fn log(&self, role: &str, index: usize) -> Value {
         let path = self.log_folder.path().join(format!("{role}-{index}.log"));
-        json!({ "format": "json", "sample": 1, "file": path })
+        json!({ "format": "json", "sample": self.log_sample, "file": path })
     }
 
     /// Runs `explain` on the logs of all processes until a line has the given `event`;
