Entry: reports that bring no new capacity start no search for room

Cause: each report of each agent started a look at the waiting jobs, also one that brought nothing but more use by others, or the clock alone. A look tries up to six vain searches over all upstreams and sums up their capacity for each of up to 64 jobs.

Change: limit::rescan decides when to look. Placer::update tells whether a task may start that could not before. An end, a crash, a first report and an upstream on trial count as a gain. What time alone changes (a task that would have been late everywhere, capacity kept for urgent jobs) is looked for every 10 ms at most.

--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -283,6 +283,9 @@
             link.connected = true;
             state.placer.set_reachable(node, true);
         }
+        if first || !reports.ends.is_empty() || !reports.crashes.is_empty() {
+            state.rescan.record_gain();
+        }
         if let Some(room) = reports.room {
             state.update_room(node, incarnation, room);
         }
@@ -296,7 +299,7 @@
             state.run_progressed(node, progress, now);
         }
         state.readmit(now);
-        state.schedule_all();
+        state.reschedule(now);
     }
 
     /// Counts as lost those runs of disconnected or restarted agents that must have
--- a/crates/core/src/entry/lease/state/mod.rs
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -17,6 +17,7 @@
 use gentian::claim::crash;
 use gentian::limit::headroom::Headroom;
 use gentian::limit::job_queue::JobQueue;
+use gentian::limit::rescan::Rescan;
 use gentian::route::bulkhead::Bulkhead;
 use gentian::route::placement::{Placer, UpstreamReport};
 use gentian::route::run_times;
@@ -44,6 +45,8 @@
     pub(super) placer: Placer,
     /// Jobs with tasks that wait for capacity.
     job_queues: BTreeMap<Lane, JobQueue>,
+    /// When agents' reports make room be sought for the waiting jobs.
+    pub(super) rescan: Rescan,
     /// What the jobs of each lane are expected to need, which is kept free for urgent ones.
     headrooms: BTreeMap<Lane, Headroom>,
     /// Crashes of upstreams that this entry knows of.
@@ -80,6 +83,7 @@
             metrics,
             placer: Placer::new(entry),
             job_queues: BTreeMap::new(),
+            rescan: Rescan::default(),
             headrooms: BTreeMap::new(),
             crashes: crash::History::default(),
             refused_at: BTreeMap::new(),
@@ -117,13 +121,18 @@
             run_time_ratio: (room.pace_percent > 0).then(|| f64::from(room.pace_percent) / 100.0),
             labels: room.labels,
         };
-        self.placer
+        let gained = self
+            .placer
             .update(node, incarnation, same_data_center, report);
+        if gained {
+            self.rescan.record_gain();
+        }
     }
 
     /// Puts upstreams on trial whose ejection has ended.
     pub(super) fn readmit(&mut self, now: Duration) {
         while let Some(node) = self.placer.readmit(now) {
+            self.rescan.record_gain();
             log::info!(
                 "agent {node}: its upstream is on trial after an ejection; sending it a few tasks"
             );
--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -29,6 +29,13 @@
         }
     }
 
+    /// Starts waiting tasks after an agent's report, if it may have made room for them.
+    pub(in crate::entry::lease) fn reschedule(&mut self, now: Duration) {
+        if self.rescan.take_due(now) {
+            self.schedule_all();
+        }
+    }
+
     /// Starts waiting tasks of all services whose upstreams have free capacity.
     pub(in crate::entry::lease) fn schedule_all(&mut self) {
         let waiting = self
--- a/crates/gentian/tests/fleet/cluster.rs
+++ b/crates/gentian/tests/fleet/cluster.rs
@@ -55,6 +55,7 @@
                 speeds: true,
                 backfills: true,
                 headroom: true,
+                rescans: true,
             },
             same_order: false,
         }
@@ -75,6 +76,10 @@
     pub(crate) turned_away: f64,
     /// Messages that an entry received, on average.
     pub(crate) messages_per_s: f64,
+    /// Reports to an entry that may have made room for waiting jobs, on average.
+    pub(crate) gains_per_s: f64,
+    /// Reports after which an entry looked at its waiting jobs, on average.
+    pub(crate) scans_per_s: f64,
     /// Share of its time for which the busiest entry was busy.
     pub(crate) busiest: f64,
 }
@@ -91,6 +96,8 @@
             refused: mean(|outcome| outcome.refused),
             turned_away: mean(|outcome| outcome.turned_away),
             messages_per_s: mean(|outcome| outcome.messages_per_s),
+            gains_per_s: mean(|outcome| outcome.gains_per_s),
+            scans_per_s: mean(|outcome| outcome.scans_per_s),
             busiest: mean(|outcome| outcome.busiest),
         }
     }
@@ -245,6 +252,8 @@
             refused: refused / jobs,
             turned_away: sum(|tally| tally.turned_away) / sum(|tally| tally.starts),
             messages_per_s: sum(|tally| tally.messages) / seconds / self.entries.len() as f64,
+            gains_per_s: sum(|tally| tally.gains) / seconds / self.entries.len() as f64,
+            scans_per_s: sum(|tally| tally.scans) / seconds / self.entries.len() as f64,
             busiest: busy.fold(0.0, f64::max) / seconds,
         }
     }
@@ -321,13 +330,14 @@
         self.entries[entry].spend(JOB_TIME, self.now);
         if let Some((job, start_by)) = self.entries[entry].submit(job, self.now) {
             self.schedule(start_by, Event::Expire { entry, job });
-            self.place(entry);
+            let starts = self.entries[entry].schedule(self.now);
+            self.place(entry, starts);
         }
     }
 
-    /// Sends the entry's next orders once it has handled all that has arrived.
-    fn place(&mut self, entry: usize) {
-        for start in self.entries[entry].schedule(self.now) {
+    /// Sends the entry's orders once it has handled all that has arrived.
+    fn place(&mut self, entry: usize, starts: Vec<Start>) {
+        for start in starts {
             let agent = self.agents_by_name[&start.upstream];
             let at = self.now.max(self.entries[entry].idle_at) + self.delay(entry, agent);
             self.schedule(
@@ -366,16 +376,18 @@
     }
 
     fn handled(&mut self, entry: usize, agent: usize, others: Need, fate: Option<Fate>) {
-        self.update_view(entry, agent, others);
+        let gained = self.update_view(entry, agent, others) || fate.is_some();
         match fate {
             Some(Fate::Done(start, ran)) => self.entries[entry].done(&start, ran, self.now),
             Some(Fate::TurnedAway(start)) => self.entries[entry].turned_away(&start),
             None => {}
         }
-        self.place(entry);
+        let starts = self.entries[entry].reschedule(gained, self.now);
+        self.place(entry, starts);
     }
 
-    fn update_view(&mut self, entry: usize, agent: usize, used_by_others: Need) {
+    /// Tells an entry what the others use; returns whether more may start than before.
+    fn update_view(&mut self, entry: usize, agent: usize, used_by_others: Need) -> bool {
         let report = UpstreamReport {
             service: self.service.clone(),
             capacity: self.agents[agent].kind.capacity(),
@@ -386,7 +398,7 @@
         };
         let near = self.is_near(entry, agent);
         let placer = &mut self.entries[entry].placer;
-        placer.update(&self.agent_names[agent], Incarnation(1), near, report);
+        placer.update(&self.agent_names[agent], Incarnation(1), near, report)
     }
 
     fn offer(&mut self, agent: usize) {
--- a/crates/gentian/tests/fleet/entry.rs
+++ b/crates/gentian/tests/fleet/entry.rs
@@ -6,6 +6,7 @@
 use gentian::limit::backfill::Backfill;
 use gentian::limit::headroom::Headroom;
 use gentian::limit::job_queue::{JobQueue, Objective, Rank};
+use gentian::limit::rescan::Rescan;
 use gentian::route::bulkhead::Pool;
 use gentian::route::outlier::Observation;
 use gentian::route::placement::{Blocked, Due, PlacementRequest, Placer};
@@ -31,6 +32,8 @@
     pub(crate) backfills: bool,
     /// Whether it keeps capacity free for urgent jobs.
     pub(crate) headroom: bool,
+    /// Whether only reports of new capacity make it look at the waiting jobs.
+    pub(crate) rescans: bool,
 }
 
 /// A job in progress.
@@ -86,6 +89,10 @@
     pub(crate) starts: u64,
     pub(crate) turned_away: u64,
     pub(crate) messages: u64,
+    /// Reports that may have made room for waiting jobs.
+    pub(crate) gains: u64,
+    /// Reports after which the entry looked at its waiting jobs.
+    pub(crate) scans: u64,
 }
 
 #[derive(Debug)]
@@ -103,6 +110,7 @@
     ratios: RunTimes,
     rng: Pcg64,
     queue: JobQueue,
+    rescan: Rescan,
     headroom: Headroom,
     jobs: BTreeMap<u64, Job>,
     last_number: u64,
@@ -126,6 +134,7 @@
             ratios: RunTimes::default(),
             rng: Pcg64::seed_from_u64(1),
             queue: JobQueue::default(),
+            rescan: Rescan::default(),
             headroom: Headroom::default(),
             jobs: BTreeMap::new(),
             last_number: 0,
@@ -194,6 +203,19 @@
         self.tally.refused += 1;
     }
 
+    /// Places waiting tasks after an agent's report, if it may have `gained` capacity.
+    pub(crate) fn reschedule(&mut self, gained: bool, now: Duration) -> Vec<Start> {
+        self.tally.gains += u64::from(gained);
+        if gained || !self.methods.rescans {
+            self.rescan.record_gain();
+        }
+        if !self.rescan.take_due(now) {
+            return Vec::new();
+        }
+        self.tally.scans += 1;
+        self.schedule(now)
+    }
+
     /// Places waiting tasks in the order of their jobs' ranks, passing over those that find
     /// no room.
     pub(crate) fn schedule(&mut self, now: Duration) -> Vec<Start> {
--- a/crates/gentian/tests/fleet/main.rs
+++ b/crates/gentian/tests/fleet/main.rs
@@ -34,6 +34,9 @@
 /// Share of the work that still ends in time where some is put off for what is urgent.
 const MIN_WORK: f64 = 0.97;
 
+/// Most searches a second for what time alone has changed.
+const RESCANS_PER_S: f64 = 100.0;
+
 /// Number of seeds that tell two ways of scheduling from each other.
 const MANY_SEEDS: u64 = 8;
 
@@ -187,6 +190,29 @@
     assert!(kept.work_in_time > MIN_WORK * not_kept.work_in_time);
 }
 
+/// A line of waiting jobs made each of many reports start a search in vain.
+#[test]
+fn a_report_without_new_capacity_starts_no_search() {
+    let rescanned = Settings {
+        load: 1.2,
+        ..Settings::default()
+    };
+    let methods = Methods {
+        rescans: false,
+        ..rescanned.methods
+    };
+    let always = Settings {
+        methods,
+        ..rescanned.clone()
+    };
+    let (rescanned, always) = (run(&rescanned), run(&always));
+    println!("{rescanned:?}\n{always:?}");
+    assert!(rescanned.gains_per_s < always.scans_per_s);
+    assert!(rescanned.scans_per_s < rescanned.gains_per_s + RESCANS_PER_S);
+    assert!(rescanned.work_in_time > 0.99 * always.work_in_time);
+    assert!(rescanned.urgent_in_time > always.urgent_in_time - 0.01);
+}
+
 /// Speeds matter to nobody while there is room.
 #[test]
 fn all_jobs_end_in_time_on_upstreams_of_two_speeds_while_capacity_is_left() {
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod job_queue;
 pub mod queue;
 pub mod quota;
+pub mod rescan;
 pub mod response_weight;
 pub mod retry;
 pub mod retry_after;
--- a/crates/route/src/placement/mod.rs
+++ b/crates/route/src/placement/mod.rs
@@ -80,15 +80,16 @@
         }
     }
 
-    /// Adds an upstream or updates it from its agent's report. Upstreams in the entry's own
-    /// data centre are slightly preferred.
+    /// Adds an upstream or updates it from its agent's report; returns whether a task may start
+    /// there that could not before. Upstreams in the entry's own data centre are slightly
+    /// preferred.
     pub fn update(
         &mut self,
         node: &Node,
         incarnation: Incarnation,
         in_own_data_center: bool,
         report: UpstreamReport,
-    ) {
+    ) -> bool {
         let detector = self.detectors.entry(report.service.clone());
         let detector = detector.or_insert_with(|| Detector::new(outlier_settings()));
         detector.track(node, incarnation);
@@ -99,6 +100,7 @@
                 let mut upstream = Upstream::new(in_own_data_center, preference, report);
                 upstream.denied = self.denied.contains(node);
                 self.upstreams.insert(node.clone(), upstream);
+                true
             }
         }
     }
--- a/crates/route/src/placement/upstream.rs
+++ b/crates/route/src/placement/upstream.rs
@@ -110,12 +110,16 @@
         }
     }
 
-    pub(super) fn update(&mut self, in_own_data_center: bool, report: UpstreamReport) {
+    /// Applies a report; returns whether a task may start here that could not before.
+    pub(super) fn update(&mut self, in_own_data_center: bool, report: UpstreamReport) -> bool {
+        let (was_open, was_free) = (self.is_open(), self.free());
+        let is_other = report.service != self.report.service || report.labels != self.report.labels;
         self.in_own_data_center = in_own_data_center;
         if let Some(ratio) = report.run_time_ratio {
             self.run_time_ratio = Some(clamp_ratio(ratio));
         }
         self.report = report;
+        is_other || (self.is_open() && !was_open) || !self.free().fits(was_free)
     }
 
     /// Whether the upstream can be given runs, regardless of its standing.
--- a/crates/route/tests/placement.rs
+++ b/crates/route/tests/placement.rs
@@ -36,6 +36,46 @@
     assert_eq!(vec![node(1), node(2)], back.into_keys().collect::<Vec<_>>());
 }
 
+fn used(report: UpstreamReport, cores: u32) -> UpstreamReport {
+    let used_by_others = Need {
+        cpu: 1_000 * cores,
+        ..Need::default()
+    };
+    UpstreamReport {
+        used_by_others,
+        ..report
+    }
+}
+
+#[test_case(used(report(32), 8), true ; "others use less")]
+#[test_case(used(report(32), 10), false ; "others use the same")]
+#[test_case(used(report(32), 12), false ; "others use more")]
+#[test_case(used(report(48), 26), false ; "larger and fuller")]
+#[test_case(used(report(48), 25), true ; "larger and free")]
+#[test_case(UpstreamReport { labels: vec!["b".to_owned()], ..used(report(32), 10) }, true ; "another label")]
+#[test_case(UpstreamReport { accepts_runs: false, ..used(report(32), 10) }, false ; "it closes")]
+fn a_report_tells_whether_more_may_start(next: UpstreamReport, expected: bool) {
+    let mut placer = Placer::default();
+    let mut update = |report| placer.update(&node(0), Incarnation(1), true, report);
+    assert!(update(used(report(32), 10)), "an upstream not known before");
+    assert_eq!(expected, update(next));
+}
+
+#[test]
+fn an_upstream_that_opens_again_may_start_more() {
+    let mut placer = Placer::default();
+    let mut update = |accepts_runs| {
+        let report = UpstreamReport {
+            accepts_runs,
+            ..report(32)
+        };
+        placer.update(&node(0), Incarnation(1), true, report)
+    };
+    update(false);
+    assert!(update(true));
+    assert!(!update(true));
+}
+
 #[test]
 fn tasks_spread_in_proportion_to_free_resources() {
     let mut placer = placer_with(&[32, 32, 48]);
