Entry: one look at the waiting jobs sums up the capacity once

Cause: for each of up to 64 waiting jobs that one look passes over, the capacity of all upstreams was added up again, and the job was taken out of its queue and put back under the same rank with the same work.

Change: a look adds the capacity up at its beginning and after each job that has started tasks, which alone change it. A job is put back only if it has started some, or may have become suspect, which only confined ones may. Nothing that is decided changes.

--- a/crates/core/src/entry/lease/state/admission.rs
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -176,7 +176,8 @@
         self.metrics.refused(&refusal.cause.to_string());
         let lane = self.lane(submission);
         let job_queue = self.job_queues.get(&lane);
-        let spare = self.spare(&lane, submission.queue.priority, waited);
+        let capacity = self.capacity(&lane);
+        let spare = self.spare(&lane, capacity, submission.queue.priority, waited);
         tracing::info!(
             event = "refused",
             request = %submission.id,
--- a/crates/core/src/entry/lease/state/headroom.rs
+++ b/crates/core/src/entry/lease/state/headroom.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use gentian::limit::job_queue::{Objective, Rank};
+use gentian::route::placement::Capacity;
 use gentian::wire::need::Constraints;
 
 use super::super::job::{Lane, Submission};
@@ -33,11 +34,22 @@
         headroom.observe(priority, cores, objective.max_wait(), now);
     }
 
-    /// The spare cores of a lane, for a job of this priority that has waited so long.
-    pub(super) fn spare(&self, lane: &Lane, priority: u32, waited: Duration) -> Spare {
+    /// Cores of the upstreams that take runs of a lane.
+    pub(super) fn capacity(&self, lane: &Lane) -> Capacity {
         let any = Constraints::default();
         let pool = crashes::pool(&self.bulkheads, &self.placer, lane, &any);
-        let capacity = self.placer.capacity(&lane.service, pool);
+        self.placer.capacity(&lane.service, pool)
+    }
+
+    /// The spare cores of a lane with this capacity, for a job of this priority that has waited
+    /// so long.
+    pub(super) fn spare(
+        &self,
+        lane: &Lane,
+        capacity: Capacity,
+        priority: u32,
+        waited: Duration,
+    ) -> Spare {
         let now = self.origin.elapsed();
         let kept = match self.headrooms.get(lane) {
             Some(headroom) => headroom.kept(priority, waited, capacity.total, now),
@@ -51,9 +63,9 @@
     }
 
     /// Whether a waiting job may start beside what is kept free for more urgent ones.
-    pub(super) fn has_headroom(&self, lane: &Lane, rank: &Rank) -> bool {
+    pub(super) fn has_headroom(&self, lane: &Lane, capacity: Capacity, rank: &Rank) -> bool {
         let waited = self.jobs[&rank.arrival].arrived_at.elapsed();
-        let spare = self.spare(lane, rank.priority, waited);
+        let spare = self.spare(lane, capacity, rank.priority, waited);
         spare.free >= spare.kept
     }
 }
--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -54,6 +54,7 @@
     pub(in crate::entry::lease) fn schedule(&mut self, lane: &Lane) {
         let mut pass = Backfill::default();
         let mut passed: Option<Rank> = None;
+        let mut capacity = self.capacity(lane);
         loop {
             let job_queue = self.job_queues.get(lane);
             let next = job_queue.and_then(|queue| queue.next(passed.as_ref()));
@@ -63,16 +64,25 @@
             if rank.suspect && self.is_pressed(lane) {
                 return;
             }
-            if rank.not_started && !self.has_headroom(lane, &rank) {
+            if rank.not_started && !self.has_headroom(lane, capacity, &rank) {
                 // Those behind it with its priority have hardly waited longer.
                 passed = Some(rank.last_of_priority());
                 continue;
             }
-            let Some(index) = self.start_tasks(rank.arrival, &mut pass) else {
+            let before = self.jobs[&rank.arrival].waiting.len();
+            let blocked = self.start_tasks(rank.arrival, &mut pass);
+            let any_started = self.jobs[&rank.arrival].waiting.len() < before;
+            if any_started {
+                capacity = self.capacity(lane);
+            }
+            let Some(index) = blocked else {
                 self.dequeue(lane, &rank);
                 continue;
             };
-            self.requeue(rank.arrival);
+            // Whether a confined job is suspect may have changed meanwhile.
+            if any_started || lane.confined {
+                self.requeue(rank.arrival);
+            }
             if !self.is_restricted(rank.arrival, index) && !pass.pass_over() {
                 return;
             }
