--- a/crates/core/src/agent/lease/http.rs
+++ b/crates/core/src/agent/lease/http.rs
@@ -60,7 +60,7 @@
                 );
                 Err(self.reject(id, reason))
             }
-            Update::Stale | Update::Same | Update::Replaced => {
+            Update::Stale | Update::Same | Update::First | Update::Replaced(_) => {
                 Ok(serve::respond("application/json", "{}".into()))
             }
         }
--- a/crates/core/src/entry/lease/state/mod.rs
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -17,6 +17,7 @@
 use gentian::claim::crash;
 use gentian::limit::headroom::Headroom;
 use gentian::limit::job_queue::JobQueue;
+use gentian::limit::rescan::Rescan;
 use gentian::limit::throttle::Throttle;
 use gentian::route::bulkhead::Bulkhead;
 use gentian::route::placement::{Placer, UpstreamReport};
@@ -47,6 +48,8 @@
     throttle: Throttle,
     /// Jobs with tasks that wait for capacity.
     job_queues: BTreeMap<Lane, JobQueue>,
+    /// When agents' reports make room be sought for the waiting jobs.
+    pub(super) rescan: Rescan,
     /// What the jobs of each lane are expected to need, which is kept free for urgent ones.
     headrooms: BTreeMap<Lane, Headroom>,
     /// Crashes of upstreams that this entry knows of.
@@ -84,6 +87,7 @@
             placer: Placer::new(entry),
             throttle: Throttle::default(),
             job_queues: BTreeMap::new(),
+            rescan: Rescan::default(),
             headrooms: BTreeMap::new(),
             crashes: crash::History::default(),
             refused_at: BTreeMap::new(),
@@ -121,8 +125,12 @@
             run_time_ratio: (room.pace_percent > 0).then(|| f64::from(room.pace_percent) / 100.0),
             labels: room.labels,
         };
-        self.placer
+        let gained = self
+            .placer
             .update(node, incarnation, same_data_center, report);
+        if gained {
+            self.rescan.record_gain();
+        }
     }
 
     /// Forgets the removed agents that have no runs left.
@@ -140,6 +148,7 @@
     /// Puts upstreams on trial whose ejection has ended.
     pub(super) fn readmit(&mut self, now: Duration) {
         while let Some(node) = self.placer.readmit(now) {
+            self.rescan.record_gain();
             log::info!(
                 "agent {node}: its upstream is on trial after an ejection; sending it a few tasks"
             );
--- a/crates/gentian/tests/crashing/cluster/crashes.rs
+++ b/crates/gentian/tests/crashing/cluster/crashes.rs
@@ -1,6 +1,7 @@
 //! Crashes of upstreams: what is lost, and what the scheduler learns from them.
 
 use gentian::claim::crash::{Crash, CrashedRun, Process, Verdict};
+use gentian::claim::run::Replacement;
 use gentian::route::bulkhead;
 
 use super::super::load::{name, Policy, CAPACITY, DOWNTIME, LAPSE, NOTICE, TASK};
@@ -95,7 +96,14 @@
         there.is_up = true;
         there.last_end = 0;
         there.running.clear();
-        there.runs.upstream_replaced(self.now);
+        let replacement = Replacement {
+            same_id: true,
+            former_ended: true,
+        };
+        there.runs.upstream_replaced(replacement, self.now);
         there.runs.set_upstream(CAPACITY, true);
+        // The agent asks a new process at once what it runs.
+        let poll = there.runs.begin_poll();
+        there.runs.apply_poll(poll, &[], &[], self.now);
     }
 }
--- a/crates/gentian/tests/fleet/cluster.rs
+++ b/crates/gentian/tests/fleet/cluster.rs
@@ -56,6 +56,7 @@
                 backfills: true,
                 headroom: true,
                 throttle: true,
+                rescans: true,
             },
             same_order: false,
             first_slowness: 1.0,
@@ -214,6 +215,8 @@
             refused: refused / jobs,
             turned_away: sum(|tally| tally.turned_away) / sum(|tally| tally.starts),
             messages_per_s: sum(|tally| tally.messages) / seconds / self.entries.len() as f64,
+            gains_per_s: sum(|tally| tally.gains) / seconds / self.entries.len() as f64,
+            scans_per_s: sum(|tally| tally.scans) / seconds / self.entries.len() as f64,
             busiest: busy.fold(0.0, f64::max) / seconds,
             first_jobs_per_s: first.tally.submitted as f64 / seconds,
             first_useful: first.useful_share(length),
@@ -299,13 +302,14 @@
         self.entries[entry].spend(JOB_TIME, self.now);
         if let Some((job, start_by)) = self.entries[entry].submit(job, self.now) {
             self.schedule(start_by, Event::Expire { entry, job });
-            self.place(entry);
+            let starts = self.entries[entry].schedule(self.now);
+            self.place(entry, starts);
         }
     }
 
-    /// Sends the entry's next orders once it has handled all that has arrived.
-    fn place(&mut self, entry: usize) {
-        for start in self.entries[entry].schedule(self.now) {
+    /// Sends the entry's orders once it has handled all that has arrived.
+    fn place(&mut self, entry: usize, starts: Vec<Start>) {
+        for start in starts {
             let agent = self.agents_by_name[&start.upstream];
             let at = self.now.max(self.entries[entry].idle_at) + self.delay(entry, agent);
             self.schedule(
@@ -344,16 +348,18 @@
     }
 
     fn handled(&mut self, entry: usize, agent: usize, others: Need, fate: Option<Fate>) {
-        self.update_view(entry, agent, others);
+        let gained = self.update_view(entry, agent, others) || fate.is_some();
         match fate {
             Some(Fate::Done(start, ran)) => self.entries[entry].done(&start, ran, self.now),
             Some(Fate::TurnedAway(start)) => self.entries[entry].turned_away(&start),
             None => {}
         }
-        self.place(entry);
+        let starts = self.entries[entry].reschedule(gained, self.now);
+        self.place(entry, starts);
     }
 
-    fn update_view(&mut self, entry: usize, agent: usize, used_by_others: Need) {
+    /// Tells an entry what the others use; returns whether more may start than before.
+    fn update_view(&mut self, entry: usize, agent: usize, used_by_others: Need) -> bool {
         let report = UpstreamReport {
             service: self.service.clone(),
             capacity: self.agents[agent].kind.capacity(),
@@ -364,7 +370,7 @@
         };
         let near = self.is_near(entry, agent);
         let placer = &mut self.entries[entry].placer;
-        placer.update(&self.agent_names[agent], Incarnation(1), near, report);
+        placer.update(&self.agent_names[agent], Incarnation(1), near, report)
     }
 
     fn offer(&mut self, agent: usize) {
--- a/crates/gentian/tests/fleet/outcome.rs
+++ b/crates/gentian/tests/fleet/outcome.rs
@@ -14,6 +14,10 @@
     pub(crate) turned_away: f64,
     /// Messages that an entry received, on average.
     pub(crate) messages_per_s: f64,
+    /// Reports to an entry that may have made room for waiting jobs, on average.
+    pub(crate) gains_per_s: f64,
+    /// Reports after which an entry looked at its waiting jobs, on average.
+    pub(crate) scans_per_s: f64,
     /// Share of its time for which the busiest entry was busy.
     pub(crate) busiest: f64,
     /// Jobs that the first entry was sent.
@@ -37,6 +41,8 @@
             refused: mean(|outcome| outcome.refused),
             turned_away: mean(|outcome| outcome.turned_away),
             messages_per_s: mean(|outcome| outcome.messages_per_s),
+            gains_per_s: mean(|outcome| outcome.gains_per_s),
+            scans_per_s: mean(|outcome| outcome.scans_per_s),
             busiest: mean(|outcome| outcome.busiest),
             first_jobs_per_s: mean(|outcome| outcome.first_jobs_per_s),
             first_useful: mean(|outcome| outcome.first_useful),
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod lag;
 pub mod queue;
 pub mod quota;
+pub mod rescan;
 pub mod response_weight;
 pub mod retry;
 pub mod retry_after;
