Renewal: measure a node's lease and its configuration's age by the boot-time clock

Cause: a node's lease from control, and the age of the configuration that it holds, were measured with `Instant`.

Change: all times of `LeaseState` are those of clock::now. `expires_at` becomes `remaining`, since timers have another clock.

Evidence: config.rs `a_resumed_node_has_no_outdated_version_in_force` suspends an agent for longer than its lease, with the preloaded library that takes the time out of the monotonic clock only, and stops control before it goes on.

--- a/crates/core/src/agent/http.rs
+++ b/crates/core/src/agent/http.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use super::upstreams::{Announcement, UpstreamTable};
+use crate::clock;
 use crate::metrics;
 use crate::renew::LeaseState;
 use crate::serve::{self, Handler, Problem, Request, Response};
@@ -64,7 +65,7 @@
 
     fn metrics_page(&self) -> Response {
         let held = self.held.borrow().clone();
-        self.metrics.page(&held, held.in_force(Instant::now()))
+        self.metrics.page(&held, held.in_force(clock::now()))
     }
 
     async fn announce(&self, request: Request) -> Result<()> {
--- a/crates/core/src/agent/lease/permission.rs
+++ b/crates/core/src/agent/lease/permission.rs
@@ -1,12 +1,12 @@
 //! Whether the configuration gives this agent's upstream work.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use gentian::wire::{control, id};
 use tokio::sync::watch;
 
 use super::supervisor::Supervisor;
+use crate::clock;
 use crate::panics::AbortOnPanic;
 use crate::renew::LeaseState;
 
@@ -50,7 +50,7 @@
     loop {
         let latest = held.borrow_and_update().clone();
         // Until a configuration is known, the supervisor refuses runs.
-        if let Some(age) = latest.age(Instant::now()) {
+        if let Some(age) = latest.age(clock::now()) {
             let denied = location.is_denied(&latest);
             if supervisor.set_denied(denied) {
                 log::info!(
--- a/crates/core/src/agent/service.rs
+++ b/crates/core/src/agent/service.rs
@@ -17,6 +17,7 @@
 use super::claims::Claims;
 use super::upstreams::{Admission, Refusal, Slot, UpstreamTable};
 use super::{pool, reply};
+use crate::clock;
 use crate::metrics;
 use crate::renew::LeaseState;
 
@@ -89,7 +90,7 @@
     }
 
     fn admit(&self, service: &str, now: Instant) -> std::result::Result<Admission, Reason> {
-        if !self.held.borrow().in_force(now) {
+        if !self.held.borrow().in_force(clock::now()) {
             return Err(Reason::NoLease);
         }
         let upstream = self.table.get(service).ok_or(Reason::NoUpstream)?;
@@ -256,7 +257,7 @@
         let request = request.into_inner();
         let (job, claimant) = reply::parse_claimant(&request).map_err(malformed)?;
         let held = self.held.borrow().clone();
-        let claim = match held.in_force(Instant::now()) {
+        let claim = match held.in_force(clock::now()) {
             true => self.claims.claim(job, claimant, View(request.view), &held),
             false => Err(gentian::claim::refusal::Refusal::NoLease),
         };
--- a/crates/core/src/entry/dispatch/state.rs
+++ b/crates/core/src/entry/dispatch/state.rs
@@ -13,6 +13,7 @@
 use super::members;
 use super::service::{PendingRequest, Service};
 use super::{Counts, PlaceRequest, Reason, Refusal, Report, TeamLoan, Verdict};
+use crate::clock;
 use crate::renew::LeaseState;
 
 /// Longest time between two passes over the services while no request waits. Each pass
@@ -61,7 +62,7 @@
         sender: oneshot::Sender<Verdict>,
         now: Instant,
     ) {
-        if !self.held.in_force(now) {
+        if !self.held.in_force(clock::now()) {
             return refuse(sender, Reason::NoLease);
         }
         let view = id::View(self.held.view);
@@ -111,7 +112,7 @@
     /// Gives places to waiting requests, and refuses those that can't be served in time.
     /// Without a lease, all of them are refused.
     pub(super) fn place(&mut self, now: Instant) {
-        let in_force = self.held.in_force(now);
+        let in_force = self.held.in_force(clock::now());
         let view = id::View(self.held.view);
         let now = self.since_origin(now);
         for service in self.services.values_mut() {
--- a/crates/core/src/entry/job/placement.rs
+++ b/crates/core/src/entry/job/placement.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use gentian::claim::coordinator::{Plan, TaskAgents};
 use gentian::claim::key_window::{MAX_CLOCK_SKEW, RETENTION};
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use super::{not_run, Result};
+use crate::clock;
 use crate::panics::Mutex;
 use crate::renew::{LeaseState, VIEW_GRACE};
 use crate::serve::Problem;
@@ -77,7 +78,7 @@
     ) -> Result<(Plan, View)> {
         check_age(job, wall)?;
         let state = self.state();
-        if !state.held.in_force(Instant::now()) {
+        if !state.held.in_force(clock::now()) {
             return Err(not_run("the entry holds no lease from control"));
         }
         let view = state
--- a/crates/core/src/entry/lease/api.rs
+++ b/crates/core/src/entry/lease/api.rs
@@ -12,6 +12,7 @@
 
 use super::dispatcher::Dispatcher;
 use super::job::{Outcome, RefusalCause, Submission};
+use crate::clock;
 use crate::logging::is_sampled;
 use crate::metrics;
 use crate::renew::LeaseState;
@@ -87,7 +88,7 @@
     fn config(&self) -> Option<Arc<LeaseState>> {
         let held = self.held.borrow().clone();
         let fresh = held
-            .age(Instant::now())
+            .age(clock::now())
             .is_some_and(|age| age < MAX_CONFIG_AGE);
         (fresh && held.document.release.is_some()).then_some(held)
     }
@@ -126,7 +127,7 @@
         let held = self.held.borrow().clone();
         self.dispatcher.metrics().page(metrics::JobStatus {
             version: held.version,
-            age: held.age(Instant::now()).unwrap_or_default(),
+            age: held.age(clock::now()).unwrap_or_default(),
             waiting: self.dispatcher.jobs_waiting(),
             confined_queues: self.dispatcher.confined_queues(),
             denied_upstreams: self.dispatcher.denied_upstreams(),
@@ -213,7 +214,7 @@
             steps: job.steps,
         };
         let sampled = is_sampled(id);
-        let config = (held.version, held.age(arrived).unwrap_or_default());
+        let config = (held.version, held.age(clock::now()).unwrap_or_default());
         if sampled {
             tracing::info!(
                 event = "accepted",
--- a/crates/core/src/entry/meter.rs
+++ b/crates/core/src/entry/meter.rs
@@ -8,6 +8,7 @@
 use gentian_config::document::Objectives;
 use tokio::sync::watch;
 
+use crate::clock;
 use crate::metrics::{self, InProgressGuard};
 use crate::renew::LeaseState;
 use crate::report::counts::{AnswerClass, AnswerCounts};
@@ -83,7 +84,7 @@
 
     fn metrics_page(&self) -> Response {
         let held = self.held.borrow().clone();
-        self.metrics.page(&held, held.in_force(Instant::now()))
+        self.metrics.page(&held, held.in_force(clock::now()))
     }
 
     fn snapshot(&self) -> Snapshot {
--- a/crates/core/src/renew/log_changes.rs
+++ b/crates/core/src/renew/log_changes.rs
@@ -1,11 +1,11 @@
 //! Logs changes of a node's lease, its configuration version and its view.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use tokio::sync::watch;
 
 use super::LeaseState;
+use crate::clock;
 
 /// The state that was logged last.
 #[derive(Debug, Default)]
@@ -22,8 +22,9 @@
         let state = states.borrow_and_update().clone();
         logged.update(&node, &state);
         let expiry = async {
-            match state.expires_at().filter(|_| logged.in_force) {
-                Some(expiry) => tokio::time::sleep_until(expiry.into()).await,
+            let remaining = state.remaining(clock::now());
+            match remaining.filter(|_| logged.in_force) {
+                Some(remaining) => tokio::time::sleep(remaining).await,
                 None => std::future::pending().await,
             }
         };
@@ -38,7 +39,7 @@
     /// Logs what differs from the last logged state.
     fn update(&mut self, node: &str, state: &LeaseState) {
         let LeaseState { version, view, .. } = *state;
-        let in_force = state.in_force(Instant::now());
+        let in_force = state.in_force(clock::now());
         match (self.in_force, in_force) {
             (false, true) => {
                 log::info!("{node}: lease held, configuration version {version}, view {view}")
--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -16,6 +16,7 @@
 use tokio::task::JoinSet;
 use tonic::transport::Channel;
 
+use crate::clock;
 use crate::panics::AbortOnPanic;
 
 pub(crate) use control_peers::ControlPeers;
@@ -77,8 +78,8 @@
 struct Answer {
     /// The instance that answered.
     client: ControlClient<Channel>,
-    /// When the request was sent.
-    sent: Instant,
+    /// When the request was sent, in the time of [`clock::now`].
+    sent: Duration,
     reply: RenewReply,
 }
 
@@ -202,7 +203,7 @@
         }
         self.peers.set_members(&reply.control);
         let known = self.state.borrow().clone();
-        match known.with_reply(answer.sent, Instant::now(), &reply) {
+        match known.with_reply(answer.sent, clock::now(), &reply) {
             Ok(state) => {
                 if state.roster != known.roster {
                     self.present_changed_at = Instant::now();
@@ -225,7 +226,7 @@
 /// Sends a renewal; logs the reason and returns `None` if it is not answered.
 async fn call(mut client: ControlClient<Channel>, request: RenewRequest) -> Option<Answer> {
     let _essential = AbortOnPanic("a renewal of the lease");
-    let sent = Instant::now();
+    let sent = clock::now();
     match tokio::time::timeout(CALL_TIMEOUT, client.renew(request)).await {
         Ok(Ok(reply)) => Some(Answer {
             client,
--- a/crates/core/src/renew/state.rs
+++ b/crates/core/src/renew/state.rs
@@ -1,7 +1,7 @@
 //! The lease of a node, with the configuration and the views it has received.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gentian::claim::placement::{self, ViewHistory};
 use gentian::config::document::{Document, Problem};
@@ -11,6 +11,8 @@
 use gentian::wire::control::{Member, RenewReply};
 use gentian::wire::id::{Version, View};
 
+use crate::clock;
+
 /// Why a node rejects the reply to a renewal.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
@@ -32,13 +34,14 @@
 pub(crate) type Result<T> = std::result::Result<T, Error>;
 
 /// A node's lease, and the configuration and views that it may act on while the
-/// lease is valid.
+/// lease is valid. All times are those of [`clock::now`], so that a node doesn't act on what
+/// has become outdated while its system was suspended.
 #[derive(Clone, Debug)]
 pub(crate) struct LeaseState {
-    origin: Instant,
+    origin: Duration,
     lease: Lease,
     /// Upper bound of the time at which the view came into force.
-    view_since: Instant,
+    view_since: Duration,
     /// Version of the configuration in force.
     pub(crate) version: u64,
     /// The configuration in force.
@@ -53,7 +56,7 @@
     /// entries only.
     pub(crate) present: Arc<Vec<member::Member>>,
     /// When the last successful renewal was sent.
-    renewed_at: Option<Instant>,
+    renewed_at: Option<Duration>,
     /// The view in force and the earlier views that are still needed.
     pub(crate) window: Arc<Window>,
 }
@@ -61,7 +64,7 @@
 impl Default for LeaseState {
     /// The state before the first renewal: no lease, configuration or view.
     fn default() -> LeaseState {
-        let now = Instant::now();
+        let now = clock::now();
         LeaseState {
             origin: now,
             lease: Lease::default(),
@@ -80,26 +83,25 @@
 
 impl LeaseState {
     /// Whether the node holds a lease that is valid at `now`.
-    pub(crate) fn in_force(&self, now: Instant) -> bool {
+    pub(crate) fn in_force(&self, now: Duration) -> bool {
         self.lease.in_force(self.since_origin(now)).is_some()
     }
 
     /// Time since the last successful renewal was sent, if there was one. The
     /// configuration and the view were in force then.
-    pub(crate) fn age(&self, now: Instant) -> Option<Duration> {
-        Some(now.saturating_duration_since(self.renewed_at?))
+    pub(crate) fn age(&self, now: Duration) -> Option<Duration> {
+        Some(now.saturating_sub(self.renewed_at?))
     }
 
-    /// When the lease expires; `None` if there is no valid lease.
-    pub(super) fn expires_at(&self) -> Option<Instant> {
-        let now = Instant::now();
+    /// Time until the lease expires; `None` if there is no valid lease.
+    pub(super) fn remaining(&self, now: Duration) -> Option<Duration> {
         let left = self.lease.remaining(self.since_origin(now));
-        (!left.is_zero()).then(|| now + left)
+        (!left.is_zero()).then_some(left)
     }
 
     /// Lower bound of the time that the view has been in force.
-    pub(crate) fn view_age(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.view_since)
+    pub(crate) fn view_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.view_since)
     }
 
     /// Adds the views that are missing from `history`. `wall` is the wall-clock time
@@ -108,7 +110,7 @@
     /// Only the age of the view in force is known. The earlier ones get the same
     /// age, which is too low, so the history keeps them longer than necessary.
     pub(crate) fn update_history(&self, history: &mut ViewHistory, wall: Duration) {
-        let from = wall.saturating_sub(self.view_age(Instant::now()));
+        let from = wall.saturating_sub(self.view_age(clock::now()));
         let known = history.number();
         self.window.for_each(|number, members| {
             let members = || members.values().map(placement_member).collect();
@@ -124,8 +126,8 @@
     /// and whose reply was received at `received`.
     pub(super) fn with_reply(
         &self,
-        sent: Instant,
-        received: Instant,
+        sent: Duration,
+        received: Duration,
         reply: &RenewReply,
     ) -> Result<LeaseState> {
         let mut state = self.clone();
@@ -161,7 +163,7 @@
         Ok(())
     }
 
-    fn apply_view(&mut self, received: Instant, reply: &RenewReply) -> Result<()> {
+    fn apply_view(&mut self, received: Duration, reply: &RenewReply) -> Result<()> {
         let age = Duration::from_millis(reply.view_age_ms);
         let since = received.checked_sub(age).unwrap_or(self.origin);
         let same = reply.view == self.view;
@@ -186,8 +188,8 @@
         Ok(())
     }
 
-    fn since_origin(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.origin)
+    fn since_origin(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.origin)
     }
 }
 
--- a/crates/core/src/renew/status.rs
+++ b/crates/core/src/renew/status.rs
@@ -2,13 +2,13 @@
 //! `/live` and `/ready` for the load balancer.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use http::Method;
 use serde_json::json;
 use tokio::sync::watch;
 
 use super::LeaseState;
+use crate::clock;
 use crate::serve::{self, Handler, Problem, Request, Response};
 
 /// Handles the lease's endpoints and passes other requests to `inner`.
@@ -33,7 +33,7 @@
     }
 
     fn status(&self) -> Response {
-        let now = Instant::now();
+        let now = clock::now();
         let state = self.states.borrow().clone();
         let status = json!({
             "role": self.role,
@@ -48,7 +48,7 @@
     }
 
     fn ready(&self) -> Response {
-        match self.states.borrow().in_force(Instant::now()) {
+        match self.states.borrow().in_force(clock::now()) {
             true => serve::text("ready\n"),
             false => Problem::busy("this node holds no lease from control").respond(),
         }
--- a/crates/core/tests/config.rs
+++ b/crates/core/tests/config.rs
@@ -8,6 +8,7 @@
 
 use serde_json::{json, Value};
 use support::cluster::Cluster;
+use support::suspension::Suspension;
 use support::system::{poll, start_node, System};
 use support::{call, Process};
 use uuid::Uuid;
@@ -127,6 +128,28 @@
     poll(|| (node(agent) == (true, 1)).then_some(()));
 }
 
+/// A node that went on after a suspension still counted the version that it held as in force.
+#[test]
+fn a_resumed_node_has_no_outdated_version_in_force() {
+    let (control, _, peer) = System::start_control_with_http();
+    let mut suspension = Suspension::new();
+    let settings = json!({
+        "name": "agent", "data_center": "beauce", "rack": "r1", "region": "quebec",
+        "control": [peer], "agent": { "http": "127.0.0.1:0", "peer": "127.0.0.1:0" },
+    });
+    let agent = Process::start_prepared(&settings, |command| suspension.prepare(command));
+    let address = agent.listen_address("agent-http").to_string();
+    poll(|| node(&address).0.then_some(()));
+    suspension.suspend(&agent);
+    // With control frozen, the node cannot renew its lease before its status is read.
+    control.signal(libc::SIGSTOP);
+    std::thread::sleep(IN_FORCE_WITHIN);
+    suspension.resume(&agent);
+    assert!(!node(&address).0, "the lease has ended meanwhile");
+    control.signal(libc::SIGCONT);
+    poll(|| node(&address).0.then_some(()));
+}
+
 #[test]
 fn nodes_run_nothing_after_their_leases_expire_without_control() {
     let system = System::start(1);
