--- a/crates/core/src/agent/lease/permission.rs
+++ b/crates/core/src/agent/lease/permission.rs
@@ -2,12 +2,12 @@
 //! whether it is given work.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use gentian::wire::{control, id};
 use tokio::sync::watch;
 
 use super::supervisor::Supervisor;
+use crate::clock;
 use crate::panics::AbortOnPanic;
 use crate::renew::LeaseState;
 
@@ -58,7 +58,7 @@
             supervisor.set_services(services.keys().cloned().collect());
         }
         // Until a configuration is known, the supervisor refuses runs.
-        if let Some(age) = latest.age(Instant::now()) {
+        if let Some(age) = latest.age(clock::now()) {
             let denied = location.is_denied(&latest);
             if supervisor.set_denied(denied) {
                 log::info!(
--- a/crates/core/src/entry/lease/api.rs
+++ b/crates/core/src/entry/lease/api.rs
@@ -12,6 +12,7 @@
 
 use super::dispatcher::Dispatcher;
 use super::job::{Outcome, Refusal, RefusalCause, Submission};
+use crate::clock;
 use crate::lag;
 use crate::logging::is_sampled;
 use crate::metrics;
@@ -95,7 +96,7 @@
     fn config(&self) -> Option<Arc<LeaseState>> {
         let held = self.held.borrow().clone();
         let fresh = held
-            .age(Instant::now())
+            .age(clock::now())
             .is_some_and(|age| age < MAX_CONFIG_AGE);
         (fresh && held.document.release.is_some()).then_some(held)
     }
@@ -134,7 +135,7 @@
         let held = self.held.borrow().clone();
         self.dispatcher.metrics().page(metrics::JobStatus {
             version: held.version,
-            age: held.age(Instant::now()).unwrap_or_default(),
+            age: held.age(clock::now()).unwrap_or_default(),
             waiting: self.dispatcher.jobs_waiting(),
             confined_queues: self.dispatcher.confined_queues(),
             denied_upstreams: self.dispatcher.denied_upstreams(),
@@ -167,7 +168,7 @@
         };
         let held = self.config_or_wait(&arrival).await?;
         let queue = held.document.queue_for(&head.host, &path);
-        let queue = queue.ok_or_else(|| no_queue(&held, arrival.at))?;
+        let queue = queue.ok_or_else(|| no_queue(&held))?;
         match Call::read(request.method(), &path[queue.prefix.len()..]) {
             Some(Call::Submit(id)) => {
                 self.submit(id, queue.clone(), arrival, &held, request)
@@ -228,7 +229,7 @@
             steps: job.steps,
         };
         let sampled = is_sampled(id);
-        let config = (held.version, held.age(arrived).unwrap_or_default());
+        let config = (held.version, held.age(clock::now()).unwrap_or_default());
         if sampled {
             tracing::info!(
                 event = "accepted",
@@ -322,8 +323,9 @@
 
 /// The answer to a request that no queue matches. Unless control has confirmed the configuration
 /// just now, a newer one may have the queue.
-fn no_queue(held: &LeaseState, now: Instant) -> Problem {
-    let confirmed = held.age(now).is_some_and(|age| age < MAX_ABSENCE_AGE);
+fn no_queue(held: &LeaseState) -> Problem {
+    let age = held.age(clock::now());
+    let confirmed = age.is_some_and(|age| age < MAX_ABSENCE_AGE);
     if confirmed {
         return Problem::new(404, "not found", "no queue matches this host and path");
     }
