Entry: a job whose deadline has passed starts no task

Cause: a job that waits for capacity is ended by its caller's request at the deadline. An entry that was frozen meanwhile reads its agents' reports and wakes these requests in any order. A report that comes first starts tasks of a job that its caller has given up and has sent to another entry, where they run.

Change: the scheduler passes over jobs whose deadline, the last of their callers', is over. Their callers' requests end them. A caller that submits such a job again extends the deadline and puts it back into its queue.

Evidence: platform_faults (real processes), jobs_whose_deadlines_passed_while_their_entry_was_frozen_run_nowhere: 24 jobs of an entry that is frozen for 1.8 s.

--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -93,8 +93,7 @@
         };
         if let Some(number) = state.numbers_by_id.get(&submission.id).copied() {
             ticket.job = number;
-            let job = state.jobs.get_mut(&number);
-            job.map(|job| job.callers.insert(caller, sender));
+            state.join(number, caller, sender, deadline);
             return ticket;
         }
         let times = Times { arrived, deadline };
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -203,12 +203,20 @@
     /// Whether a run has ended otherwise than with a refusal, so that it may have begun.
     may_have_run: bool,
     pub(super) arrived_at: Instant,
+    /// When the last of its callers gives it up.
+    pub(super) deadline: Instant,
     /// Callers that wait for the outcome, by their number.
     pub(super) callers: BTreeMap<u64, oneshot::Sender<Outcome>>,
 }
 
 impl Job {
-    pub(super) fn new(submission: Submission, objective: Objective, lane: Lane, rank: Rank) -> Job {
+    pub(super) fn new(
+        submission: Submission,
+        objective: Objective,
+        lane: Lane,
+        rank: Rank,
+        times: Times,
+    ) -> Job {
         let steps = submission.steps.iter().enumerate();
         let tasks =
             steps.flat_map(|(step, tasks)| tasks.tasks.iter().map(move |name| (step, name)));
@@ -236,7 +244,8 @@
             paths_after: submission.paths_after(),
             started: false,
             may_have_run: false,
-            arrived_at: Instant::now(),
+            arrived_at: times.arrived,
+            deadline: times.deadline,
             callers: BTreeMap::new(),
             submission,
         };
@@ -291,6 +300,11 @@
         }
     }
 
+    /// Whether its callers have given it up, and may have sent it to another entry.
+    pub(super) fn is_overdue(&self) -> bool {
+        Instant::now() >= self.deadline
+    }
+
     pub(super) fn is_done(&self) -> bool {
         self.unfinished.iter().all(|tasks| *tasks == 0)
     }
--- a/crates/core/src/entry/lease/state/admission.rs
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -79,8 +79,7 @@
             }
             return;
         }
-        let mut job = Job::new(submission, objective, lane, rank);
-        job.arrived_at = times.arrived;
+        let mut job = Job::new(submission, objective, lane, rank, times);
         job.callers.insert(number, caller);
         self.insert_job(number, job);
     }
--- a/crates/core/src/entry/lease/state/mod.rs
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -25,6 +25,7 @@
 use gentian::wire::need::Need;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
+use tokio::sync::oneshot;
 
 use crate::metrics;
 
@@ -158,6 +159,26 @@
         self.schedule(&lane);
     }
 
+    /// Adds a caller that has submitted a job in progress again. The job may have left its
+    /// queue at the deadlines of the others.
+    pub(super) fn join(
+        &mut self,
+        number: u64,
+        caller: u64,
+        sender: oneshot::Sender<Outcome>,
+        deadline: Instant,
+    ) {
+        let Some(job) = self.jobs.get_mut(&number) else {
+            return;
+        };
+        job.callers.insert(caller, sender);
+        job.deadline = job.deadline.max(deadline);
+        let blocked = self.blocked_jobs.get(&job.submission.id) == Some(&number);
+        if !blocked && !job.waiting.is_empty() {
+            self.requeue(number);
+        }
+    }
+
     /// Handles the end of a run whose job had ended before. The last such run of a job
     /// unblocks the job that was submitted again under the same id.
     fn stopped_run_ended(&mut self, placed: &PlacedRun) {
--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -53,6 +53,11 @@
             let Some(rank) = next.copied() else {
                 return;
             };
+            if self.jobs[&rank.arrival].is_overdue() {
+                // Its callers' requests end it, once they get to run.
+                self.dequeue(lane, &rank);
+                continue;
+            }
             if rank.suspect && self.is_pressed(lane) {
                 return;
             }
--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use std::io::Read;
-use std::net::TcpListener;
+use std::net::{TcpListener, TcpStream};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -337,3 +337,27 @@
         assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
     }
 }
+
+/// Guards against tasks that run for two entries at once: their jobs waited for capacity at
+/// an entry that froze until their callers had sent them to another one.
+#[test]
+fn jobs_whose_deadlines_passed_while_their_entry_was_frozen_run_nowhere() {
+    let platform = Platform::start(3, 2);
+    let filling = platform.spawn_submit(1, "00000000000000bb", 30, 800);
+    poll(|| (platform.running() == 30).then_some(()));
+    let ids: Vec<String> = (1..=24).map(|number| format!("{number:016x}")).collect();
+    let send = |id: &String| platform.send(0, id, &job(1, 1_500), 500);
+    let _stale: Vec<TcpStream> = ids.iter().map(send).collect();
+    thread::sleep(Duration::from_millis(100));
+    platform.entries[0].signal(libc::SIGSTOP);
+    thread::sleep(Duration::from_millis(500) + RESEND_DELAY);
+    let resend = |id: &String| platform.spawn_submit_id(1, id.clone(), 1, 1_500);
+    let resent: Vec<_> = ids.iter().map(resend).collect();
+    poll(|| (platform.running() == ids.len()).then_some(()));
+    platform.entries[0].signal(libc::SIGCONT);
+    for job in resent.into_iter().chain([filling]) {
+        let answer = job.join().expect("the thread does not panic");
+        assert_eq!((200, COMPLETED.to_owned()), answer);
+    }
+    platform.assert_no_concurrent_runs();
+}
