Entry: count the silence of an agent in time for which the entry ran

Cause: the time limits on a report and on a new stream ran by the clock, whether the entry ran or not. A report that waited in its socket when the limit passed lost against the timer, or was not yet looked at.

Change: these limits are counted in the running time of the process (limit::lag, lag::run_for, lag::timeout), which grows by 20 ms only with a measurement that came 60 ms late or more; small lags count in full. At the end of the limit, what has arrived is looked at before the stream is given up. An agent that is gone is found out as before by an entry that runs; by one that gets little processor, later, unless the connection breaks. The lapse of leases is a fact of the clock and stays by the clock.

Ruled out: computing the lease that is sent with orders from an earlier report with less delay. It would end later than is known if the agent's clock stood still, and with the lag held near 10 ms it is not needed.

--- a/crates/core/src/entry/lease/stream.rs
+++ b/crates/core/src/entry/lease/stream.rs
@@ -23,7 +23,7 @@
 /// Time without a message in either direction, while it has none, after which it sends
 /// one to learn whether the agent is still there.
 const IDLE_PERIOD: Duration = Duration::from_millis(500);
-/// Time without a report after which a stream counts as lost.
+/// Time without a report, while this process ran, after which a stream counts as lost.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Delay before the stream is opened again, doubled each time that this fails.
 const RECONNECT_DELAY: Duration = Duration::from_millis(50);
@@ -53,10 +53,9 @@
 struct Timing {
     /// The agent's clock in its last report, and when that arrived here.
     last_report: Option<(Duration, Instant)>,
-    /// When the first message after the last report was sent; none if there is none.
-    unanswered_since: Option<Instant>,
-    /// For how long this process had run by then.
-    ran_before: Duration,
+    /// This process's running time when the first message after the last report was sent;
+    /// none if there is none.
+    unanswered_since: Option<Duration>,
     last_sent: Instant,
 }
 
@@ -99,10 +98,9 @@
 ) -> Result<(mpsc::Sender<Orders>, Streaming<Reports>), tonic::Status> {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .expect("a socket address makes a valid URI")
-        .tcp_nodelay(true)
-        .connect_timeout(CONNECT_TIMEOUT);
-    let connected = tokio::time::timeout(CONNECT_TIMEOUT, endpoint.connect()).await;
-    let connected = connected.map_err(|_| {
+        .tcp_nodelay(true);
+    let connected = lag::timeout(CONNECT_TIMEOUT, endpoint.connect()).await;
+    let connected = connected.ok_or_else(|| {
         tonic::Status::unavailable(format!("no connection within {CONNECT_TIMEOUT:?}"))
     })?;
     let channel = connected.map_err(|error| tonic::Status::unavailable(error.to_string()))?;
@@ -112,10 +110,8 @@
     let _ = sender.try_send(first);
     let mut client = AgentClient::new(channel);
     let call = client.lease(ReceiverStream::new(receiver));
-    let call = tokio::time::timeout(REPORT_TIMEOUT, call).await;
-    let call = call.map_err(|_| {
-        tonic::Status::unavailable(format!("no report within {REPORT_TIMEOUT:?}"))
-    })??;
+    let call = lag::timeout(REPORT_TIMEOUT, call).await;
+    let call = call.ok_or_else(|| tonic::Status::unavailable(no_report()))??;
     Ok((sender, call.into_inner()))
 }
 
@@ -129,37 +125,36 @@
     let orders_ready = dispatcher.orders_ready(node);
     let mut timing = Timing {
         last_report: None,
-        unanswered_since: Some(Instant::now()),
-        ran_before: lag::running_time(),
+        unanswered_since: Some(lag::running_time()),
         last_sent: Instant::now(),
     };
     loop {
         let next_message_at = timing.next_message_at(dispatcher.has_runs(node));
-        let timeout = timing.unanswered_since.map(|at| at + REPORT_TIMEOUT);
-        tokio::select! {
-            report = reports.message() => {
-                let report = match report {
-                    Ok(Some(report)) => report,
-                    Ok(None) => return tonic::Status::unavailable("the agent closed the stream"),
-                    Err(status) => return status,
-                };
-                let first = timing.last_report.is_none();
-                timing.last_report = Some((Duration::from_millis(report.clock_ms), Instant::now()));
-                timing.unanswered_since = None;
-                dispatcher.handle_reports(node, first, report);
-                if !first {
-                    continue;
+        let known = timing.last_report.is_some();
+        let report = tokio::select! {
+            report = reports.message() => Some(report),
+            () = orders_ready.notified(), if known => None,
+            () = tokio::time::sleep_until(next_message_at.into()), if known => None,
+            () = silence(timing.unanswered_since) => {
+                // What has arrived counts, although it wasn't looked at in time.
+                let arrived = tokio::time::timeout(Duration::ZERO, reports.message()).await;
+                match arrived {
+                    Ok(report) => Some(report),
+                    Err(_) => return tonic::Status::unavailable(no_report()),
                 }
             }
-            () = orders_ready.notified(), if timing.last_report.is_some() => {}
-            () = sleep_until_if_some(Some(next_message_at)), if timing.last_report.is_some() => {}
-            () = sleep_until_if_some(timeout) => {
-                let ran = lag::running_time().saturating_sub(timing.ran_before);
-                let message = format!(
-                    "no report within {REPORT_TIMEOUT:?}, in which this process ran for {ran:?}; its lag is {:?}",
-                    lag::current()
-                );
-                return tonic::Status::unavailable(message);
+        };
+        if let Some(report) = report {
+            let report = match report {
+                Ok(Some(report)) => report,
+                Ok(None) => return tonic::Status::unavailable("the agent closed the stream"),
+                Err(status) => return status,
+            };
+            timing.last_report = Some((Duration::from_millis(report.clock_ms), Instant::now()));
+            timing.unanswered_since = None;
+            dispatcher.handle_reports(node, !known, report);
+            if known {
+                continue;
             }
         }
         let orders = dispatcher.orders(node, timing.lease_until_ms());
@@ -167,17 +162,22 @@
             return tonic::Status::unavailable("the agent does not read orders");
         }
         timing.last_sent = Instant::now();
-        if timing.unanswered_since.is_none() {
-            timing.unanswered_since = Some(timing.last_sent);
-            timing.ran_before = lag::running_time();
-        }
+        timing
+            .unanswered_since
+            .get_or_insert_with(lag::running_time);
     }
 }
 
-/// Sleeps until the given time, or forever without one.
-async fn sleep_until_if_some(at: Option<Instant>) {
-    match at {
-        Some(at) => tokio::time::sleep_until(at.into()).await,
+/// Waits until nothing was heard for too long since a message was sent at this running
+/// time; forever if none was.
+async fn silence(unanswered_since: Option<Duration>) {
+    match unanswered_since {
+        Some(since) => lag::run_for(since, REPORT_TIMEOUT).await,
         None => std::future::pending().await,
     }
 }
+
+fn no_report() -> String {
+    let lag = lag::current();
+    format!("no report within {REPORT_TIMEOUT:?} in which this process ran; its lag is {lag:?}")
+}
--- a/crates/core/src/lag.rs
+++ b/crates/core/src/lag.rs
@@ -1,10 +1,12 @@
 //! By how much this process is behind with its work.
 
+use std::future::Future;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 
-use gentian::limit::lag::{Clocks, Meter, Sample, State, PERIOD};
+use gentian::limit::lag::{patience_left, Clocks, Meter, Sample, State, PERIOD};
 
 use crate::clock;
 use crate::metrics::PROCESS;
@@ -35,7 +37,32 @@
 /// Time for which this process has run and done what there was to do, in steps of
 /// [`PERIOD`]; it stands still while the process gets no processor.
 pub(crate) fn running_time() -> Duration {
-    Duration::from_micros(RUNNING.load(Ordering::Relaxed))
+    match MEASURED_AT.load(Ordering::Relaxed) {
+        0 => ORIGIN.elapsed(),
+        _ => Duration::from_micros(RUNNING.load(Ordering::Relaxed)),
+    }
+}
+
+/// Waits until this process has run for `limit` since its running time `since`.
+pub(crate) async fn run_for(since: Duration, limit: Duration) {
+    while let Some(left) = patience_left(since, limit, running_time()) {
+        tokio::time::sleep(left.max(PERIOD)).await;
+    }
+}
+
+/// The output of a future, or none if it is not ready when this process has run for
+/// `limit`. What is ready by then counts, however late it is looked at.
+pub(crate) async fn timeout<F: Future>(limit: Duration, future: F) -> Option<F::Output> {
+    let mut future = pin!(future);
+    let since = running_time();
+    let mut left = Some(limit);
+    while let Some(wait) = left {
+        if let Ok(output) = tokio::time::timeout(wait.max(PERIOD), future.as_mut()).await {
+            return Some(output);
+        }
+        left = patience_left(since, limit, running_time());
+    }
+    None
 }
 
 /// Measures the lag for as long as the process runs.
--- a/crates/limit/src/lag.rs
+++ b/crates/limit/src/lag.rs
@@ -44,6 +44,13 @@
     pub change: Option<State>,
 }
 
+/// How long a peer that was seen, or spoken to, at the running time `since` may say nothing
+/// yet until it has been silent for `limit`; none if it has been.
+pub fn patience_left(since: Duration, limit: Duration, running_time: Duration) -> Option<Duration> {
+    let left = limit.checked_sub(running_time.saturating_sub(since))?;
+    (!left.is_zero()).then_some(left)
+}
+
 /// Measures the lag of a process.
 #[derive(Clone, Debug)]
 pub struct Meter {
@@ -72,16 +79,17 @@
         let passed = passed.max(monotonic);
         let lag = passed.saturating_sub(PERIOD);
         self.last = now;
-        self.running_time += passed.min(PERIOD);
+        let late = lag >= LATE_LAG;
+        self.running_time += if late { PERIOD } else { passed };
         Sample {
             lag,
             suspended: passed - monotonic,
-            change: self.update_state(lag, now.boot_time),
+            change: self.update_state(late, now.boot_time),
         }
     }
 
-    /// Time for which the process has run and done what there was to do: it grows by at
-    /// most one [`PERIOD`] with each measurement.
+    /// Time for which the process has run and done what there was to do. It grows by one
+    /// [`PERIOD`] only with a measurement that came late.
     pub fn running_time(&self) -> Duration {
         self.running_time
     }
@@ -91,8 +99,7 @@
         self.state
     }
 
-    fn update_state(&mut self, lag: Duration, now: Duration) -> Option<State> {
-        let late = lag >= LATE_LAG;
+    fn update_state(&mut self, late: bool, now: Duration) -> Option<State> {
         if late {
             self.late_at = now;
         }
--- a/crates/limit/tests/lag.rs
+++ b/crates/limit/tests/lag.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use gentian_limit::lag::{Clocks, Meter, State, PERIOD};
+use gentian_limit::lag::{patience_left, Clocks, Meter, State, PERIOD};
 
 /// Both clocks at the same time.
 fn at(time: Duration) -> Clocks {
@@ -71,3 +71,30 @@
     }
     assert_eq!(changes, [State::Late, State::OnTime]);
 }
+
+/// A process that is a little late reads what has arrived all the same.
+#[test]
+fn a_small_lag_is_running_time() {
+    let mut meter = Meter::new(at(Duration::ZERO));
+    let step = PERIOD + millis(15);
+    for tick in 1..=10 {
+        meter.measure(at(step * tick));
+    }
+    assert_eq!(meter.running_time(), step * 10);
+}
+
+/// A process that got no processor for a second took the answers in its sockets for silence.
+#[test]
+fn a_peer_is_not_silent_while_the_process_that_waits_stands_still() {
+    let limit = millis(600);
+    let mut meter = Meter::new(at(Duration::ZERO));
+    let since = meter.running_time();
+    meter.measure(at(PERIOD));
+    meter.measure(at(PERIOD * 2 + millis(1_000)));
+    let left = patience_left(since, limit, meter.running_time());
+    assert_eq!(left, Some(limit - PERIOD * 2));
+    for tick in 3..=30 {
+        meter.measure(at(PERIOD * tick + millis(1_000)));
+    }
+    assert_eq!(patience_left(since, limit, meter.running_time()), None);
+}
