--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -54,6 +54,39 @@
     platform.entries[0].signal(libc::SIGCONT);
 }
 
+/// A stream whose report had arrived while the entry stood still was opened again.
+#[test]
+fn an_entry_that_stood_still_keeps_the_streams_that_were_answered() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    let log = folder.path().join("entry.log");
+    let platform = Platform::start_with_entry_log(1, 1, Some(&log));
+    let lost = || {
+        let lines = std::fs::read_to_string(&log).expect("the log can be read");
+        lines.matches("no report within").count()
+    };
+    let (entry, agent) = (&platform.entries[0], &platform.workers[0].agent);
+    let mut rounds = 0;
+    for _ in 0..5 {
+        // The agent is silent for as long as the entry takes to ask it, but not for too long.
+        let begin = Instant::now();
+        agent.signal(libc::SIGSTOP);
+        thread::sleep(Duration::from_millis(530));
+        entry.signal(libc::SIGSTOP);
+        let in_time = begin.elapsed() < Duration::from_millis(580);
+        let before = lost();
+        agent.signal(libc::SIGCONT);
+        thread::sleep(Duration::from_millis(1_000));
+        entry.signal(libc::SIGCONT);
+        thread::sleep(Duration::from_millis(400));
+        if in_time {
+            assert_eq!(before, lost());
+            rounds += 1;
+        }
+        platform.wait_until_serving(0);
+    }
+    assert!(rounds > 0, "the entry was never stopped in time");
+}
+
 /// An agent is paused with tasks running and an order on its way to it. When it goes on, the
 /// tasks have long been started elsewhere, and what it was permitted has run out.
 #[test]
@@ -292,36 +325,3 @@
     }
     platform.assert_no_concurrent_runs();
 }
-
-/// A stream whose report had arrived while the entry stood still was opened again.
-#[test]
-fn an_entry_that_stood_still_keeps_the_streams_that_were_answered() {
-    let folder = tempfile::tempdir().expect("a temporary folder");
-    let log = folder.path().join("entry.log");
-    let platform = Platform::start_with_entry_log(1, 1, Some(&log));
-    let lost = || {
-        let lines = std::fs::read_to_string(&log).expect("the log can be read");
-        lines.matches("no report within").count()
-    };
-    let (entry, agent) = (&platform.entries[0], &platform.workers[0].agent);
-    let mut rounds = 0;
-    for _ in 0..5 {
-        // The agent is silent for as long as the entry takes to ask it, but not for too long.
-        let begin = Instant::now();
-        agent.signal(libc::SIGSTOP);
-        thread::sleep(Duration::from_millis(530));
-        entry.signal(libc::SIGSTOP);
-        let in_time = begin.elapsed() < Duration::from_millis(580);
-        let before = lost();
-        agent.signal(libc::SIGCONT);
-        thread::sleep(Duration::from_millis(1_000));
-        entry.signal(libc::SIGCONT);
-        thread::sleep(Duration::from_millis(400));
-        if in_time {
-            assert_eq!(before, lost());
-            rounds += 1;
-        }
-        platform.wait_until_serving(0);
-    }
-    assert!(rounds > 0, "the entry was never stopped in time");
-}
