--- a/crates/gentian/tests/fleet/main.rs
+++ b/crates/gentian/tests/fleet/main.rs
@@ -9,12 +9,14 @@
 mod cluster;
 mod entry;
 mod load;
+mod outcome;
 
 use std::time::Duration;
 
 use agent::Kind;
-use cluster::{Cluster, Outcome, Settings};
+use cluster::{Cluster, Settings};
 use entry::Methods;
+use outcome::Outcome;
 use test_case::test_case;
 
 /// Share of its time that an entry may spend on messages and jobs.
