Agent: a heartbeat without a start time replaces no upstream that has one

What callers saw, in a test: a job in progress failed after one heartbeat of another id, without a start time, at the agent of the upstream that ran it.

Cause: where a heartbeat names no start time, it was taken for one of a later process. All upstreams of the platform name theirs, so one without comes from another writer if the one before had one.

Evidence: `start_time_missing` failed on the code before, one run.

--- a/crates/core/src/agent/lease/http.rs
+++ b/crates/core/src/agent/lease/http.rs
@@ -56,7 +56,7 @@
         match self.supervisor.handle_report(report) {
             Update::Foreign => {
                 let reason = format!(
-                    "service {service} is not configured, or the start time {born_ms} is impossible"
+                    "service {service} is not configured, or the start time {born_ms} is missing or impossible"
                 );
                 Err(self.reject(id, reason))
             }
--- a/crates/core/src/agent/lease/upstream.rs
+++ b/crates/core/src/agent/lease/upstream.rs
@@ -81,7 +81,11 @@
         let is_configured =
             |report: &Report| services.is_none_or(|services| services.contains(&report.service));
         let born = Duration::from_millis(report.incarnation.born_ms);
-        let is_possible = is_configured(&report) && born <= wall + MAX_START_AHEAD;
+        let had_start = upstream
+            .as_ref()
+            .is_some_and(|previous| previous.incarnation().born_ms != 0);
+        let lacks_start = had_start && born.is_zero();
+        let is_possible = is_configured(&report) && born <= wall + MAX_START_AHEAD && !lacks_start;
         if !upstream.as_ref().is_some_and(is_known) && !is_possible {
             return Update::Foreign;
         }
--- a/crates/core/tests/platform_odd.rs
+++ b/crates/core/tests/platform_odd.rs
@@ -84,5 +84,6 @@
     service_that_is_not_configured: heartbeat(&[("service", json!("unknown"))]);
     service_that_is_not_configured_and_no_start_time:
         heartbeat(&[("service", json!("unknown")), ("born", json!(0))]);
+    start_time_missing: heartbeat(&[("born", json!(0))]);
     start_time_too_large: heartbeat(&[("born", json!(u64::MAX))]);
 }
