Tests of drains: an order of a run never uses a number twice

The stand-in for an unaware entry ordered run 1 of its task again and again. If one start got no answer in time, the upstream had the run, and refused run 1 from then on; the test then waited for 20 s for a run that could not come. An entry raises the number of each run.

The check is the same: the agent must carry out an order once the drain has ended.

--- a/crates/core/tests/platform_drains.rs
+++ b/crates/core/tests/platform_drains.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,10 @@
 /// Time from the acknowledgement of a drain until nothing starts there any more.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
 
+/// Number of the last run that a test has ordered itself. The numbers of a task's runs rise, and
+/// none is used twice.
+static LAST_RUN: AtomicU64 = AtomicU64::new(0);
+
 /// Number of runs that have begun at a worker.
 fn starts_at(platform: &Platform, worker: usize) -> usize {
     let observed = platform.observed.lock().expect("the lock is not poisoned");
@@ -136,7 +141,7 @@
         let clock = report.expect("a report").clock_ms;
         let run = Run {
             task: "00000000000000ee.0.0.0".to_owned(),
-            run: 1,
+            run: LAST_RUN.fetch_add(1, Ordering::Relaxed) + 1,
         };
         let batch = Batch {
             service: "desk".to_owned(),
