Control: members that get little processor time elect a leader

On a machine with too little processor time none of three control instances acknowledged the first configuration within 20 s. The same holds for any change when a leader has to be elected there.

Cause: after a gap of more than 150 ms between two events a member can't tell how long ago it heard from a leader, so it began a whole election timeout anew, both before it campaigned and before it gave its vote. Members that stand still that long every 400 ms never reach the end of it: none asks for votes, and none gives any.

Change: of a long gap a member counts a heartbeat interval, 70 ms, instead of beginning anew. If the clock has jumped instead, it counts at most that too much, less than the 150 ms that a jump may add unnoticed and for which lease and election timeout leave room.

--- a/crates/quorum/src/replica/mod.rs
+++ b/crates/quorum/src/replica/mod.rs
@@ -67,8 +67,8 @@
     commit_index: u64,
     applied_index: u64,
     now: Duration,
-    /// Latest time at which this member may have heard from a leader. After a start,
-    /// a long gap between two events or the end of its own leadership the member
+    /// Latest time at which this member may have heard from a leader, later by what is not
+    /// counted of long gaps. After a start or the end of its own leadership the member
     /// can't know, so it assumes the time of that event.
     last_leader_contact: Duration,
     /// When a member that doesn't lead starts an election.
@@ -297,8 +297,10 @@
     /// Advances the time to that of the current event.
     ///
     /// A long gap since the last event means that the process was frozen or the
-    /// clock jumped. This member then can't tell how long ago it heard from a
-    /// leader, so it waits a whole election timeout before it votes or campaigns. A
+    /// clock jumped. Which of the two it was, and so how long ago this member heard from
+    /// a leader, can't be told. Of each gap it therefore counts no more than a heartbeat
+    /// interval, less than what the lease allows for. It must not begin to wait anew:
+    /// members that are frozen again and again would neither vote nor campaign. A
     /// leader has asked nobody in the gap, so it steps down only if it gets no answers
     /// from now on.
     fn advance(&mut self, now: Duration) {
@@ -311,8 +313,9 @@
             leader.running_since = self.now;
             return;
         }
-        self.last_leader_contact = self.now;
-        self.reset_election_deadline();
+        let uncounted = gap.saturating_sub(self.settings.heartbeat_interval);
+        self.last_leader_contact += uncounted;
+        self.election_deadline += uncounted;
     }
 
     /// Whether the message comes from this member's cluster. A member that belongs
