--- a/crates/core/tests/platform_drains.rs
+++ b/crates/core/tests/platform_drains.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,6 +18,10 @@
 /// Time from the acknowledgement of a drain until nothing starts there any more.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(2);
 
+/// Number of the last run that a test has ordered itself. The numbers of a task's runs rise, and
+/// none is used twice.
+static LAST_RUN: AtomicU64 = AtomicU64::new(0);
+
 /// Number of runs that have begun at a worker.
 fn starts_at(platform: &Platform, worker: usize) -> usize {
     let observed = platform.observed.lock().expect("the lock is not poisoned");
@@ -117,7 +122,8 @@
 /// run ended.
 fn order_run(platform: &Platform, worker: usize) -> End {
     let mut stream = AgentStream::open(&platform.workers[worker].agent_peer);
-    let (_, batch) = start("00000000000000ee.0.0.0", 20);
+    let (_, mut batch) = start("00000000000000ee.0.0.0", 20);
+    batch.runs[0].run = LAST_RUN.fetch_add(1, Ordering::Relaxed) + 1;
     stream.order(vec![batch], Vec::new())
 }
 
