Entry: deadlines of jobs go on while the entry is suspended, and are looked at before a start is sent

Cause: the deadline of a job was an Instant, which stands still while the instance is suspended. Its callers don't: they give the job up and send it to another entry 1.3 s later. The entry that goes on took the job for one with time left, and started its tasks under the lease that the next report gives it. Besides, a start was not looked at again between its placement and its sending, which a freeze may part.

Change: deadlines are on the boot-time clock.

The look before the sending is shown at the ledger of runs only (a_start_can_be_withdrawn_until_it_is_sent); no run of processes froze an entry just there.

--- a/crates/claim/src/ordered/mod.rs
+++ b/crates/claim/src/ordered/mod.rs
@@ -88,6 +88,13 @@
         self.current.get_mut(run).map(|ordered| &mut ordered.data)
     }
 
+    /// The data of the runs whose starts are still to be sent.
+    pub fn unsent(&self) -> impl Iterator<Item = &T> {
+        let starts = self.pending.starts.iter();
+        let ordered = starts.filter_map(|run| self.current.get(run));
+        ordered.map(|ordered| &ordered.data)
+    }
+
     /// Adds a run, whose start goes into the next message.
     pub fn start(&mut self, run: Run, data: T) {
         let ordered = Ordered {
--- a/crates/claim/tests/ordered.rs
+++ b/crates/claim/tests/ordered.rs
@@ -172,6 +172,17 @@
     assert_eq!(Some(9), runs.end(&run("v")));
 }
 
+/// An entry looks at what it is about to start once more: it may have stood still.
+#[test]
+fn a_start_can_be_withdrawn_until_it_is_sent() {
+    let mut runs = sent();
+    runs.start(run("u"), 8);
+    assert_eq!(vec![&8], runs.unsent().collect::<Vec<_>>());
+    assert_eq!(Some(8), runs.stop(run("u")));
+    assert_eq!(Orders::default(), runs.take_orders(ms(110)));
+    assert_eq!(0, runs.unsent().count());
+}
+
 /// A stream that opens lists the run, so that the agent may report its end.
 #[test]
 fn a_run_that_a_new_stream_has_listed_is_not_over_when_it_is_stopped() {
--- a/crates/core/src/entry/lease/api.rs
+++ b/crates/core/src/entry/lease/api.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 
 use super::dispatcher::Dispatcher;
-use super::job::{Outcome, Refusal, RefusalCause, Submission};
+use super::job::{Outcome, Refusal, RefusalCause, Submission, Times};
 use crate::clock;
 use crate::lag;
 use crate::logging::is_sampled;
@@ -57,6 +57,8 @@
 struct Arrival<'a> {
     head: &'a Head,
     at: Instant,
+    /// The same by [`clock::now`].
+    clock: Duration,
     /// Longest time that it may have waited before.
     unread: Duration,
 }
@@ -164,6 +166,7 @@
         let arrival = Arrival {
             head: &head,
             at: Instant::now(),
+            clock: clock::now(),
             unread: unread::longest_wait(),
         };
         let held = self.config_or_wait(&arrival).await?;
@@ -219,8 +222,12 @@
             service.ok_or_else(|| Problem::busy("no service is configured for this queue"))?;
         // The caller's own deadline takes precedence over the queue's timeout.
         // Past it, the caller may have sent the job to another entry.
-        let deadline = arrived + head.deadline.unwrap_or(queue.timeout());
-        let deadline = deadline.checked_sub(arrival.unread).unwrap_or(arrived);
+        let limit = head.deadline.unwrap_or(queue.timeout());
+        let limit = limit.saturating_sub(arrival.unread);
+        let times = Times {
+            arrived,
+            deadline: arrival.clock.saturating_add(limit),
+        };
         let submission = Submission {
             id: id.into(),
             queue,
@@ -239,13 +246,13 @@
                 tasks = submission.task_count(),
                 cpu = submission.max_cpu(),
                 declared_ms = submission.critical_path().as_millis() as u64,
-                deadline_ms = deadline.saturating_duration_since(arrived).as_millis() as u64,
+                deadline_ms = limit.as_millis() as u64,
                 unread_ms = arrival.unread.as_millis() as u64,
                 version = config.0,
                 version_age_ms = config.1.as_millis() as u64,
             );
         }
-        let outcome = self.dispatch(submission, arrived, deadline).await;
+        let outcome = self.dispatch(submission, times, arrived + limit).await;
         let took = arrived.elapsed();
         self.dispatcher.metrics().answered(outcome.name(), took);
         if sampled || outcome != Outcome::Completed {
@@ -288,13 +295,8 @@
         response(outcome)
     }
 
-    async fn dispatch(
-        &self,
-        submission: Submission,
-        arrived: Instant,
-        deadline: Instant,
-    ) -> Outcome {
-        let mut ticket = self.dispatcher.submit(submission, arrived, deadline);
+    async fn dispatch(&self, submission: Submission, times: Times, deadline: Instant) -> Outcome {
+        let mut ticket = self.dispatcher.submit(submission, times);
         let job = ticket.job;
         let guard = CallerGuard {
             dispatcher: self.dispatcher.clone(),
--- a/crates/core/src/entry/lease/dispatcher.rs
+++ b/crates/core/src/entry/lease/dispatcher.rs
@@ -71,15 +71,9 @@
     }
 
     /// Accepts or refuses a job. A caller that submits the id of a job in progress
-    /// waits for that job's outcome; the new submission is dropped. `arrived` is the time of
-    /// the caller's request, which may have waited for a configuration, and `deadline` the
-    /// time at which the caller gives it up.
-    pub(super) fn submit(
-        &self,
-        submission: Submission,
-        arrived: Instant,
-        deadline: Instant,
-    ) -> Ticket {
+    /// waits for that job's outcome; the new submission is dropped. The caller's request may
+    /// have waited for a configuration since it arrived.
+    pub(super) fn submit(&self, submission: Submission, times: Times) -> Ticket {
         let mut state = self.state();
         let (sender, outcome) = oneshot::channel();
         state.last_number += 1;
@@ -93,10 +87,9 @@
         };
         if let Some(number) = state.numbers_by_id.get(&submission.id).copied() {
             ticket.job = number;
-            state.join(number, caller, sender, deadline);
+            state.join(number, caller, sender, times.deadline);
             return ticket;
         }
-        let times = Times { arrived, deadline };
         state.admit(caller, submission, objective, times, sender);
         ticket
     }
@@ -275,6 +268,7 @@
     pub(super) fn orders(&self, node: &Node, lease_until_ms: u64) -> Orders {
         let now = self.now();
         let mut state = self.state();
+        state.withdraw_overdue_starts(node);
         let link = state.links.get_mut(node);
         link.map(|link| link.orders(lease_until_ms, now))
             .unwrap_or_default()
@@ -325,6 +319,7 @@
     pub(super) fn expire_runs(&self) {
         let now = self.now();
         let mut state = self.state();
+        state.end_overdue_jobs();
         let due = |link: &Link| link.runs.next_expiry().is_some_and(|at| at <= now);
         let nodes = state.links.iter().filter(|(_, link)| due(link));
         let nodes: Vec<Node> = nodes.map(|(node, _)| node.clone()).collect();
--- a/crates/core/src/entry/lease/job.rs
+++ b/crates/core/src/entry/lease/job.rs
@@ -12,6 +12,8 @@
 use gentian_platform::caller::Step;
 use tokio::sync::oneshot;
 
+use crate::clock;
+
 /// A job as the caller submitted it.
 #[derive(Debug)]
 pub(super) struct Submission {
@@ -75,7 +77,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Times {
     pub(super) arrived: Instant,
-    pub(super) deadline: Instant,
+    /// By [`clock::now`], since callers don't wait for an entry that is suspended.
+    pub(super) deadline: Duration,
 }
 
 /// How a job ended.
@@ -205,8 +208,8 @@
     /// Whether a run has ended otherwise than with a refusal, so that it may have begun.
     may_have_run: bool,
     pub(super) arrived_at: Instant,
-    /// When the last of its callers gives it up.
-    pub(super) deadline: Instant,
+    /// When the last of its callers gives it up, by [`clock::now`].
+    pub(super) deadline: Duration,
     /// Callers that wait for the outcome, by their number.
     pub(super) callers: BTreeMap<u64, oneshot::Sender<Outcome>>,
 }
@@ -304,7 +307,7 @@
 
     /// Whether its callers have given it up, and may have sent it to another entry.
     pub(super) fn is_overdue(&self) -> bool {
-        Instant::now() >= self.deadline
+        clock::now() >= self.deadline
     }
 
     pub(super) fn is_done(&self) -> bool {
--- a/crates/core/src/entry/lease/state/admission.rs
+++ b/crates/core/src/entry/lease/state/admission.rs
@@ -7,6 +7,8 @@
 use gentian::wire::need::Constraints;
 use tokio::sync::oneshot;
 
+use crate::clock;
+
 use super::super::job::{Job, Lane, Outcome, Refusal, RefusalCause, Submission, Times};
 use super::{crashes, State};
 
@@ -110,7 +112,7 @@
         times: Times,
     ) -> Option<Refusal> {
         let waited = times.arrived.elapsed();
-        let overdue = Instant::now() >= times.deadline;
+        let overdue = clock::now() >= times.deadline;
         let late = match (overdue, objective.allows_start_after(waited)) {
             (true, _) => Some(RefusalCause::Deadline),
             (false, false) => Some(RefusalCause::Waited),
--- a/crates/core/src/entry/lease/state/mod.rs
+++ b/crates/core/src/entry/lease/state/mod.rs
@@ -10,7 +10,7 @@
 mod runs;
 mod schedule;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -31,7 +31,7 @@
 
 use crate::metrics;
 
-use super::job::{Job, Lane, Outcome};
+use super::job::{Job, Lane, Outcome, RefusalCause};
 use super::link::{Link, PlacedRun};
 
 /// Number of configured queues whose run times are learned separately.
@@ -179,7 +179,7 @@
         number: u64,
         caller: u64,
         sender: oneshot::Sender<Outcome>,
-        deadline: Instant,
+        deadline: Duration,
     ) {
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
@@ -208,6 +208,35 @@
         }
     }
 
+    /// Ends the jobs that their callers have given up. Their own timers stand still while the
+    /// system is suspended.
+    pub(super) fn end_overdue_jobs(&mut self) {
+        let overdue = self.jobs.iter().filter(|(_, job)| job.is_overdue());
+        let overdue: Vec<(u64, bool)> = overdue
+            .map(|(number, job)| (*number, job.started))
+            .collect();
+        for (number, started) in overdue {
+            match started {
+                true => self.finish_job(number, Outcome::GivenUp),
+                false => self.refuse_job(number, RefusalCause::Deadline),
+            }
+        }
+    }
+
+    /// Ends the jobs with starts that are still to be sent to an agent and that their callers
+    /// have given up meanwhile: the entry may have stood still since it ordered them.
+    pub(super) fn withdraw_overdue_starts(&mut self, node: &Node) {
+        let Some(link) = self.links.get(node) else {
+            return;
+        };
+        let jobs: BTreeSet<u64> = link.runs.unsent().map(|placed| placed.job).collect();
+        let overdue = |number: &u64| self.jobs.get(number).is_some_and(Job::is_overdue);
+        let overdue: Vec<u64> = jobs.into_iter().filter(overdue).collect();
+        for number in overdue {
+            self.finish_job(number, Outcome::GivenUp);
+        }
+    }
+
     /// Ends a job: stops its runs and answers its callers.
     pub(super) fn finish_job(&mut self, number: u64, outcome: Outcome) {
         let Some(mut job) = self.jobs.remove(&number) else {
--- a/crates/core/tests/platform_suspension.rs
+++ b/crates/core/tests/platform_suspension.rs
@@ -1,17 +1,21 @@
-//! Agents of the `platform` dialect whose system is suspended: real processes with simulated
-//! workers.
+//! Agents and entries of the `platform` dialect whose system is suspended: real processes with
+//! simulated workers.
 
 mod support;
 
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 
-use support::platform::{Platform, COMPLETED};
+use support::platform::{job, Platform, COMPLETED};
 use support::suspension::Suspension;
 use support::system::poll;
 
 /// Longer than an entry waits until it starts the tasks of an agent that it lost elsewhere.
 const SUSPENDED_FOR: Duration = Duration::from_millis(1_400);
+/// Time for which callers wait, in milliseconds, and after which they send a job again.
+const DEADLINE_MS: u64 = 500;
+const RESEND_DELAY: Duration = Duration::from_millis(1_300);
 /// Time for a heartbeat to be sent to the suspended agent.
 const HEARTBEAT_DELAY: Duration = Duration::from_millis(250);
 
@@ -52,3 +56,31 @@
     }
     platform.assert_no_concurrent_runs();
 }
+
+/// Guards against tasks that run for two entries at once: the deadlines of the jobs of a
+/// suspended entry stood still with it.
+#[test]
+fn jobs_whose_deadlines_passed_while_their_entry_was_suspended_run_nowhere() {
+    let mut platform = Platform::start(3, 2);
+    let mut suspension = Suspension::new();
+    platform.restart_entry_prepared(0, |command| suspension.prepare(command));
+    platform.entries[0].listen_address("entry-http");
+    platform.wait_until_serving(0);
+    let filling = platform.spawn_submit(1, "00000000000000bb", 30, 800);
+    poll(|| (platform.running() == 30).then_some(()));
+    let ids: Vec<String> = (1..=24).map(|number| format!("{number:016x}")).collect();
+    let send = |id: &String| platform.send(0, id, &job(1, 1_500), DEADLINE_MS);
+    let _stale: Vec<TcpStream> = ids.iter().map(send).collect();
+    thread::sleep(Duration::from_millis(100));
+    suspension.suspend(&platform.entries[0]);
+    thread::sleep(Duration::from_millis(DEADLINE_MS) + RESEND_DELAY);
+    let resend = |id: &String| platform.spawn_submit_id(1, id.clone(), 1, 1_500);
+    let resent: Vec<_> = ids.iter().map(resend).collect();
+    poll(|| (platform.running() == ids.len()).then_some(()));
+    suspension.resume(&platform.entries[0]);
+    for job in resent.into_iter().chain([filling]) {
+        let answer = job.join().expect("the thread does not panic");
+        assert_eq!((200, COMPLETED.to_owned()), answer);
+    }
+    platform.assert_no_concurrent_runs();
+}
--- a/crates/core/tests/support/platform/mod.rs
+++ b/crates/core/tests/support/platform/mod.rs
@@ -6,6 +6,7 @@
 use std::io::Write;
 use std::net::TcpStream;
 use std::path::Path;
+use std::process::Command;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
 
@@ -312,9 +313,18 @@
 
     /// Kills an entry and starts it again at the same addresses.
     pub(crate) fn restart_entry(&mut self, index: usize) {
+        self.restart_entry_prepared(index, |_| {});
+    }
+
+    /// Like [`Platform::restart_entry`], with the command changed by `prepare`.
+    pub(crate) fn restart_entry_prepared(
+        &mut self,
+        index: usize,
+        prepare: impl FnOnce(&mut Command),
+    ) {
         self.entries[index].kill();
         self.entries[index].wait();
-        self.entries[index] = Process::start_with_settings(&self.entry_settings[index]);
+        self.entries[index] = Process::start_prepared(&self.entry_settings[index], prepare);
     }
 
     /// Kills an entry and all control instances, and starts the entry again. It holds each
--- a/crates/core/tests/support/suspension.rs
+++ b/crates/core/tests/support/suspension.rs
@@ -7,8 +7,8 @@
 
 use super::Process;
 
-/// The suspensions of a process that can be suspended as if with its whole system: its monotonic clock stands
-/// still meanwhile, its boot-time clock doesn't.
+/// The suspensions of a process. Meanwhile its monotonic clock stands still, as if its whole
+/// system were suspended, and its boot-time clock doesn't.
 pub(crate) struct Suspension {
     folder: tempfile::TempDir,
     /// How long the process has been suspended so far.
