Agent: the upstream's lease runs on for the time of a suspension

Cause: since the entries' leases are measured by the boot-time clock, so was the time by which the upstream's own lease has lapsed. The upstream measures that with a clock that may stand still with its system, so the agent counted its runs as lost up to half a second too early.

Change: Runs::record_suspension moves the times by which runs are gone from the upstream, or can't begin there any more, by the length of a suspension; the owners' leases stay. If the agent alone was suspended, that errs on the late side, and a list of the upstream tells sooner.

Remains: an entry gives an agent up after 1.12 s, whatever the clock of a suspended upstream says.

--- a/crates/claim/src/run/grant.rs
+++ b/crates/claim/src/run/grant.rs
@@ -56,6 +56,18 @@
         }
     }
 
+    /// Records that the system was suspended for `length`. The clock that the upstream measures
+    /// its lease with may have stood still as well, so that its runs are gone later.
+    pub fn record_suspension(&mut self, length: Duration) {
+        self.gone_at += length;
+        self.pending_grants
+            .values_mut()
+            .for_each(|at| *at += length);
+        for live in self.live.values_mut() {
+            live.postpone_end(length);
+        }
+    }
+
     /// When all runs at the upstream must be gone, unless another lease is granted.
     pub(super) fn all_gone_at(&self) -> Duration {
         let pending = self.pending_grants.values().copied().max();
--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -151,6 +151,16 @@
         }
     }
 
+    /// Moves the time by which it is certainly gone, or can't begin any more.
+    pub(super) fn postpone_end(&mut self, by: Duration) {
+        let phases = [Some(&mut self.phase), self.phase_after_replacement.as_mut()];
+        for phase in phases.into_iter().flatten() {
+            if let Phase::Unanswered { until, .. } | Phase::Former { until } = phase {
+                *until += by;
+            }
+        }
+    }
+
     /// When it is certainly gone from the upstream, unless it is found there before, given the
     /// time at which all runs are gone whose lease has lapsed; `None` while its start is
     /// under way.
--- a/crates/claim/tests/run/given_up.rs
+++ b/crates/claim/tests/run/given_up.rs
@@ -14,6 +14,20 @@
 /// Time of the last order of the owner that is cut off.
 const LAST_ORDER: Duration = ms(200);
 
+/// Guards against a task that is begun again while its run goes on: after a suspension of the
+/// whole system the upstream's lease runs on for as long as that took.
+#[test]
+fn a_lease_at_the_upstream_lapses_later_by_the_time_of_a_suspension() {
+    let mut runs = running();
+    let grant = runs.begin_grant(MAX_LEASE, ms(0));
+    runs.end_grant(grant, true);
+    let lapsed = MAX_LEASE.mul_f64(1.0 + MAX_CLOCK_DRIFT) + STOP_GRACE;
+    runs.record_suspension(ms(700));
+    assert!(runs.end_lapsed(ms(700)).is_empty());
+    assert!(runs.end_lapsed(lapsed + ms(699)).is_empty());
+    assert_eq!(1, runs.end_lapsed(lapsed + ms(700)).len());
+}
+
 /// How the owner `a` lets go of its run.
 #[derive(Clone, Copy, Debug)]
 enum Loss {
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -245,6 +245,7 @@
     ) -> bool {
         let now = self.now();
         let mut state = self.state();
+        state.record_suspension();
         if list.unreadable > 0 {
             log::warn!(
                 "upstream {}: skipped {} unreadable items in its list of runs",
@@ -278,6 +279,7 @@
     fn end_lapsed_runs(self: &Arc<Self>) {
         let now = self.now();
         let mut state = self.state();
+        state.record_suspension();
         let ends = state.runs.end_lapsed(now);
         if !ends.is_empty() {
             log::warn!(
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -56,6 +56,8 @@
     pub(super) upstream: Option<UpstreamState>,
     /// Services of the configuration; none until one is known.
     services: Option<BTreeSet<id::Service>>,
+    /// For how long the system had been suspended when the runs were last told of it.
+    suspended: Duration,
     /// Number of processes that have taken the upstream's place so far.
     pub(super) replacements: u64,
     pub(super) streams: BTreeMap<Owner, Stream>,
@@ -96,6 +98,7 @@
                 start_rates: StartRates::default(),
                 upstream: None,
                 services: None,
+                suspended: clock::suspended(),
                 replacements: 0,
                 streams: BTreeMap::new(),
                 waiting: WaitingList::default(),
@@ -264,6 +267,15 @@
         self.runs.upstream_replaced(replacement, now)
     }
 
+    /// Tells the runs of suspensions since the last call. It is called before time alone, or a
+    /// list, ends any of them.
+    pub(super) fn record_suspension(&mut self) {
+        let total = clock::suspended();
+        let length = total.saturating_sub(self.suspended);
+        self.suspended = self.suspended.max(total);
+        self.runs.record_suspension(length);
+    }
+
     /// Recomputes whether the upstream takes new runs.
     pub(super) fn update_admission(&mut self, now: Duration) {
         let Some(upstream) = &self.upstream else {
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -15,6 +15,13 @@
     read(libc::CLOCK_MONOTONIC)
 }
 
+/// Returns the time for which the system has been suspended since it was booted. It may be too
+/// high by the time between the two readings that it is computed from.
+pub(crate) fn suspended() -> Duration {
+    let steady = steady();
+    now().saturating_sub(steady)
+}
+
 fn read(clock: libc::clockid_t) -> Duration {
     let mut time = libc::timespec {
         tv_sec: 0,
