Tests: a crash before a start is told by the answer to the start

Cause, from the logs of that run: the ends of the jobs before were still to be acknowledged, so a poll reached the restarted process before the start did, and told of the restart. The worker sends no heartbeats then, so it was closed for half a second, and a job of 50 ms, which may wait for 39 ms, was refused as not run, rightly. That isn't what the test is about.

Change: the test waits for 300 ms until nothing is left to poll for. Its checks are the same.

--- a/crates/core/tests/platform_crashes.rs
+++ b/crates/core/tests/platform_crashes.rs
@@ -149,6 +149,8 @@
     const JOB: &str = "0000000000000001";
     let platform = Platform::start(1, 1);
     platform.workers[0].set_silent(true);
+    // Until the last ends are acknowledged, a poll could tell of the restart first.
+    thread::sleep(Duration::from_millis(300));
     platform.workers[0].restart_worker();
     let job = platform.spawn_submit(0, JOB, 1, 50);
     thread::sleep(Duration::from_millis(500));
