--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -115,8 +115,8 @@
     platform.assert_no_concurrent_runs();
 }
 
-/// A restarted worker carried out starts that were sent to the process before it and had been
-/// stopped there. The tasks had long been started elsewhere.
+/// Guards against starts that were sent to the process before, and stopped there, and that a
+/// restarted worker carries out beside the next runs of their tasks.
 #[test]
 fn a_restarted_worker_starts_nothing_that_was_sent_before() {
     let platform = Platform::start(2, 1);
--- a/crates/core/tests/platform_suspension.rs
+++ b/crates/core/tests/platform_suspension.rs
@@ -27,8 +27,8 @@
     ["00000000000000a4", "00000000000000b4"],
 ];
 
-/// Starts that waited in the sockets of a suspended agent were carried out when it went on,
-/// since its clock had stood still with it; their entry had long started the tasks elsewhere.
+/// Guards against starts that wait in the sockets of a suspended agent and are carried out when
+/// it goes on, although their entry has started the tasks elsewhere.
 #[test]
 fn an_agent_starts_nothing_that_was_ordered_before_it_was_suspended() {
     let mut platform = Platform::start(2, 1);
--- a/crates/gentian/tests/fleet/main.rs
+++ b/crates/gentian/tests/fleet/main.rs
@@ -287,7 +287,7 @@
 }
 
 /// One entry has less processor than it needs for the jobs that it is sent; the others have
-/// plenty. It served next to nothing.
+/// plenty. Guards against an overload that leaves it no time for any job.
 #[test_case(1.0 ; "as much as it needs")]
 #[test_case(2.0 ; "half of what it needs")]
 #[test_case(4.0 ; "a quarter of what it needs")]
