--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -143,6 +143,7 @@
             &mut state.upstream,
             report,
             state.services.as_ref(),
+            // Before 1970 no start time is plausible.
             wall.unwrap_or_default(),
             now,
         );
--- a/crates/core/src/clock.rs
+++ b/crates/core/src/clock.rs
@@ -5,12 +5,12 @@
 
 use std::time::Duration;
 
-/// Returns the time since the machine was booted, including suspended time.
+/// Returns the time since the system was booted, including suspended time.
 pub(crate) fn now() -> Duration {
     read(libc::CLOCK_BOOTTIME)
 }
 
-/// Returns the time since the machine was booted, without suspended time.
+/// Returns the time since the system was booted, without suspended time.
 pub(crate) fn steady() -> Duration {
     read(libc::CLOCK_MONOTONIC)
 }
