--- a/review/standins.py
+++ b/review/standins.py
@@ -134,23 +134,27 @@
 
     async def beat(self):
         while True:
-            self.seq += 1
-            state = self.state
-            body = {
-                "service": self.service, "address": "%s:%d" % (self.ip, self.port),
-                "zone": "z1", "version": "v1", "slots": 8, "state": state,
-                "cold-remaining-ms": 0,
-                "capacity": {"cpu": self.cpu, "mem-mb": 65536, "gpu": 0},
-                "labels": self.labels, "clock-ms": self.clock_ms(), "seq": self.seq,
-                "born": self.born,
-            }
-            path = "/-/instances/%s/heartbeat" % self.id
-            status, _, _ = await call(self.agent, "POST", path, body)
-            if state == "draining" and status // 100 == 2 and self.drain_acked_at is None:
-                self.drain_acked_at = time.monotonic()
-                self.record.write("worker", self.id, "its draining is acknowledged")
+            status = await self.beat_now()
             await asyncio.sleep(HEARTBEAT_S if status // 100 == 2 else 0.2)
 
+    async def beat_now(self):
+        self.seq += 1
+        state = self.state
+        body = {
+            "service": self.service, "address": "%s:%d" % (self.ip, self.port),
+            "zone": "z1", "version": "v1", "slots": 8, "state": state,
+            "cold-remaining-ms": 0,
+            "capacity": {"cpu": self.cpu, "mem-mb": 65536, "gpu": 0},
+            "labels": self.labels, "clock-ms": self.clock_ms(), "seq": self.seq,
+            "born": self.born,
+        }
+        path = "/-/instances/%s/heartbeat" % self.id
+        status, _, _ = await call(self.agent, "POST", path, body)
+        if state == "draining" and status // 100 == 2 and self.drain_acked_at is None:
+            self.drain_acked_at = time.monotonic()
+            self.record.write("worker", self.id, "its draining is acknowledged")
+        return status
+
     async def tick(self):
         while True:
             await asyncio.sleep(0.005)
@@ -238,7 +242,7 @@
         wait = min(body.get("wait-ms", 0), 2000) / 1000
         if not self.ended and wait:
             try:
-                await asyncio.wait_for(asyncio.shield(self.waiter()), wait)
+                await asyncio.wait_for(self.changed.wait(), wait)
             except asyncio.TimeoutError:
                 pass
         now = time.monotonic()
@@ -248,9 +252,6 @@
             rows.append([task, run, "", min(percent, 99), 0])
         return {"running": rows, "ended-runs": self.ended[:500]}
 
-    async def waiter(self):
-        await self.changed.wait()
-
 
 class System:
     """The system's processes, each on a loopback address of its own, as deploy/ has them."""
