--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,36 +1,19 @@
-"""A heartbeat of another writer, with fields missing, arrives at the agent of a worker."""
+"""A worker without work crashes and starts again under its id; a job comes before its first
+heartbeat."""
 
 import asyncio
 import os
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
-from standins import System, Worker, call, config, job, run, submit, wait_until_serving
-
-
-def runs_at_once(workers):
-    """Pairs of runs of one task that were at work at the same time."""
-    runs = {}
-    for worker in workers:
-        for task, number, began, ended in worker.runs:
-            runs.setdefault(task, []).append((began, ended, worker.id, number))
-    pairs = []
-    for task, of_task in runs.items():
-        of_task.sort()
-        for first, second in zip(of_task, of_task[1:]):
-            if second[0] < first[1]:
-                pairs.append("%s ran at %s (run %d) and at %s (run %d) at the same time for %d ms" % (
-                    task, first[2], first[3], second[2], second[3],
-                    1000 * (min(first[1], second[1]) - second[0])))
-    return pairs
+from standins import (HEARTBEAT_S, System, Worker, config, job, run, runs_at_once, submit,
+                      wait_until_serving)
 
 
 async def scenario(record, trouble):
     system = System(record, entries=1, agents=3)
     workers = []
-    sender = None
     try:
         system.start_all()
         for n, kind in enumerate(["a", "a", "b"]):
@@ -39,28 +22,17 @@
             await worker.start()
             workers.append(worker)
         await system.put_config(config(1, "desk"))
-        await wait_until_serving(record, system.entry_http[0], job(1, 60, 3100))
-        await asyncio.sleep(2)
-
-        async def send():
-            while True:
-                asyncio.create_task(submit(record, system.entry_http[0], job(4, 900, 3100)))
-                await asyncio.sleep(0.25)
-
-        sender = asyncio.create_task(send())
-        await asyncio.sleep(3)
-        if trouble:
-            odd = {"service": "desk", "state": "ready", "capacity": {"cpu": 32000},
-                   "address": "%s:%d" % (workers[0].ip, workers[0].port),
-                   "clock-ms": 1, "seq": 1, "born": int(time.time() * 1000)}
-            path = "/-/instances/%s/heartbeat" % workers[0].id
-            record.write("another writer sends a heartbeat to agent-0:", odd)
-            status, answer, _ = await call(system.agent_http[0], "POST", path, odd)
-            record.write("another writer gets", status, answer.decode())
+        entry = system.entry_http[0]
+        await wait_until_serving(record, entry, job(1, 60, 3100))
         await asyncio.sleep(6)
+        if trouble:
+            await workers[0].crash()
+            await asyncio.sleep(1)
+            await workers[0].restart(first_beat_s=HEARTBEAT_S / 2)
+        await asyncio.sleep(0.25)
+        await submit(record, entry, job(9, 900, 3100), 3000)
+        await asyncio.sleep(3)
     finally:
-        if sender:
-            sender.cancel()
         system.stop_all()
     return runs_at_once(workers)
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -88,6 +88,7 @@
         self.answer_delay_s = 0.0
         self.drain_acked_at = None
         self.server = None
+        self.first_beat_s = 0.0
         self.reset()
 
     def reset(self):
@@ -112,7 +113,7 @@
         self.server = await asyncio.start_server(self.serve, self.ip, self.port)
         self.tasks = [asyncio.create_task(self.beat()), asyncio.create_task(self.tick())]
         self.connections = set()
-        self.record.write("worker", self.id, "is up, labels", self.labels)
+        self.record.write("worker", self.id, "is up, born", self.born, "labels", self.labels)
 
     async def crash(self):
         """Ends at once, and says nothing."""
@@ -126,13 +127,15 @@
             self.runs.append((task, run, began, time.monotonic()))
         self.running = {}
 
-    async def restart(self, labels):
-        """Begins a new life at the same address, as another incarnation."""
-        self.labels = labels
+    async def restart(self, first_beat_s=0.0):
+        """Begins a new life at the same address, under the id that it had."""
+        ident = self.id
         self.reset()
+        self.id, self.first_beat_s = ident, first_beat_s
         await self.start()
 
     async def beat(self):
+        await asyncio.sleep(self.first_beat_s)
         while True:
             status = await self.beat_now()
             await asyncio.sleep(HEARTBEAT_S if status // 100 == 2 else 0.2)
@@ -198,7 +201,7 @@
             return 421, {}
         token = body.get("fencing-token", 0)
         if token < self.token:
-            return 409, {"clock-ms": self.clock_ms(), "born": self.born, "reason": "fence"}
+            return 409, {"clock-ms": self.clock_ms(), "reason": "fence"}
         self.token = token
         deadline = body.get("deadline-ms")
         if deadline is not None:
@@ -215,7 +218,8 @@
             status, answer = 200, {}
         else:
             status, answer = 200, await self.hold(body)
-        answer.update({"clock-ms": self.clock_ms(), "born": self.born})
+            answer["born"] = self.born
+        answer["clock-ms"] = self.clock_ms()
         return status, answer
 
     def run_start(self, body):
@@ -346,6 +350,23 @@
         raise RuntimeError("no acknowledgement of the configuration")
 
 
+def runs_at_once(workers):
+    """Pairs of runs of one task that were at work at the same time."""
+    runs = {}
+    for worker in workers:
+        for task, number, began, ended in worker.runs:
+            runs.setdefault(task, []).append((began, ended, worker.id, number))
+    pairs = []
+    for task, of_task in runs.items():
+        of_task.sort()
+        for first, second in zip(of_task, of_task[1:]):
+            if second[0] < first[1]:
+                pairs.append("%s ran at %s (run %d) and at %s (run %d) at the same time for %d ms" % (
+                    task, first[2], first[3], second[2], second[3],
+                    1000 * (min(first[1], second[1]) - second[0])))
+    return pairs
+
+
 def free_ports(ip, count):
     """Ports that nobody uses on any address."""
     sockets = []
