--- a/review/standins.py
+++ b/review/standins.py
@@ -82,11 +82,8 @@
         self.agent, self.service, self.cpu = agent, service, cpu
         self.labels = labels
         self.lives = 0
-        self.state = "ready"
         self.starts = []  # (time, worker id, labels, task, run, task's own words)
         self.runs = []  # (task, run, when it began, when it ended)
-        self.answer_delay_s = 0.0
-        self.drain_acked_at = None
         self.server = None
         self.first_beat_s = 0.0
         self.reset()
@@ -137,27 +134,19 @@
     async def beat(self):
         await asyncio.sleep(self.first_beat_s)
         while True:
-            status = await self.beat_now()
+            self.seq += 1
+            body = {
+                "service": self.service, "address": "%s:%d" % (self.ip, self.port),
+                "zone": "z1", "version": "v1", "slots": 8, "state": "ready",
+                "cold-remaining-ms": 0,
+                "capacity": {"cpu": self.cpu, "mem-mb": 65536, "gpu": 0},
+                "labels": self.labels, "clock-ms": self.clock_ms(), "seq": self.seq,
+                "born": self.born,
+            }
+            path = "/-/instances/%s/heartbeat" % self.id
+            status, _, _ = await call(self.agent, "POST", path, body)
             await asyncio.sleep(HEARTBEAT_S if status // 100 == 2 else 0.2)
 
-    async def beat_now(self):
-        self.seq += 1
-        state = self.state
-        body = {
-            "service": self.service, "address": "%s:%d" % (self.ip, self.port),
-            "zone": "z1", "version": "v1", "slots": 8, "state": state,
-            "cold-remaining-ms": 0,
-            "capacity": {"cpu": self.cpu, "mem-mb": 65536, "gpu": 0},
-            "labels": self.labels, "clock-ms": self.clock_ms(), "seq": self.seq,
-            "born": self.born,
-        }
-        path = "/-/instances/%s/heartbeat" % self.id
-        status, _, _ = await call(self.agent, "POST", path, body)
-        if state == "draining" and status // 100 == 2 and self.drain_acked_at is None:
-            self.drain_acked_at = time.monotonic()
-            self.record.write("worker", self.id, "its draining is acknowledged")
-        return status
-
     async def tick(self):
         while True:
             await asyncio.sleep(0.005)
@@ -208,8 +197,6 @@
             self.lease_ms = max(self.lease_ms, min(deadline, self.clock_ms() + HOLD_MAX_MS))
         if path == "/-/run-start":
             status, answer = self.run_start(body)
-            if self.answer_delay_s:
-                await asyncio.sleep(self.answer_delay_s)
         elif path == "/-/run-stop":
             task, run = body["task"], body["run-id"]
             self.finished[task] = max(run, self.finished.get(task, 0))
@@ -264,8 +251,7 @@
         self.record = record
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         base = "127.%d.%d." % (random.randrange(10, 250), random.randrange(250))
-        self.ports = free_ports(base + "1", 4)
-        http, ready, peer, self.worker_port = self.ports
+        http, ready, peer, self.worker_port = free_ports(4)
         ips = [base + str(n) for n in range(1, controls + entries + agents + 1)]
         self.control_ips = ips[:controls]
         self.entry_ips = ips[controls:controls + entries]
@@ -367,7 +353,7 @@
     return pairs
 
 
-def free_ports(ip, count):
+def free_ports(count):
     """Ports that nobody uses on any address."""
     sockets = []
     for _ in range(count):
@@ -425,6 +411,8 @@
     """Runs a case; exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the processes as well if the case is told to end.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(scenario(record, trouble), 110))
     except Exception as error:  # whatever it is, the case has not run
