Review: free ports are sought on the loopback addresses of the case only

The stand-ins bound a port on every address to find free ones. They now bind it on each of the loopback addresses that the case uses.

--- a/review/standins.py
+++ b/review/standins.py
@@ -251,8 +251,8 @@
         self.record = record
         self.folder = tempfile.TemporaryDirectory(prefix="review-")
         base = "127.%d.%d." % (random.randrange(10, 250), random.randrange(250))
-        http, ready, peer, self.worker_port = free_ports(4)
         ips = [base + str(n) for n in range(1, controls + entries + agents + 1)]
+        http, ready, peer, self.worker_port = free_ports(ips, 4)
         self.control_ips = ips[:controls]
         self.entry_ips = ips[controls:controls + entries]
         self.agent_ips = ips[controls + entries:]
@@ -353,14 +353,22 @@
     return pairs
 
 
-def free_ports(count):
-    """Ports that nobody uses on any address."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(("0.0.0.0", 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
+def free_ports(ips, count):
+    """Ports that nobody uses on any of these loopback addresses."""
+    sockets, ports = [], []
+    while len(ports) < count:
+        port = 0
+        bound = []
+        try:
+            for ip in ips:
+                sock = socket.socket()
+                bound.append(sock)
+                sock.bind((ip, port))
+                port = sock.getsockname()[1]
+        except OSError:  # in use on one of them: another one is tried
+            port = 0
+        sockets += bound
+        ports += [port] if port else []
     for sock in sockets:
         sock.close()
     return ports
