Control keeps what a change says, not the configuration that it leads to

Cause: a release is a text in the document, and a merge patch can only replace a text as a whole.

Change: a patch may hold edits of long texts, by which the text in force becomes the next one (hunks between pieces that end in a brace or a line; the library similar compares them). The document in force is parsed when it is asked for, so an instance that catches up parses one and not all. Digests of versions without edits are what they were, so old data folders are read; a release before this one can't read a log with edits.

--- a/crates/config/examples/ledger_growth.rs
+++ b/crates/config/examples/ledger_growth.rs
@@ -65,6 +65,7 @@
         base: ledger.version(),
         author: "operator@example".to_owned(),
         merge: change(number),
+        edits: Vec::new(),
     };
     Proposal {
         verdict: ledger.validate(&patch),
--- a/crates/config/src/ledger/mod.rs
+++ b/crates/config/src/ledger/mod.rs
@@ -22,13 +22,16 @@
 use serde_json::{Map, Value};
 
 use crate::document::{Document, Problem, MAX_DOCUMENT_BYTES};
-use crate::patch::{Id, Patch};
+use crate::patch::{Edit, Id, Patch};
 
 pub use digest::Digest;
 
 /// Number of refused patches whose answers are remembered.
 pub const REFUSALS_KEPT: usize = 256;
 
+/// Estimated size of a record without its patch.
+const RECORD_OVERHEAD_BYTES: usize = 256;
+
 const MAX_PROBLEMS: usize = 32;
 const MAX_TEXT_BYTES: usize = 256;
 
@@ -126,6 +129,9 @@
     pub wall_ms: u64,
     /// The merge patch.
     pub merge: Value,
+    /// Changes of long texts, made before the merge patch.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub edits: Vec<Edit>,
     /// Digest of this version and all preceding ones.
     pub digest: Digest,
 }
@@ -148,6 +154,8 @@
     author: Box<str>,
     wall_ms: u64,
     merge: Box<str>,
+    /// The edits as JSON; empty if there are none.
+    edits: Box<str>,
     digest: Digest,
 }
 
@@ -192,18 +200,33 @@
     /// Returns the record of a version, or `None` for version 0 and versions that
     /// don't exist yet.
     pub fn record(&self, version: Version) -> Option<Record> {
-        let index = usize::try_from(version.0.checked_sub(1)?).ok()?;
-        let compact = self.records.get(index)?;
+        let compact = self.compact_record(version)?;
+        let patch = compact.patch(version).ok()?;
         Some(Record {
             version,
-            id: compact.id,
-            author: compact.author.to_string(),
+            id: patch.id,
+            author: patch.author,
             wall_ms: compact.wall_ms,
-            merge: serde_json::from_str(&compact.merge).unwrap_or(Value::Null),
+            merge: patch.merge,
+            edits: patch.edits,
             digest: compact.digest,
         })
     }
 
+    /// Returns the records of the versions after the given one, in ascending order, until
+    /// their patches have `max_bytes` together, but at least one if there is any.
+    pub fn history_page(&self, after: Version, max_bytes: usize) -> Vec<Record> {
+        let mut bytes = 0;
+        let first = usize::try_from(after.0).unwrap_or(usize::MAX);
+        let following = self.records.iter().skip(first);
+        let fitting = following.take_while(|record| {
+            let fits = bytes < max_bytes;
+            bytes += RECORD_OVERHEAD_BYTES + record.merge.len() + record.edits.len();
+            fits
+        });
+        self.history(after).take(fitting.count()).collect()
+    }
+
     /// Returns the records of the versions after the given one, in ascending order.
     pub fn history(&self, after: Version) -> impl Iterator<Item = Record> + '_ {
         (after.0.saturating_add(1)..=self.version().0)
@@ -217,7 +240,10 @@
         }
         let mut problems = patch.check();
         if problems.is_empty() {
-            problems = check_document(&patch.apply(&self.document));
+            problems = match patch.apply(&self.document) {
+                Ok(document) => check_document(&document),
+                Err(problem) => vec![problem],
+            };
         }
         if problems.is_empty() {
             Verdict::Valid
@@ -229,13 +255,11 @@
     /// Returns the answer that this patch got before, if it is still known, or
     /// [`Answer::Reused`] if its id belongs to a different patch.
     pub fn first_answer(&self, patch: &Patch) -> Option<Answer> {
-        let fingerprint = Digest(patch.fingerprint());
         if let Some(version) = self.versions.get(&patch.id) {
-            let record = self.record(*version)?;
-            return Some(self.answer_from_record(&record, fingerprint));
+            return self.answer_from_record(*version, patch);
         }
         let refusal = self.refusals.iter().find(|r| r.id == patch.id)?;
-        if refusal.fingerprint == fingerprint {
+        if refusal.fingerprint == Digest(patch.fingerprint()) {
             Some(refusal.answer.clone())
         } else {
             Some(Answer::Reused)
@@ -270,8 +294,9 @@
         let mut digest = Digest::ORIGIN;
         for (record, number) in self.records.iter().zip(1..) {
             let version = Version(number);
-            let merge = record.parse(version)?;
-            json_patch::merge(&mut document, &merge);
+            let patch = record.patch(version)?;
+            let applied = patch.apply_to(&mut document);
+            applied.map_err(|_| Error::Digest(version))?;
             digest = record.chained_digest(digest, &document);
             if digest != record.digest {
                 return Err(Error::Digest(version));
@@ -286,12 +311,16 @@
 
     fn accept(&mut self, patch: &Patch, wall_ms: u64) -> Answer {
         let previous_wall_ms = self.records.last().map_or(0, |last| last.wall_ms);
-        json_patch::merge(&mut self.document, &patch.merge);
+        if let Err(problem) = patch.apply_to(&mut self.document) {
+            let problems = vec![problem];
+            return self.refuse(patch, Answer::Invalid { problems });
+        }
         let mut record = CompactRecord {
             id: patch.id,
             author: patch.author.as_str().into(),
             wall_ms: wall_ms.max(previous_wall_ms),
             merge: patch.merge.to_string().into(),
+            edits: patch.edits_text().into(),
             digest: Digest::ORIGIN,
         };
         record.digest = record.chained_digest(self.digest(), &self.document);
@@ -327,39 +356,56 @@
         }
     }
 
-    fn answer_from_record(&self, record: &Record, fingerprint: Digest) -> Answer {
-        let first = Patch {
-            id: record.id,
-            base: Version(record.version.0 - 1),
-            author: record.author.clone(),
-            merge: record.merge.clone(),
-        };
-        if Digest(first.fingerprint()) != fingerprint {
-            return Answer::Reused;
+    /// The answer to a patch whose id is that of an accepted version.
+    fn answer_from_record(&self, version: Version, patch: &Patch) -> Option<Answer> {
+        let record = self.compact_record(version)?;
+        let first = record.patch(version).ok()?;
+        if first.fingerprint() != patch.fingerprint() {
+            return Some(Answer::Reused);
         }
-        Answer::Accepted {
-            version: record.version,
+        Some(Answer::Accepted {
+            version,
             digest: record.digest,
-        }
+        })
+    }
+
+    fn compact_record(&self, version: Version) -> Option<&CompactRecord> {
+        let index = usize::try_from(version.0.checked_sub(1)?).ok()?;
+        self.records.get(index)
     }
 }
 
 impl CompactRecord {
-    fn parse(&self, version: Version) -> Result<Value> {
-        serde_json::from_str(&self.merge).map_err(|error| Error::Patch(version, error))
+    /// Returns the patch that became `version`.
+    fn patch(&self, version: Version) -> Result<Patch> {
+        let error = |error| Error::Patch(version, error);
+        let edits = match self.edits.is_empty() {
+            true => Vec::new(),
+            false => serde_json::from_str(&self.edits).map_err(error)?,
+        };
+        Ok(Patch {
+            id: self.id,
+            base: Version(version.0 - 1),
+            author: self.author.to_string(),
+            merge: serde_json::from_str(&self.merge).map_err(error)?,
+            edits,
+        })
     }
 
     /// Returns the digest of this record, the resulting document, and the digest of
     /// the preceding version.
     fn chained_digest(&self, previous: Digest, document: &Value) -> Digest {
-        previous
+        let mut digest = previous
             .start_successor()
             .field(self.id.0.as_bytes())
             .field(self.author.as_bytes())
             .field(&self.wall_ms.to_be_bytes())
-            .field(self.merge.as_bytes())
-            .field(document.to_string().as_bytes())
-            .finish()
+            .field(self.merge.as_bytes());
+        // Versions without edits keep the digests that earlier releases gave them.
+        if !self.edits.is_empty() {
+            digest = digest.field(self.edits.as_bytes());
+        }
+        digest.field(document.to_string().as_bytes()).finish()
     }
 }
 
--- a/crates/config/src/ledger/snapshot.rs
+++ b/crates/config/src/ledger/snapshot.rs
@@ -29,6 +29,9 @@
     wall_ms: u64,
     #[serde(borrow)]
     merge: Cow<'a, RawValue>,
+    /// Absent in snapshots of earlier releases, and if there are none.
+    #[serde(borrow, default, skip_serializing_if = "Option::is_none")]
+    edits: Option<Cow<'a, RawValue>>,
     digest: Digest,
 }
 
@@ -85,13 +88,18 @@
 
 impl CompactRecord {
     fn to_snapshot(&self, version: Version) -> Result<SnapshotRecord<'_>> {
-        let merge: &RawValue =
-            serde_json::from_str(&self.merge).map_err(|error| Error::Patch(version, error))?;
+        let raw = |text| serde_json::from_str(text).map_err(|error| Error::Patch(version, error));
+        let merge: &RawValue = raw(&self.merge)?;
+        let edits: Option<&RawValue> = match self.edits.is_empty() {
+            true => None,
+            false => Some(raw(&self.edits)?),
+        };
         Ok(SnapshotRecord {
             id: self.id,
             author: Cow::Borrowed(&self.author),
             wall_ms: self.wall_ms,
             merge: Cow::Borrowed(merge),
+            edits: edits.map(Cow::Borrowed),
             digest: self.digest,
         })
     }
@@ -104,6 +112,7 @@
             author: record.author.as_ref().into(),
             wall_ms: record.wall_ms,
             merge: record.merge.get().into(),
+            edits: record.edits.as_ref().map_or("", |edits| edits.get()).into(),
             digest: record.digest,
         }
     }
--- a/crates/config/src/patch/mod.rs
+++ b/crates/config/src/patch/mod.rs
@@ -1,5 +1,8 @@
 //! Patches, by which operators change the configuration.
 
+mod edit;
+
+use std::collections::BTreeSet;
 use std::fmt;
 use std::str::FromStr;
 
@@ -11,10 +14,12 @@
 
 use crate::document::{Problem, MAX_DOCUMENT_BYTES};
 
+pub use edit::{Edit, Hunk};
+
 /// Maximum length of an author's name, in bytes.
 pub const MAX_AUTHOR_BYTES: usize = 128;
 
-/// Maximum size of a merge patch, serialized as compact JSON.
+/// Maximum size of a patch's changes, serialized as compact JSON.
 pub const MAX_PATCH_BYTES: usize = MAX_DOCUMENT_BYTES;
 
 /// Maximum number of levels of a merge patch. It is well below the limit of a reader of JSON,
@@ -55,24 +60,44 @@
     /// JSON merge patch (RFC 7396). A `null` removes a field, which restores its
     /// default.
     pub merge: Value,
+    /// Changes of long texts, at most one of each, made before the merge patch.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub edits: Vec<Edit>,
 }
 
 impl Patch {
     /// Creates a patch that changes the document `from` to `to`.
     pub fn between(id: Id, base: Version, author: &str, from: &Value, to: &Value) -> Patch {
+        let mut edits = Vec::new();
+        let merge = difference(from, to, "", &mut edits);
         Patch {
             id,
             base,
             author: author.to_owned(),
-            merge: difference(from, to).unwrap_or_else(|| Value::Object(Map::new())),
+            merge: merge.unwrap_or_else(|| Value::Object(Map::new())),
+            edits,
         }
     }
 
     /// Returns the document that results from applying this patch.
-    pub fn apply(&self, document: &Value) -> Value {
+    pub fn apply(&self, document: &Value) -> Result<Value, Problem> {
         let mut document = document.clone();
-        json_patch::merge(&mut document, &self.merge);
-        document
+        self.apply_to(&mut document)?;
+        Ok(document)
+    }
+
+    /// Changes a document as this patch says. If an edit doesn't fit the document, changes
+    /// nothing and returns the problem.
+    pub(crate) fn apply_to(&self, document: &mut Value) -> Result<(), Problem> {
+        let edited = self.edits.iter().map(|edit| edit.edited(document));
+        let edited = edited.collect::<Result<Vec<_>, _>>()?;
+        for (edit, text) in self.edits.iter().zip(edited) {
+            if let Some(value) = document.pointer_mut(&edit.path) {
+                *value = Value::String(text);
+            }
+        }
+        json_patch::merge(document, &self.merge);
+        Ok(())
     }
 
     /// Whether the patch is nested too deeply for a log entry. It must not be proposed then:
@@ -85,7 +110,10 @@
     pub fn check(&self) -> Vec<Problem> {
         let valid_length = (1..=MAX_AUTHOR_BYTES).contains(&self.author.len());
         let printable = !self.author.chars().any(char::is_control);
-        let size = self.merge.to_string().len();
+        let edits: usize = self.edits.iter().map(Edit::size).sum();
+        let size = self.merge.to_string().len() + edits;
+        let mut edited = BTreeSet::new();
+        let repeated = self.edits.iter().find(|edit| !edited.insert(&edit.path));
         let checks = [
             (
                 valid_length && printable,
@@ -105,6 +133,12 @@
                 format!("{size} bytes"),
                 format!("up to {MAX_PATCH_BYTES} bytes"),
             ),
+            (
+                repeated.is_none(),
+                "edits",
+                repeated.map_or_else(String::new, |edit| format!("{:?} twice", edit.path)),
+                "one edit of each text".to_owned(),
+            ),
             (
                 !self.is_too_deep(),
                 "merge",
@@ -123,6 +157,14 @@
             .collect()
     }
 
+    /// The edits as JSON; empty if there are none, as in patches of earlier releases.
+    pub(crate) fn edits_text(&self) -> String {
+        if self.edits.is_empty() {
+            return String::new();
+        }
+        serde_json::to_string(&self.edits).expect("edits can be written as JSON")
+    }
+
     /// Returns a hash of the content, which distinguishes a resent patch from a
     /// different one with the same id.
     pub(crate) fn fingerprint(&self) -> [u8; 32] {
@@ -131,6 +173,7 @@
         hash.update((self.author.len() as u64).to_be_bytes());
         hash.update(self.author.as_bytes());
         hash.update(self.merge.to_string().as_bytes());
+        hash.update(self.edits_text().as_bytes());
         hash.finalize().into()
     }
 }
@@ -145,16 +188,28 @@
     1 + deepest.unwrap_or(0)
 }
 
-/// Returns the merge patch from one value to another, or `None` if they are equal.
-fn difference(from: &Value, to: &Value) -> Option<Value> {
-    let (Value::Object(from), Value::Object(to)) = (from, to) else {
-        return (from != to).then(|| to.clone());
+/// Returns the merge patch from one value to another, or `None` if it has nothing to change.
+/// Adds the edits of long texts in the value, which is at `path`.
+fn difference(from: &Value, to: &Value, path: &str, edits: &mut Vec<Edit>) -> Option<Value> {
+    let (from, to) = match (from, to) {
+        _ if from == to => return None,
+        (Value::Object(from), Value::Object(to)) => (from, to),
+        (Value::String(before), Value::String(after)) => {
+            let edit = Edit::between(path, before, after);
+            let replaced = edit.is_none().then(|| to.clone());
+            edits.extend(edit);
+            return replaced;
+        }
+        _ => return Some(to.clone()),
     };
     let removed = from.keys().filter(|name| !to.contains_key(*name));
     let mut merge: Map<_, _> = removed.map(|name| (name.clone(), Value::Null)).collect();
     for (name, value) in to {
         let change = match from.get(name) {
-            Some(before) => difference(before, value),
+            Some(before) => {
+                let path = format!("{path}/{}", name.replace('~', "~0").replace('/', "~1"));
+                difference(before, value, &path, edits)
+            }
             None => Some(value.clone()),
         };
         merge.extend(change.map(|change| (name.clone(), change)));
--- a/crates/config/tests/document.rs
+++ b/crates/config/tests/document.rs
@@ -105,5 +105,5 @@
         .parse()
         .expect("a valid id");
     let patch = Patch::between(id, Version(0), "test", &from, &to);
-    assert_eq!(to, patch.apply(&from));
+    assert_eq!(Ok(to), patch.apply(&from));
 }
--- a/crates/config/tests/ledger.rs
+++ b/crates/config/tests/ledger.rs
@@ -132,6 +132,7 @@
         base: Version(base),
         author: "vet".to_owned(),
         merge,
+        edits: Vec::new(),
     }
 }
 
--- a/crates/core/src/args/config.rs
+++ b/crates/core/src/args/config.rs
@@ -238,6 +238,7 @@
         base: ledger.version(),
         author: record.author.clone(),
         merge: record.merge.clone(),
+        edits: record.edits.clone(),
     };
     let answer = ledger.apply(Proposal {
         patch,
--- a/crates/core/src/control/amendment.rs
+++ b/crates/core/src/control/amendment.rs
@@ -61,7 +61,7 @@
     ) -> Result<Option<Version>> {
         for _ in 0..MAX_ATTEMPTS {
             let patch = self.read(|applied| {
-                let document = applied.document.as_ref().ok_or(Error::Unreadable)?;
+                let document = applied.document().ok_or(Error::Unreadable)?;
                 let ledger = applied.state.ledger();
                 let (from, base) = (ledger.document(), ledger.version());
                 let to = change(document, from);
--- a/crates/core/src/control/drain.rs
+++ b/crates/core/src/control/drain.rs
@@ -143,7 +143,7 @@
 /// The data centres that are drained under the configuration in force; `None` if this
 /// release can't read it.
 pub(super) fn drained(applied: &AppliedState) -> Option<&BTreeSet<DataCenter>> {
-    let document = applied.document.as_ref();
+    let document = applied.document();
     document.map(|document| &document.upstreams.drained)
 }
 
--- a/crates/core/src/control/operator_api.rs
+++ b/crates/core/src/control/operator_api.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gentian::config::ledger::{Answer, Ledger, Record};
+use gentian::config::ledger::Answer;
 use gentian::config::patch::{Patch, MAX_PATCH_BYTES};
 use gentian::wire::id::Version;
 use gentian::wire::outcome::Outcome;
@@ -20,8 +20,6 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Size of the history records after which a page ends; the last one may exceed it.
 const MAX_PAGE_BYTES: usize = 256 * 1024;
-/// Estimated size of a record without its patch.
-const RECORD_OVERHEAD_BYTES: usize = 256;
 
 /// Handles the requests of operators and of monitoring.
 #[derive(Debug)]
@@ -61,7 +59,7 @@
         let leads = self.service.read(|_| ()).is_some();
         let applied = self.service.shared().read();
         let ledger = applied.state.ledger();
-        let versions = history_page(ledger, after);
+        let versions = ledger.history_page(after, MAX_PAGE_BYTES);
         let last = versions.last().map_or(after, |record| record.version);
         let more = last < ledger.version();
         let history = json!({
@@ -175,17 +173,6 @@
     }
 }
 
-/// Returns the versions after `after` that fit on a page, at least one if there are any.
-fn history_page(ledger: &Ledger, after: Version) -> Vec<Record> {
-    let mut bytes = 0;
-    let fits = |record: &Record| {
-        let fits = bytes < MAX_PAGE_BYTES;
-        bytes += RECORD_OVERHEAD_BYTES + record.merge.to_string().len();
-        fits
-    };
-    ledger.history(after).take_while(fits).collect()
-}
-
 fn parse_after(query: &str) -> Result<Version, Problem> {
     let value = query
         .split('&')
--- a/crates/core/src/control/release_api.rs
+++ b/crates/core/src/control/release_api.rs
@@ -85,7 +85,7 @@
 
     fn get(&self) -> Result<Response> {
         let release = self.service.read(|applied| {
-            let document = applied.document.as_ref();
+            let document = applied.document();
             document.map(|document| document.release.clone())
         });
         let release = release.ok_or_else(|| self.not_leader())?;
--- a/crates/core/src/control/replica/thread.rs
+++ b/crates/core/src/control/replica/thread.rs
@@ -30,8 +30,6 @@
 pub(super) const REOPEN_DELAY: Duration = Duration::from_secs(2);
 /// Maximum number of further events handled before the actions are carried out.
 const MAX_GROUP_EVENTS: usize = 256;
-/// Number of entries applied since the last snapshot after which the log is compacted.
-const COMPACT_ENTRIES: u64 = 1024;
 
 /// The channel to which the reply to a request is sent.
 pub(super) type ReplySender = oneshot::Sender<Result<Vec<u8>>>;
@@ -166,9 +164,8 @@
             }
             return;
         }
-        let snapshot_index = self.replica.log().snapshot().index;
         // The replica's own applied index may be ahead of the state machine's.
-        if self.last_applied >= snapshot_index + COMPACT_ENTRIES {
+        if self.replica.log().is_compaction_due(self.last_applied) {
             let data = Bytes::from(self.machine.snapshot());
             self.replica.compact(now, self.last_applied, data);
         }
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -345,7 +345,7 @@
 
 /// Returns a team's quota, which is 0 for an unknown team.
 fn quota(applied: &AppliedState, team: &Team) -> u32 {
-    let document = applied.document.as_ref();
+    let document = applied.document();
     let team = document.and_then(|document| document.teams.get(team));
     team.map_or(0, |team| team.concurrent)
 }
--- a/crates/core/src/control/state/mod.rs
+++ b/crates/core/src/control/state/mod.rs
@@ -4,7 +4,7 @@
 mod leader_state;
 mod replicated_log;
 
-use std::sync::{Arc, RwLockReadGuard, RwLockWriteGuard};
+use std::sync::{Arc, OnceLock, RwLockReadGuard, RwLockWriteGuard};
 use std::time::{Duration, Instant};
 
 use crate::panics::RwLock;
@@ -29,8 +29,10 @@
 #[derive(Debug)]
 pub(crate) struct AppliedState {
     pub(crate) state: State,
-    /// The configuration in force; `None` if this release can't read it.
-    pub(crate) document: Option<Document>,
+    /// The configuration in force; `None` inside if this release can't read it. It is read
+    /// when it is first asked for: of the versions that an instance applies at a start or to
+    /// catch up, only the last one matters.
+    document: OnceLock<Option<Document>>,
     view_ages: ViewAges,
 }
 
@@ -39,7 +41,7 @@
     pub(crate) fn new() -> SharedState {
         let applied = AppliedState {
             state: State::default(),
-            document: Some(Document::default()),
+            document: OnceLock::new(),
             view_ages: ViewAges::default(),
         };
         SharedState {
@@ -77,20 +79,26 @@
         self.view_ages.current_age(now)
     }
 
+    /// Returns the configuration in force, or `None` if this release can't read it.
+    pub(crate) fn document(&self) -> Option<&Document> {
+        let read = || {
+            let ledger = self.state.ledger();
+            let document = Document::read(ledger.document());
+            let log_problems = |problems: &_| {
+                let version = ledger.version();
+                log::error!("configuration version {version} can't be read: {problems:?}");
+            };
+            document.inspect_err(log_problems).ok()
+        };
+        self.document.get_or_init(read).as_ref()
+    }
+
     /// Updates the derived values after an entry or a snapshot was applied to a state
     /// with configuration version `previous`.
     fn update_derived(&mut self, previous: Version, now: Duration) {
         self.view_ages.observe(now, self.state.window().number());
-        let ledger = self.state.ledger();
-        if ledger.version() != previous {
-            self.document = match Document::read(ledger.document()) {
-                Ok(document) => Some(document),
-                Err(problems) => {
-                    let version = ledger.version();
-                    log::error!("configuration version {version} can't be read: {problems:?}");
-                    None
-                }
-            };
+        if self.state.ledger().version() != previous {
+            self.document = OnceLock::new();
         }
     }
 }
--- a/crates/core/tests/support/platform/control.rs
+++ b/crates/core/tests/support/platform/control.rs
@@ -90,6 +90,14 @@
         self.controls[index] = Process::start_with_settings(&self.control_settings[index]);
     }
 
+    /// Size of the files in the data folder of a control instance.
+    pub(crate) fn control_data_bytes(&self, index: usize) -> u64 {
+        let folder = self.data_folders[index].path().join("control");
+        let files = std::fs::read_dir(folder).expect("a folder");
+        let sizes = files.filter_map(|file| file.ok()?.metadata().ok());
+        sizes.map(|data| data.len()).sum()
+    }
+
     /// Kills a control instance and starts another in its place, with an empty data
     /// folder and at an address that no settings name.
     pub(crate) fn replace_control(&mut self, index: usize) {
--- a/crates/member/tests/state.rs
+++ b/crates/member/tests/state.rs
@@ -16,6 +16,7 @@
         base: state.ledger().version(),
         author: "vet".to_owned(),
         merge: json!({"services": {"dashboard": {"response_weight": 0.1 * number as f64}}}),
+        edits: Vec::new(),
     };
     Command::Patch(Proposal {
         verdict: state.ledger().validate(&patch),
@@ -94,6 +95,7 @@
             base: Version(0),
             author: "vet".to_owned(),
             merge,
+            edits: Vec::new(),
         };
         assert_eq!(may_be_proposed, !patch.is_too_deep(), "{levels} levels");
         assert_eq!(may_be_proposed, patch.check().is_empty());
--- a/crates/quorum/src/log.rs
+++ b/crates/quorum/src/log.rs
@@ -1,7 +1,7 @@
 //! The log in memory: a snapshot and the entries after it.
 //!
-//! Frequent compaction keeps the log small, so all of it is kept in memory. The
-//! store is read once, when it is opened.
+//! Compaction keeps the log small, so all of it is kept in memory. The store is read once,
+//! when it is opened.
 
 use bytes::Bytes;
 
@@ -10,11 +10,19 @@
     members::Members,
 };
 
+/// Number of applied entries after the snapshot at which the log is compacted. Each costs the
+/// state machine some time at a start.
+const MAX_APPLIED_ENTRIES: u64 = 128;
+/// Size of the applied entries below which the log is not compacted for its size, in bytes.
+const MIN_COMPACTED_BYTES: usize = 1 << 20;
+
 /// A snapshot followed by consecutive entries.
 #[derive(Clone, Debug, Default)]
 pub struct Log {
     snapshot: Snapshot,
     entries: Vec<Entry>,
+    /// Total encoded size of the entries.
+    bytes: usize,
     /// Indexes of the entries that change the members.
     change_indexes: Vec<u64>,
 }
@@ -46,6 +54,30 @@
         self.snapshot.index + self.entries.len() as u64
     }
 
+    /// Total encoded size of the entries after the snapshot.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Total encoded size of the entries after the snapshot up to `index`.
+    fn bytes_until(&self, index: u64) -> usize {
+        let covered = self.entries.iter().take_while(|entry| entry.index <= index);
+        covered.map(Entry::size).sum()
+    }
+
+    /// Whether the entries up to `applied` are to be replaced by a snapshot.
+    ///
+    /// A member that starts or catches up reads the snapshot and all entries after it, so both
+    /// the number and the size of these entries are bounded. A snapshot is written as often
+    /// as it pays: the entries that it replaces are at least as large as the one before.
+    pub fn is_compaction_due(&self, applied: u64) -> bool {
+        if applied >= self.snapshot.index + MAX_APPLIED_ENTRIES {
+            return true;
+        }
+        let max_bytes = self.snapshot.data.len().max(MIN_COMPACTED_BYTES);
+        self.bytes >= max_bytes && self.bytes_until(applied) >= max_bytes
+    }
+
     /// Term of the last entry, 0 for the empty log.
     pub fn last_term(&self) -> u64 {
         self.entries.last().map_or(self.snapshot.term, |e| e.term)
@@ -86,13 +118,15 @@
         if matches!(entry.body, Some(Body::Members(_))) {
             self.change_indexes.push(entry.index);
         }
+        self.bytes += entry.size();
         self.entries.push(entry);
     }
 
     /// Drops the entries from `index` on.
     pub fn truncate(&mut self, index: u64) {
         let kept = index.saturating_sub(self.snapshot.index + 1) as usize;
-        self.entries.truncate(kept);
+        let dropped = self.entries.drain(kept.min(self.entries.len())..);
+        self.bytes -= dropped.map(|entry| entry.size()).sum::<usize>();
         self.change_indexes.retain(|c| *c < index);
     }
 
@@ -128,7 +162,8 @@
         };
         let members = self.members_at(index).clone();
         let covered = (index - self.snapshot.index) as usize;
-        self.entries.drain(..covered);
+        let covered = self.entries.drain(..covered);
+        self.bytes -= covered.map(|entry| entry.size()).sum::<usize>();
         self.change_indexes.retain(|c| *c > index);
         self.snapshot = Snapshot {
             index,
