A run is over only if its own process says so, or one that has answered in its place

Cause: the agent took the answer to a start for one of the process that it knew, though such an answer names no process. When a poll then named another start time it ended all runs that it knew, with those that the new process had begun and listed. A heartbeat of a later start time was taken for proof that the former process had ended.

Ruled out: that the entry starts a task again by itself (it does what the agent reports), and that fencing would help (the new process has seen the order itself).

Runs that a list of the process has shown are told from those whose start was only answered; the latter are judged by the next list. A list with another start time makes its sender the upstream, closed until its heartbeat. A heartbeat alone ends no run, counts no crash and brings no lease. Ends are acknowledged only while polls go on without a gap, since a new process numbers its ends anew. A crash is not held against runs that the new process has.

A test is replaced: runs_are_lost_at_once_when_their_process_has_ended took a run whose start was only answered for one of the former process, which is the fault.

--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -23,8 +23,9 @@
     /// the run. Polls with a number above `after`, which is set by that answer, then show
     /// whether the run has begun.
     Unanswered { until: Duration, after: Option<u64> },
-    /// It was ordered from a former process of the upstream, which may have it until then.
-    Former { until: Duration },
+    /// It is at a former process of the upstream, which may have it until then. If the present
+    /// process has the id of that one, a list of it shows that the former has ended.
+    Former { until: Duration, same_id: bool },
 }
 
 /// One run that is, or may be, at the upstream.
@@ -54,6 +55,9 @@
     /// Its phase if its start gets no answer, since the upstream's process was replaced
     /// meanwhile.
     pub(super) phase_after_replacement: Option<Phase>,
+    /// Whether the upstream's present process has listed it. The answer to a start doesn't tell
+    /// which process gave it.
+    pub(super) listed: bool,
     /// Whether its start got no answer, even if a poll found the run since.
     pub(super) start_unanswered: bool,
     /// Progress at the last poll that listed it.
@@ -82,6 +86,7 @@
             polls_before: polls,
             unlisted: false,
             phase_after_replacement: None,
+            listed: false,
             start_unanswered: false,
             percent: 0,
             last_found_at: now,
@@ -130,6 +135,7 @@
         let progress_times = known.then_some((done * self.estimate.as_secs_f64(), took));
         self.percent = percent;
         self.last_found_at = now;
+        self.listed = true;
         if !matches!(self.phase, Phase::Running { .. }) {
             self.phase = Phase::Running { after: poll };
             self.admitted_at = self.admitted_at.min(now);
@@ -142,7 +148,7 @@
     pub(super) fn missing(&self, poll: u64, now: Duration) -> Option<Fate> {
         match self.phase {
             Phase::Starting => None,
-            Phase::Former { until } => (now > until).then_some(Fate::Lost),
+            Phase::Former { until, .. } => (now > until).then_some(Fate::Lost),
             Phase::Running { after } => (poll > after).then_some(Fate::Lost),
             Phase::Unanswered { until, after } => {
                 let never_begins = now > until || after.is_some_and(|after| poll > after);
@@ -155,7 +161,7 @@
     pub(super) fn postpone_end(&mut self, by: Duration) {
         let phases = [Some(&mut self.phase), self.phase_after_replacement.as_mut()];
         for phase in phases.into_iter().flatten() {
-            if let Phase::Unanswered { until, .. } | Phase::Former { until } = phase {
+            if let Phase::Unanswered { until, .. } | Phase::Former { until, .. } = phase {
                 *until += by;
             }
         }
@@ -169,7 +175,7 @@
             Phase::Starting => None,
             Phase::Running { .. } => Some(all_gone_at),
             Phase::Unanswered { until, .. } => Some(all_gone_at.max(until)),
-            Phase::Former { until } => Some(until),
+            Phase::Former { until, .. } => Some(until),
         }
     }
 
--- a/crates/claim/tests/run/main.rs
+++ b/crates/claim/tests/run/main.rs
@@ -1,6 +1,7 @@
 //! Tests of runs under leases, event by event.
 
 mod given_up;
+mod processes;
 mod replacement;
 mod unanswered;
 mod upstream_clock;
@@ -84,6 +85,15 @@
     runs
 }
 
+/// Like [`running`], and the upstream has listed the run.
+fn listed() -> Runs {
+    let mut runs = running();
+    let poll = runs.begin_poll();
+    let ends = runs.apply_poll(poll, &[listed_run("t", 1, 0)], &[], ms(2));
+    assert!(ends.is_empty());
+    runs
+}
+
 fn listed_run(task: &str, number: u64, percent: u32) -> ListedRun {
     ListedRun {
         run: run(task, number),
--- a/crates/claim/tests/run/replacement.rs
+++ b/crates/claim/tests/run/replacement.rs
@@ -6,13 +6,18 @@
 };
 use test_case::test_case;
 
-use super::{fates, listed_end, listed_run, ms, owner, run, running, start, starting};
+use super::{fates, listed, listed_end, listed_run, ms, owner, run, running, start, starting};
 
 /// The process has ended and another has its id.
 pub(crate) const RESTARTED: Replacement = Replacement {
     same_id: true,
     former_ended: true,
 };
+/// Another process with the same id reports, and nothing is known of the former one.
+pub(crate) const REPORTED: Replacement = Replacement {
+    same_id: true,
+    former_ended: false,
+};
 /// Another process reports, and nothing is known of the former one.
 const OTHER: Replacement = Replacement {
     same_id: false,
@@ -90,12 +95,66 @@
 
 #[test_case(RESTARTED; "under its id")]
 #[test_case(OTHER_AT_ADDRESS; "at its address")]
-fn runs_are_lost_at_once_when_their_process_has_ended(replacement: Replacement) {
-    let mut runs = running();
+fn runs_are_lost_at_once_when_the_process_that_listed_them_has_ended(replacement: Replacement) {
+    let mut runs = listed();
     let ends = runs.upstream_replaced(replacement, ms(20));
     assert_eq!(vec![Fate::Lost], fates(&ends));
 }
 
+#[test]
+fn runs_whose_start_was_answered_are_lost_at_once_when_another_process_has_their_address() {
+    let mut runs = running();
+    let ends = runs.upstream_replaced(OTHER_AT_ADDRESS, ms(20));
+    assert_eq!(vec![Fate::Lost], fates(&ends));
+}
+
+/// Runs were reported as lost that a restarted upstream had begun under its former id before its
+/// first heartbeat: the answer to a start doesn't tell which process gave it.
+#[test_case(RESTARTED; "that answered a poll")]
+#[test_case(REPORTED; "that sent a heartbeat")]
+fn a_run_that_began_at_a_restarted_process_goes_on(replacement: Replacement) {
+    let mut runs = running();
+    assert!(runs.upstream_replaced(replacement, ms(20)).is_empty());
+    assert!(runs.end_lapsed(ms(21)).is_empty());
+    let poll = runs.begin_poll();
+    let listed = [listed_run("t", 1, 10)];
+    assert!(runs.apply_poll(poll, &listed, &[], ms(30)).is_empty());
+    assert!(runs.former_ended(ms(30)).is_empty());
+    assert!(runs.take_due_stops(ms(30)).is_empty());
+    let poll = runs.begin_poll();
+    let ends = runs.apply_poll(poll, &[], &[listed_end(1, "t", Fate::Done)], ms(40));
+    assert_eq!(vec![Fate::Done], fates(&ends));
+}
+
+#[test_case(RESTARTED; "that answered a poll")]
+#[test_case(REPORTED; "that sent a heartbeat")]
+fn a_run_that_a_restarted_process_does_not_list_is_lost(replacement: Replacement) {
+    let mut runs = running();
+    runs.upstream_replaced(replacement, ms(20));
+    let poll = runs.begin_poll();
+    let ends = runs.apply_poll(poll, &[], &[], ms(30));
+    assert_eq!(vec![Fate::Lost], fates(&ends));
+}
+
+/// A heartbeat of another writer under the upstream's id made the agent report all runs as lost,
+/// while they went on.
+#[test]
+fn a_heartbeat_under_the_same_id_ends_no_run_before_its_process_has_answered() {
+    let mut runs = listed();
+    assert!(runs.upstream_replaced(REPORTED, ms(20)).is_empty());
+    assert!(runs.end_lapsed(ms(30)).is_empty());
+    let ends = runs.former_ended(ms(40));
+    assert_eq!(vec![Fate::Lost], fates(&ends));
+}
+
+#[test]
+fn an_answer_of_a_third_process_ends_no_run_of_the_first() {
+    let mut runs = listed();
+    runs.upstream_replaced(REPORTED, ms(20));
+    runs.upstream_replaced(OTHER, ms(30));
+    assert!(runs.former_ended(ms(40)).is_empty());
+}
+
 /// Starts with the former process's fencing token were carried out by the new one beside what it
 /// was given, since no order with a higher token had been sent to it.
 #[test_case(RESTARTED; "under its id")]
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -10,7 +10,7 @@
 use gentian::wire::agent::{self, Reports};
 use gentian_platform::order::{self, List, StartResponse};
 
-use super::order::Order;
+use super::order::{Order, Origin};
 use super::supervisor::{State, Supervisor};
 use crate::client;
 use crate::logging::is_sampled;
@@ -55,10 +55,17 @@
         match read {
             Ok(Ok((clock, begun))) => {
                 let mut state = supervisor.state();
-                if clock.is_some_and(|clock| supervisor.update_clock(&mut state, &order, clock)) {
-                    supervisor.handle_replacement(&mut state, &order, true);
+                let origin = clock.map(|clock| supervisor.update_clock(&mut state, &order, clock));
+                if let (Some(Origin::Other), Some(clock)) = (origin, clock) {
+                    let list = List {
+                        clock,
+                        ..List::default()
+                    };
+                    supervisor.handle_successor(&mut state, &order, &list);
+                }
+                if origin.is_some_and(|origin| origin != Origin::Present) {
                     drop(state);
-                    // The run may have begun at an incarnation that has not reported yet.
+                    // The run may have begun at a process that is not known yet.
                     return handle_start_answer(&supervisor, &run, StartAnswer::Unknown);
                 }
                 match begun {
@@ -84,7 +91,7 @@
                 }
             }
             Ok(Err(order::Error::Replaced)) => {
-                supervisor.handle_replacement(&mut supervisor.state(), &order, false);
+                supervisor.handle_end(&mut supervisor.state(), &order);
                 return handle_start_answer(
                     &supervisor,
                     &run,
@@ -139,9 +146,7 @@
     match answer.map(|answer| order::parse_stop(answer.status)) {
         Ok(Ok(true)) => supervisor.handle_stop_answer(&order, &run),
         Ok(Ok(false)) => supervisor.raise_token(&mut supervisor.state(), order.authority.token),
-        Ok(Err(order::Error::Replaced)) => {
-            supervisor.handle_replacement(&mut supervisor.state(), &order, false)
-        }
+        Ok(Err(order::Error::Replaced)) => supervisor.handle_end(&mut supervisor.state(), &order),
         // The stop is sent again as long as the upstream may have the run.
         Ok(Err(error)) => {
             log::warn!("{run}: stop has an unusable answer and will be retried: {error}")
@@ -167,28 +172,33 @@
                     (
                         order,
                         state.runs.begin_poll(),
-                        state.runs.last_seen_end(),
+                        state.ends_to_acknowledge(),
                         wait,
                     )
                 }),
                 false => None,
             }
         };
-        let Some((order, poll_number, last_end, wait)) = due else {
+        let Some((order, poll_number, acknowledged, wait)) = due else {
+            supervisor.state().polls_unbroken = false;
             // Wakes up for the next order, or to end runs whose lease has lapsed.
             let _ =
                 tokio::time::timeout(IDLE_CHECK_INTERVAL, supervisor.poll_wakeup.notified()).await;
             supervisor.end_lapsed_runs();
             continue;
         };
-        let request = order::poll(&order.id, last_end, wait, order.authority);
+        let request = order::poll(&order.id, acknowledged, wait, order.authority);
         let answer = supervisor
             .send_order(&order, request, wait + POLL_ANSWER_TIMEOUT)
             .await;
         supervisor.record_poll_answer(&mut supervisor.state(), &order, answer.as_ref().err());
         let again = match answer {
-            Ok(answer) => supervisor.handle_poll_answer(&order, poll_number, last_end, &answer),
-            Err(error) => supervisor.handle_failed_order(&mut supervisor.state(), &order, &error),
+            Ok(answer) => supervisor.handle_poll_answer(&order, poll_number, acknowledged, &answer),
+            Err(error) => {
+                let mut state = supervisor.state();
+                state.polls_unbroken = false;
+                supervisor.handle_failed_order(&mut state, &order, &error)
+            }
         };
         supervisor.end_lapsed_runs();
         if !again || supervisor.state().is_unlisted(supervisor.now()) {
@@ -212,17 +222,17 @@
         self: &Arc<Self>,
         order: &Order,
         poll_number: u64,
-        last_end: u64,
+        acknowledged: u64,
         answer: &client::Answer,
     ) -> bool {
         match order::parse_poll(answer.status, &answer.body) {
-            Ok(Some(list)) => self.apply_list(order, poll_number, last_end, &list),
+            Ok(Some(list)) => self.apply_list(order, poll_number, acknowledged, &list),
             Ok(None) => {
                 self.raise_token(&mut self.state(), order.authority.token);
                 false
             }
             Err(order::Error::Replaced) => {
-                self.handle_replacement(&mut self.state(), order, false);
+                self.handle_end(&mut self.state(), order);
                 false
             }
             Err(error) => {
@@ -240,7 +250,7 @@
         self: &Arc<Self>,
         order: &Order,
         poll_number: u64,
-        last_end: u64,
+        acknowledged: u64,
         list: &List,
     ) -> bool {
         let now = self.now();
@@ -253,14 +263,26 @@
                 list.unreadable
             );
         }
-        if self.update_clock(&mut state, order, list.clock) {
-            self.handle_replacement(&mut state, order, true);
-            return false;
+        match self.update_clock(&mut state, order, list.clock) {
+            Origin::Present => {}
+            Origin::Other => {
+                self.handle_successor(&mut state, order, list);
+                return false;
+            }
+            Origin::Unknown => return false,
         }
-        state.acknowledged = state.acknowledged.max(last_end);
-        let ends = state
+        state.polls_unbroken = true;
+        state.acknowledged = state.acknowledged.max(acknowledged);
+        let mut ends = state
             .runs
             .apply_poll(poll_number, &list.running, &list.ended, now);
+        if let Some(upstream) = &mut state.upstream {
+            upstream.mark_confirmed();
+        }
+        if list.clock.born_ms != 0 {
+            self.record_proven_crash(&mut state, list);
+            ends.extend(state.runs.former_ended(now));
+        }
         let stops = state.runs.take_due_stops(now);
         self.send_stops(stops);
         let any_ended = !ends.is_empty();
--- a/crates/core/src/agent/lease/crashes.rs
+++ b/crates/core/src/agent/lease/crashes.rs
@@ -7,9 +7,11 @@
 use std::time::Duration;
 
 use gentian::claim::crash::{Crash, Process};
-use gentian::claim::run::Owner;
+use gentian::claim::run::{Owner, Replacement};
 use gentian::wire::agent::{self, Reports};
 
+use gentian_platform::order::List;
+
 use super::order::Order;
 use super::supervisor::{State, Supervisor};
 use super::upstream::UpstreamState;
@@ -45,8 +47,54 @@
     /// Records the unplanned end of an upstream's process and tells all entries. Does
     /// nothing if the end was announced or is known.
     pub(super) fn record_crash(&self, state: &mut State, ended: &UpstreamState) {
-        if ended.is_ending() {
-            return;
+        if let Some(crash) = self.crash(state, ended) {
+            self.record(state, crash);
+        }
+    }
+
+    /// Records the unplanned end of `former`, of which a heartbeat of another process tells.
+    /// If that one has the same id, its next answer proves it; it is recorded then.
+    pub(super) fn record_reported_crash(
+        &self,
+        state: &mut State,
+        former: &UpstreamState,
+        replacement: Replacement,
+    ) {
+        let crash = self.crash(state, former);
+        match replacement.same_id {
+            true => state.unproven_crash = crash,
+            false => crash
+                .into_iter()
+                .for_each(|crash| self.record(state, crash)),
+        }
+    }
+
+    /// Records the crash that a heartbeat has told of, since the process that sent it has
+    /// answered with `list`. What that lists was not at the former process.
+    pub(super) fn record_proven_crash(&self, state: &mut State, list: &List) {
+        if let Some(mut crash) = state.unproven_crash.take() {
+            crash.runs.retain(|crashed| !list.contains(&crashed.run));
+            self.record(state, crash);
+        }
+    }
+
+    /// Records the crash of `former`, since another process has answered with `list`.
+    pub(super) fn record_crash_before(
+        &self,
+        state: &mut State,
+        former: &UpstreamState,
+        list: &List,
+    ) {
+        self.record_proven_crash(state, list);
+        state.unproven_crash = self.crash(state, former);
+        self.record_proven_crash(state, list);
+    }
+
+    /// The unplanned end of an upstream's process, if it was not announced. A process that has
+    /// never answered is not known to have been there.
+    fn crash(&self, state: &mut State, ended: &UpstreamState) -> Option<Crash> {
+        if ended.is_ending() || !ended.is_confirmed() {
+            return None;
         }
         let now = self.now();
         // Without a sign of its end it may have ended right after it was last heard of. What
@@ -54,7 +102,7 @@
         let last_heard = now.saturating_sub(ended.silent_for(now));
         let at = ended.ended_at().unwrap_or(last_heard);
         let incarnation = ended.incarnation();
-        let crash = Crash {
+        Some(Crash {
             agent: self.node.clone(),
             process: Process {
                 upstream: incarnation.id.clone(),
@@ -63,7 +111,11 @@
             at,
             runs: state.runs.crashed(at),
             rates: state.start_rates.rates(now),
-        };
+        })
+    }
+
+    fn record(&self, state: &mut State, crash: Crash) {
+        let now = self.now();
         if !state.crashes.record(crash.clone(), now) {
             return;
         }
--- a/crates/core/src/agent/lease/order.rs
+++ b/crates/core/src/agent/lease/order.rs
@@ -5,10 +5,11 @@
 
 use bytes::Bytes;
 use gentian::claim::run::{LeaseGrant, Refusal, Replacement, Run};
-use gentian_platform::order::{Authority, Clock};
+use gentian_platform::order::{Authority, Clock, List};
 use http_body_util::Full;
 
 use super::supervisor::{State, Supervisor};
+use super::upstream::UpstreamState;
 use crate::client;
 
 /// Addressee and authority of an order to the upstream.
@@ -22,6 +23,17 @@
     replacements: u64,
 }
 
+/// The process that has sent an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Origin {
+    /// The one that is known, or one that names no start time.
+    Present,
+    /// Another one with its id.
+    Other,
+    /// Not known: another one has been noticed since the order was sent.
+    Unknown,
+}
+
 impl Order {
     /// Whether another process has taken the upstream's place since the order was prepared.
     pub(super) fn is_outdated(&self, state: &State) -> bool {
@@ -119,48 +131,74 @@
         self.room_changed.notify_one();
     }
 
-    /// Records the clock in an answer to `order`. Returns true if another
-    /// incarnation of the upstream answered, or has reported since the order was sent.
-    pub(super) fn update_clock(&self, state: &mut State, order: &Order, clock: Clock) -> bool {
+    /// Records the clock in an answer to `order`, and tells which process it is of.
+    pub(super) fn update_clock(&self, state: &mut State, order: &Order, clock: Clock) -> Origin {
         if order.is_outdated(state) {
-            return true;
+            return Origin::Unknown;
         }
         let Some(upstream) = &mut state.upstream else {
-            return true;
+            return Origin::Unknown;
         };
         if upstream.is_other_incarnation(clock) {
-            return true;
+            return Origin::Other;
         }
         upstream.set_clock(clock.now, self.now());
-        false
+        Origin::Present
     }
 
-    /// Ends all runs, since another incarnation of the upstream answered `order`; `same_id`
-    /// tells whether it has the id of the former one. Does nothing if the replacement is known
-    /// already.
-    pub(super) fn handle_replacement(&self, state: &mut State, order: &Order, same_id: bool) {
+    /// Handles an answer to `order` that shows that no process with the upstream's id is left
+    /// at its address.
+    pub(super) fn handle_end(&self, state: &mut State, order: &Order) {
         let outdated = order.is_outdated(state);
         let upstream = state.upstream.as_mut();
         let Some(upstream) = upstream.filter(|upstream| !outdated && !upstream.is_replaced())
         else {
             return;
         };
-        log::warn!(
-            "upstream {}: another incarnation answered; all runs at the former one are over",
-            order.id
-        );
         let ended = upstream.clone();
-        let now = self.now();
         upstream.mark_replaced();
-        state.update_admission(now);
         self.record_crash(state, &ended);
         let replacement = Replacement {
-            same_id,
+            same_id: false,
             former_ended: true,
         };
+        self.replace(state, order, replacement);
+    }
+
+    /// Handles an answer to `order` from another process with the upstream's id; `list` holds
+    /// the runs in it, if any. That one is the upstream from now on, whatever was reported: it
+    /// gets no new runs before its heartbeat, and its next list shows which of the runs it has.
+    pub(super) fn handle_successor(&self, state: &mut State, order: &Order, list: &List) {
+        let clock = list.clock;
+        let outdated = order.is_outdated(state);
+        let Some(former) = state.upstream.clone().filter(|_| !outdated) else {
+            return;
+        };
+        let is_later = clock.born_ms > former.incarnation().born_ms;
+        match is_later {
+            true => self.record_crash_before(state, &former, list),
+            // No such process answers: another writer has reported it.
+            false => state.unproven_crash = None,
+        }
+        state.upstream = Some(UpstreamState::answered(&former, clock, self.now()));
+        let replacement = Replacement {
+            same_id: true,
+            former_ended: is_later,
+        };
+        self.replace(state, order, replacement);
+    }
+
+    fn replace(&self, state: &mut State, order: &Order, replacement: Replacement) {
+        log::warn!(
+            "upstream {}: another incarnation answered an order: {replacement:?}",
+            order.id
+        );
+        let now = self.now();
+        state.update_admission(now);
         let ends = state.replace_upstream(replacement, now);
         self.report_ends(state, ends);
         self.room_changed.notify_one();
+        self.poll_wakeup.notify_one();
     }
 
     /// Raises the fencing token after an order with the token `used` was rejected,
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, SystemTime};
 
-use gentian::claim::crash::{History, StartRates};
+use gentian::claim::crash::{Crash, History, StartRates};
 use gentian::claim::run::{Owner, Replacement, Run, RunEnd, Runs};
 use gentian::limit::waiting_list::WaitingList;
 use gentian::wire::{control, id};
@@ -72,6 +72,11 @@
     /// Highest sequence number of an end that was acknowledged to the upstream,
     /// which then drops the ends up to it.
     pub(super) acknowledged: u64,
+    /// Whether the last poll was answered by the present process, and none has failed or was
+    /// left out since: no other process can have taken its place meanwhile.
+    pub(super) polls_unbroken: bool,
+    /// The crash of a former process that a heartbeat has told of, until an answer proves it.
+    pub(super) unproven_crash: Option<Crash>,
     /// Whether the agent is shutting down.
     leaving: bool,
     pub(super) progress_sent_at: Duration,
@@ -107,6 +112,8 @@
                 token,
                 token_step: INITIAL_TOKEN_STEP,
                 acknowledged: 0,
+                polls_unbroken: false,
+                unproven_crash: None,
                 leaving: false,
                 progress_sent_at: Duration::ZERO,
             }),
@@ -162,7 +169,7 @@
             Update::Replaced(replacement) => {
                 log_first_heartbeat(&incarnation, ready);
                 if let Some(previous) = &previous {
-                    self.record_crash(state, previous);
+                    self.record_reported_crash(state, previous, replacement);
                 }
                 state.replace_upstream(replacement, now)
             }
@@ -263,11 +270,21 @@
         now: Duration,
     ) -> Vec<RunEnd> {
         self.replacements += 1;
+        self.polls_unbroken = false;
         self.token += 1;
         self.acknowledged = 0;
         self.runs.upstream_replaced(replacement, now)
     }
 
+    /// Sequence number up to which the upstream may forget ends. A process that may be another
+    /// than the one that listed them must not: its own ends have the same numbers.
+    pub(super) fn ends_to_acknowledge(&self) -> u64 {
+        match self.polls_unbroken {
+            true => self.runs.last_seen_end(),
+            false => 0,
+        }
+    }
+
     /// Tells the runs of suspensions since the last call. It is called before time alone, or a
     /// list, ends any of them.
     pub(super) fn record_suspension(&mut self) {
--- a/crates/core/src/agent/lease/upstream.rs
+++ b/crates/core/src/agent/lease/upstream.rs
@@ -45,6 +45,10 @@
     gone: bool,
     /// Whether another incarnation answered an order.
     replaced: bool,
+    /// Whether it has answered a poll. A heartbeat alone may be of another writer.
+    confirmed: bool,
+    /// Whether it has sent a heartbeat. It is not known what it has and takes before.
+    reported: bool,
     /// Number of polls in a row without an answer since the last heartbeat.
     unanswered_polls: u32,
     /// When a connection to it broke for the first time since it last answered, on the
@@ -66,6 +70,8 @@
             last_report_at: now,
             gone: false,
             replaced: false,
+            confirmed: false,
+            reported: true,
             unanswered_polls: 0,
             broken_at: None,
             down_at: None,
@@ -73,6 +79,17 @@
         }
     }
 
+    /// The process that answered an order under the id of `former`, and has not reported yet.
+    pub(super) fn answered(former: &UpstreamState, clock: Clock, now: Duration) -> UpstreamState {
+        let mut report = former.report.clone();
+        report.incarnation.born_ms = clock.born_ms;
+        report.clock = clock.now;
+        UpstreamState {
+            reported: false,
+            ..UpstreamState::new(report, now)
+        }
+    }
+
     /// Applies a heartbeat, unless a later one has overtaken it on its way, or another writer
     /// has sent it. `services` are those of the configuration, `wall` is the time since the
     /// Unix epoch.
@@ -102,9 +119,10 @@
             return Update::First;
         };
         if previous.report.incarnation == report.incarnation {
-            if report.number <= previous.report.number {
+            if previous.reported && report.number <= previous.report.number {
                 return Update::Stale;
             }
+            previous.reported = true;
             previous.last_report_at = now;
             previous.unanswered_polls = 0;
             (previous.broken_at, previous.down_at) = (None, None);
@@ -114,15 +132,16 @@
         }
         let start_unknown = report.incarnation.born_ms == 0;
         let is_earlier = report.incarnation.born_ms < previous.report.incarnation.born_ms;
-        // What was taken before the services were known may have been of another writer.
-        if !start_unknown && is_earlier && is_configured(&previous.report) {
+        // What was taken before the services were known may have been of another writer, as may
+        // a heartbeat of a process that answers nothing.
+        let is_credible =
+            is_configured(&previous.report) && (previous.confirmed || previous.is_responsive());
+        if !start_unknown && is_earlier && is_credible {
             return Update::Stale;
         }
-        // A heartbeat proves the end of the former process only if it is of a later process
-        // with the same id.
         let same_id = previous.incarnation().id == report.incarnation.id;
-        let former_known = previous.incarnation().born_ms != 0;
-        let former_ended = previous.replaced || (same_id && former_known && !start_unknown);
+        // The heartbeat itself may be of another writer.
+        let former_ended = previous.replaced;
         *upstream = Some(UpstreamState::new(report, now));
         Update::Replaced(Replacement {
             same_id,
@@ -136,7 +155,7 @@
 
     /// Whether the upstream may be given new runs.
     pub(super) fn is_open(&self, now: Duration) -> bool {
-        self.report.ready && self.is_reachable(now)
+        self.reported && self.report.ready && self.is_reachable(now)
     }
 
     /// Whether it is there and answers.
@@ -207,10 +226,20 @@
         self.replaced
     }
 
+    /// Whether it has answered a poll.
+    pub(super) fn is_confirmed(&self) -> bool {
+        self.confirmed
+    }
+
+    /// Records that it has answered a poll.
+    pub(super) fn mark_confirmed(&mut self) {
+        self.confirmed = true;
+    }
+
     /// Whether it may be granted a lease. One that is unresponsive may not, so that its runs
-    /// lapse; nor may a process that has not reported, since its clock is not known.
+    /// lapse; nor may a process that has not answered a poll, since its clock is not known.
     pub(super) fn may_hold_lease(&self) -> bool {
-        self.is_responsive() && !self.replaced
+        self.is_responsive() && !self.replaced && self.confirmed
     }
 
     /// Whether an answer with this clock comes from another incarnation than the one
--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -131,6 +131,30 @@
     platform.assert_no_concurrent_runs();
 }
 
+/// Guards against runs that were reported as lost, and started again elsewhere, since the worker
+/// that had begun them was a restarted one that had sent no heartbeat yet.
+#[test]
+fn what_a_restarted_worker_begins_before_its_first_heartbeat_runs_once() {
+    let platform = Platform::start(2, 1);
+    platform.workers[0].set_silent(true);
+    let before = platform.count_ends("done");
+    // The agent polls its worker no more.
+    thread::sleep(Duration::from_millis(300));
+    platform.workers[0].restart_worker();
+    let job = platform.spawn_submit(0, "0000000000000001", 12, 900);
+    poll(|| (platform.workers[0].running() > 0).then_some(()));
+    assert_eq!(
+        (200, COMPLETED.to_owned()),
+        job.join().expect("the thread ends")
+    );
+    platform.assert_no_concurrent_runs();
+    assert_eq!(before + 12, platform.count_ends("done"));
+    assert_eq!(0, platform.count_ends("stopped"));
+    platform.workers[0].set_silent(false);
+    let answer = platform.submit(0, "0000000000000002", 20, 50);
+    assert_eq!((200, COMPLETED.to_owned()), answer);
+}
+
 /// The worker is late to end a run whose lease is over, and so is no witness that the run
 /// went on beside the next one.
 #[test]
--- a/crates/core/tests/platform_odd.rs
+++ b/crates/core/tests/platform_odd.rs
@@ -63,6 +63,42 @@
     );
 }
 
+/// Sends a heartbeat of another writer under the worker's own id, with a later start time, while
+/// a job runs: it ends no run, and the worker gets further work.
+fn assert_proves_no_end(address: Option<&str>) {
+    let platform = Platform::start(2, 1);
+    let job = platform.spawn_submit(0, "0000000000000001", 12, 900);
+    poll(|| (platform.running() == 12).then_some(()));
+    let worker = &platform.workers[0];
+    let own_address = worker.address();
+    let address = address.unwrap_or(&own_address);
+    let body = heartbeat(&[("address", json!(address)), ("seq", json!(1_000))]);
+    let url = format!("http://{}/-/instances/i-0/heartbeat", worker.agent_http);
+    let _ = support::try_call("POST", &url, &[], &body, Duration::from_secs(2));
+    let answer = job.join().expect("the thread does not panic");
+    assert_eq!((200, COMPLETED.to_owned()), answer);
+    platform.assert_no_concurrent_runs();
+    let needs_both = platform.submit(0, "0000000000000002", 20, 50);
+    assert_eq!((200, COMPLETED.to_owned()), needs_both);
+    poll(|| {
+        let id = format!("{:016x}", rand::random::<u64>());
+        let job = platform.spawn_submit_id(0, id, 12, 100);
+        let runs = poll(|| Some(worker.running()).filter(|_| platform.running() > 0));
+        job.join().expect("the thread does not panic");
+        (runs > 0).then_some(())
+    });
+}
+
+#[test]
+fn a_heartbeat_with_the_workers_id_and_address_ends_no_run() {
+    assert_proves_no_end(None);
+}
+
+#[test]
+fn a_heartbeat_with_the_workers_id_and_another_address_ends_no_run() {
+    assert_proves_no_end(Some("127.0.0.9:9"));
+}
+
 macro_rules! odd_heartbeats {
     ($($name:ident: $body:expr;)*) => {
         mod an_odd_heartbeat_costs_itself_only {
--- a/crates/core/tests/support/worker/mod.rs
+++ b/crates/core/tests/support/worker/mod.rs
@@ -67,7 +67,7 @@
     settings: Value,
     state: Arc<Mutex<State>>,
     /// Takes the orders of the agent.
-    _server: FakeServer,
+    server: FakeServer,
     /// The thread that sends heartbeats, until the worker is dropped.
     heartbeats: Option<JoinHandle<()>>,
 }
@@ -122,7 +122,7 @@
             agent_peer,
             settings,
             state,
-            _server: server,
+            server,
             heartbeats: Some(heartbeats),
         }
     }
@@ -152,6 +152,11 @@
         self.state.lock().expect("the lock is not poisoned").ready = false;
     }
 
+    /// Address at which the agent calls it.
+    pub(crate) fn address(&self) -> String {
+        self.server.address.to_string()
+    }
+
     /// Number of running tasks.
     pub(crate) fn running(&self) -> usize {
         self.state
--- a/crates/core/tests/support/worker/state.rs
+++ b/crates/core/tests/support/worker/state.rs
@@ -207,7 +207,8 @@
         self.behavior = Behavior::Normal;
     }
 
-    /// Carries an order out and returns status and body of the answer.
+    /// Carries an order out and returns status and body of the answer. Only a list of runs
+    /// tells which life it is of.
     pub(super) fn answer(&mut self, path: &str, body: &Value) -> (u16, Value) {
         if body["fencing-token"].as_u64().unwrap_or(0) < self.fencing_token {
             return (
@@ -226,12 +227,12 @@
         let clock = json!(millis(self.clock()));
         match path {
             "/-/run-start" => match self.start(body) {
-                None => (200, json!({ "clock-ms": clock, "born": self.born })),
+                None => (200, json!({ "clock-ms": clock })),
                 Some(reason) => (409, json!({ "clock-ms": clock, "reason": reason })),
             },
             "/-/run-stop" => {
                 self.stop(body);
-                (200, json!({ "clock-ms": clock, "born": self.born }))
+                (200, json!({ "clock-ms": clock }))
             }
             _ => (200, self.list_runs(body["ack-seq"].as_u64().unwrap_or(0))),
         }
