Old versions are kept in segments beside control's state

Cause: the whole history is state of the replicated log, so an instance needs all of it before it has its vote.

Change: once recent records take 512 KiB, each replica takes the older part out of its state and writes it to a file, synced before the log is compacted. The state keeps a line with a checksum. The history, its verification and the first answer to a patch that is sent again read them.

Ruled out: dropping old records (each accepted version stays on record), and compressing them in the state (it would still grow).

--- a/crates/config/examples/ledger_growth.rs
+++ b/crates/config/examples/ledger_growth.rs
@@ -55,7 +55,7 @@
     assert_eq!(replayed, ledger);
 
     let start = Instant::now();
-    ledger.verify().expect("a valid chain");
+    ledger.verify(&[]).expect("a valid chain");
     println!("verify the chain: {:?}", start.elapsed());
 }
 
--- a/crates/config/src/ledger/mod.rs
+++ b/crates/config/src/ledger/mod.rs
@@ -7,12 +7,14 @@
 //! validated, which is determined by the version that the patch names.
 //!
 //! A resent patch gets the same answer as the first time: forever if it was
-//! accepted, and while it is among the last [`REFUSALS_KEPT`] refusals if it was
+//! accepted (see [`Segment`] for old ones), and while it is among the last [`REFUSALS_KEPT`] refusals if it was
 //! refused. A patch whose refusal was dropped is processed again when it is resent.
 //! If the refusal was a conflict with an accepted patch, the resent patch is refused
 //! again, since its base is still outdated.
 
 mod digest;
+mod record;
+mod segment;
 mod snapshot;
 
 use std::collections::{BTreeMap, VecDeque};
@@ -22,16 +24,17 @@
 use serde_json::{Map, Value};
 
 use crate::document::{Document, Problem, MAX_DOCUMENT_BYTES};
-use crate::patch::{Edit, Id, Patch};
+use crate::patch::{edit, Id, Patch};
 
 pub use digest::Digest;
+pub use record::Record;
+pub use segment::{Sealed, Segment, MAX_RECENT_BYTES};
+
+use record::CompactRecord;
 
 /// Number of refused patches whose answers are remembered.
 pub const REFUSALS_KEPT: usize = 256;
 
-/// Estimated size of a record without its patch.
-const RECORD_OVERHEAD_BYTES: usize = 256;
-
 const MAX_PROBLEMS: usize = 32;
 const MAX_TEXT_BYTES: usize = 256;
 
@@ -50,6 +53,14 @@
     /// A snapshot can't be parsed or written.
     #[error("configuration snapshot is unreadable: {0}")]
     Snapshot(serde_json::Error),
+    /// The content of a segment is not what was sealed.
+    #[error("configuration versions {first} to {last} don't match the checksum of their segment")]
+    Checksum {
+        /// First version of the segment.
+        first: Version,
+        /// Last version of the segment.
+        last: Version,
+    },
 }
 
 /// The proposer's validation of a patch and the document that results from it.
@@ -115,50 +126,21 @@
     pub author: String,
 }
 
-/// One accepted version, as reported to operators and monitors.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Record {
-    /// Number of the version, one above the base of its patch.
-    pub version: Version,
-    /// Id of the patch.
-    pub id: Id,
-    /// Who sent the patch.
-    pub author: String,
-    /// Wall-clock time of the proposal, in milliseconds since the Unix epoch. Not
-    /// before the time of the preceding version, even if the proposers' clocks differ.
-    pub wall_ms: u64,
-    /// The merge patch.
-    pub merge: Value,
-    /// Changes of long texts, made before the merge patch.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub edits: Vec<Edit>,
-    /// Digest of this version and all preceding ones.
-    pub digest: Digest,
-}
-
 /// The accepted versions and the document in force.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Ledger {
     document: Value,
+    /// The records that were sealed, in ascending order.
+    segments: Vec<Segment>,
+    /// The records of the versions after those.
     records: Vec<CompactRecord>,
-    /// The version that each accepted patch became.
+    /// Approximate size of `records`, in bytes.
+    recent_bytes: usize,
+    /// The version that each patch of `records` became.
     versions: BTreeMap<Id, Version>,
     refusals: VecDeque<Refusal>,
 }
 
-/// A [`Record`] in compact form for storage in memory: the patch as text, without
-/// spare capacity.
-#[derive(Clone, Debug, Eq, PartialEq)]
-struct CompactRecord {
-    id: Id,
-    author: Box<str>,
-    wall_ms: u64,
-    merge: Box<str>,
-    /// The edits as JSON; empty if there are none.
-    edits: Box<str>,
-    digest: Digest,
-}
-
 /// A remembered refusal, for resent patches.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct Refusal {
@@ -172,7 +154,9 @@
     fn default() -> Ledger {
         Ledger {
             document: Value::Object(Map::new()),
+            segments: Vec::new(),
             records: Vec::new(),
+            recent_bytes: 0,
             versions: BTreeMap::new(),
             refusals: VecDeque::new(),
         }
@@ -182,14 +166,13 @@
 impl Ledger {
     /// Returns the version in force.
     pub fn version(&self) -> Version {
-        Version(self.records.len() as u64)
+        Version(self.sealed().0 + self.records.len() as u64)
     }
 
     /// Returns the digest of the version in force and all preceding ones.
     pub fn digest(&self) -> Digest {
-        self.records
-            .last()
-            .map_or(Digest::ORIGIN, |last| last.digest)
+        let last = self.records.last().map(|record| record.digest);
+        last.unwrap_or_else(|| self.sealed_digest())
     }
 
     /// Returns the document in force. Absent fields have their defaults.
@@ -197,40 +180,32 @@
         &self.document
     }
 
-    /// Returns the record of a version, or `None` for version 0 and versions that
-    /// don't exist yet.
+    /// Returns the record of a version, or `None` for version 0, versions that were sealed
+    /// and those that don't exist yet.
     pub fn record(&self, version: Version) -> Option<Record> {
-        let compact = self.compact_record(version)?;
-        let patch = compact.patch(version).ok()?;
-        Some(Record {
-            version,
-            id: patch.id,
-            author: patch.author,
-            wall_ms: compact.wall_ms,
-            merge: patch.merge,
-            edits: patch.edits,
-            digest: compact.digest,
-        })
+        self.compact_record(version)?.record(version).ok()
     }
 
-    /// Returns the records of the versions after the given one, in ascending order, until
-    /// their patches have `max_bytes` together, but at least one if there is any.
+    /// Returns the records of the versions after the given one that are not sealed, in
+    /// ascending order, until they have `max_bytes` together, but at least one if there is any.
     pub fn history_page(&self, after: Version, max_bytes: usize) -> Vec<Record> {
         let mut bytes = 0;
-        let first = usize::try_from(after.0).unwrap_or(usize::MAX);
-        let following = self.records.iter().skip(first);
+        let skipped = after.0.saturating_sub(self.sealed().0);
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        let following = self.records.iter().skip(skipped);
         let fitting = following.take_while(|record| {
             let fits = bytes < max_bytes;
-            bytes += RECORD_OVERHEAD_BYTES + record.merge.len() + record.edits.len();
+            bytes += record.size();
             fits
         });
         self.history(after).take(fitting.count()).collect()
     }
 
-    /// Returns the records of the versions after the given one, in ascending order.
+    /// Returns the records of the versions after the given one that are not sealed, in
+    /// ascending order.
     pub fn history(&self, after: Version) -> impl Iterator<Item = Record> + '_ {
-        (after.0.saturating_add(1)..=self.version().0)
-            .map_while(|version| self.record(Version(version)))
+        let first = after.0.max(self.sealed().0).saturating_add(1);
+        (first..=self.version().0).map_while(|version| self.record(Version(version)))
     }
 
     /// Validates a patch against the version in force, for its proposal.
@@ -256,7 +231,7 @@
     /// [`Answer::Reused`] if its id belongs to a different patch.
     pub fn first_answer(&self, patch: &Patch) -> Option<Answer> {
         if let Some(version) = self.versions.get(&patch.id) {
-            return self.answer_from_record(*version, patch);
+            return Some(self.record(*version)?.answer(patch));
         }
         let refusal = self.refusals.iter().find(|r| r.id == patch.id)?;
         if refusal.fingerprint == Digest(patch.fingerprint()) {
@@ -288,11 +263,14 @@
         }
     }
 
-    /// Replays every patch and checks the digest of each version.
-    pub fn verify(&self) -> Result<()> {
+    /// Replays every patch and checks the digest of each version, given the records of all
+    /// versions that were sealed.
+    pub fn verify(&self, sealed: &[Record]) -> Result<()> {
         let mut document = Value::Object(Map::new());
         let mut digest = Digest::ORIGIN;
-        for (record, number) in self.records.iter().zip(1..) {
+        let sealed = sealed.iter().map(CompactRecord::from);
+        let records: Vec<_> = sealed.chain(self.records.iter().cloned()).collect();
+        for (record, number) in records.iter().zip(1..) {
             let version = Version(number);
             let patch = record.patch(version)?;
             let applied = patch.apply_to(&mut document);
@@ -320,11 +298,12 @@
             author: patch.author.as_str().into(),
             wall_ms: wall_ms.max(previous_wall_ms),
             merge: patch.merge.to_string().into(),
-            edits: patch.edits_text().into(),
+            edits: edit::text(&patch.edits).into(),
             digest: Digest::ORIGIN,
         };
         record.digest = record.chained_digest(self.digest(), &self.document);
         let digest = record.digest;
+        self.recent_bytes += record.size();
         self.records.push(record);
         let version = self.version();
         self.versions.insert(patch.id, version);
@@ -345,70 +324,20 @@
 
     fn conflict_answer(&self, base: Version) -> Answer {
         let next = Version(base.0.saturating_add(1));
-        let winner = self.record(next).map(|record| Winner {
-            version: record.version,
-            id: record.id,
-            author: record.author,
-        });
+        let winner = self.record(next).map(Record::winner);
         Answer::Conflict {
             in_force: self.version(),
             winner,
         }
     }
 
-    /// The answer to a patch whose id is that of an accepted version.
-    fn answer_from_record(&self, version: Version, patch: &Patch) -> Option<Answer> {
-        let record = self.compact_record(version)?;
-        let first = record.patch(version).ok()?;
-        if first.fingerprint() != patch.fingerprint() {
-            return Some(Answer::Reused);
-        }
-        Some(Answer::Accepted {
-            version,
-            digest: record.digest,
-        })
-    }
-
     fn compact_record(&self, version: Version) -> Option<&CompactRecord> {
-        let index = usize::try_from(version.0.checked_sub(1)?).ok()?;
+        let first = self.sealed().0 + 1;
+        let index = usize::try_from(version.0.checked_sub(first)?).ok()?;
         self.records.get(index)
     }
 }
 
-impl CompactRecord {
-    /// Returns the patch that became `version`.
-    fn patch(&self, version: Version) -> Result<Patch> {
-        let error = |error| Error::Patch(version, error);
-        let edits = match self.edits.is_empty() {
-            true => Vec::new(),
-            false => serde_json::from_str(&self.edits).map_err(error)?,
-        };
-        Ok(Patch {
-            id: self.id,
-            base: Version(version.0 - 1),
-            author: self.author.to_string(),
-            merge: serde_json::from_str(&self.merge).map_err(error)?,
-            edits,
-        })
-    }
-
-    /// Returns the digest of this record, the resulting document, and the digest of
-    /// the preceding version.
-    fn chained_digest(&self, previous: Digest, document: &Value) -> Digest {
-        let mut digest = previous
-            .start_successor()
-            .field(self.id.0.as_bytes())
-            .field(self.author.as_bytes())
-            .field(&self.wall_ms.to_be_bytes())
-            .field(self.merge.as_bytes());
-        // Versions without edits keep the digests that earlier releases gave them.
-        if !self.edits.is_empty() {
-            digest = digest.field(self.edits.as_bytes());
-        }
-        digest.field(document.to_string().as_bytes()).finish()
-    }
-}
-
 fn check_document(document: &Value) -> Vec<Problem> {
     let size = document.to_string().len();
     if size > MAX_DOCUMENT_BYTES {
--- a/crates/config/src/ledger/snapshot.rs
+++ b/crates/config/src/ledger/snapshot.rs
@@ -1,7 +1,8 @@
 //! Serialization of the ledger.
 //!
 //! A snapshot contains the document in force in addition to the patches, so that
-//! restoring it doesn't replay the patches. Restoring checks only the last digest,
+//! restoring it doesn't replay the patches. Old records are not in it (see
+//! [`Segment`](super::Segment)). Restoring checks only the last digest,
 //! which covers the document; [`Ledger::verify`] checks the whole chain.
 
 use std::borrow::Cow;
@@ -11,12 +12,15 @@
 use serde_json::value::RawValue;
 use serde_json::Value;
 
-use super::{CompactRecord, Digest, Error, Ledger, Refusal, Result};
+use super::{CompactRecord, Digest, Error, Ledger, Refusal, Result, Segment};
 use crate::patch::Id;
 
 #[derive(Deserialize, Serialize)]
 struct Snapshot<'a> {
     document: Cow<'a, Value>,
+    /// Absent in snapshots of earlier releases, and if there are none.
+    #[serde(default, skip_serializing_if = "is_empty")]
+    segments: Cow<'a, [Segment]>,
     #[serde(borrow)]
     records: Vec<SnapshotRecord<'a>>,
     refusals: Cow<'a, [Refusal]>,
@@ -35,15 +39,20 @@
     digest: Digest,
 }
 
+fn is_empty(segments: &[Segment]) -> bool {
+    segments.is_empty()
+}
+
 impl Ledger {
     /// Encodes the ledger. Equal ledgers have equal encodings.
     pub fn snapshot(&self) -> Result<Vec<u8>> {
         let snapshot = Snapshot {
             document: Cow::Borrowed(&self.document),
+            segments: Cow::Borrowed(&self.segments),
             records: self
                 .records
                 .iter()
-                .zip(1..)
+                .zip(self.sealed().0 + 1..)
                 .map(|(record, number)| record.to_snapshot(Version(number)))
                 .collect::<Result<_>>()?,
             refusals: self.refusals.iter().cloned().collect(),
@@ -56,13 +65,17 @@
         let snapshot: Snapshot<'_> = serde_json::from_slice(bytes).map_err(Error::Snapshot)?;
         let records: Vec<CompactRecord> =
             snapshot.records.iter().map(CompactRecord::from).collect();
+        let segments = snapshot.segments.into_owned();
+        let sealed = segments.last().map_or(0, |last: &Segment| last.last.0);
         let versions = records
             .iter()
-            .zip(1..)
+            .zip(sealed + 1..)
             .map(|(record, number)| (record.id, Version(number)))
             .collect();
         let ledger = Ledger {
             document: snapshot.document.into_owned(),
+            segments,
+            recent_bytes: records.iter().map(CompactRecord::size).sum(),
             records,
             versions,
             refusals: snapshot.refusals.into_owned().into(),
@@ -77,7 +90,7 @@
         };
         let previous = preceding
             .last()
-            .map_or(Digest::ORIGIN, |record| record.digest);
+            .map_or_else(|| self.sealed_digest(), |record| record.digest);
         if last.chained_digest(previous, &self.document) == last.digest {
             Ok(())
         } else {
--- a/crates/config/src/patch/edit.rs
+++ b/crates/config/src/patch/edit.rs
@@ -89,6 +89,14 @@
     }
 }
 
+/// Edits as JSON; empty if there are none, as in patches of earlier releases.
+pub(crate) fn text(edits: &[Edit]) -> String {
+    if edits.is_empty() {
+        return String::new();
+    }
+    serde_json::to_string(edits).expect("edits can be written as JSON")
+}
+
 /// What differs between two texts. Whole pieces are compared first, and then the start and
 /// the end of each run of pieces that differ.
 fn hunks(from: &str, to: &str) -> Vec<Hunk> {
--- a/crates/config/src/patch/mod.rs
+++ b/crates/config/src/patch/mod.rs
@@ -1,6 +1,6 @@
 //! Patches, by which operators change the configuration.
 
-mod edit;
+pub(crate) mod edit;
 
 use std::collections::BTreeSet;
 use std::fmt;
@@ -157,14 +157,6 @@
             .collect()
     }
 
-    /// The edits as JSON; empty if there are none, as in patches of earlier releases.
-    pub(crate) fn edits_text(&self) -> String {
-        if self.edits.is_empty() {
-            return String::new();
-        }
-        serde_json::to_string(&self.edits).expect("edits can be written as JSON")
-    }
-
     /// Returns a hash of the content, which distinguishes a resent patch from a
     /// different one with the same id.
     pub(crate) fn fingerprint(&self) -> [u8; 32] {
@@ -173,7 +165,7 @@
         hash.update((self.author.len() as u64).to_be_bytes());
         hash.update(self.author.as_bytes());
         hash.update(self.merge.to_string().as_bytes());
-        hash.update(self.edits_text().as_bytes());
+        hash.update(edit::text(&self.edits).as_bytes());
         hash.finalize().into()
     }
 }
--- a/crates/config/tests/edits.rs
+++ b/crates/config/tests/edits.rs
@@ -68,7 +68,7 @@
     assert!(growth < CHANGES * 1_000, "{growth} bytes more");
     let restored = Ledger::restore(&snapshot).expect("a valid snapshot");
     assert_eq!(restored, ledger);
-    restored.verify().expect("the chain of digests holds");
+    restored.verify(&[]).expect("the chain of digests holds");
 }
 
 fn texts() -> impl Strategy<Value = (String, String)> {
@@ -103,7 +103,7 @@
                 &json!({"release": {"number": number, "body": body}}),
             );
         }
-        prop_assert!(ledger.verify().is_ok());
+        prop_assert!(ledger.verify(&[]).is_ok());
         Ok(())
     };
     TestRunner::new_with_rng(config, rng)
--- a/crates/config/tests/ledger.rs
+++ b/crates/config/tests/ledger.rs
@@ -196,7 +196,7 @@
             last = Some(proposal);
         }
         prop_assert_eq!(&ledger, &replica);
-        prop_assert!(ledger.verify().is_ok());
+        prop_assert!(ledger.verify(&[]).is_ok());
         let times: Vec<u64> = ledger.history(Version(0)).map(|r| r.wall_ms).collect();
         prop_assert!(times.is_sorted());
         prop_assert_eq!(times.len(), model.documents.len());
@@ -272,5 +272,5 @@
     assert!(Ledger::restore(document.as_bytes()).is_err());
     let author = text.replacen("vet", "cat", 1);
     let forged = Ledger::restore(author.as_bytes()).expect("restoring checks the last digest only");
-    assert!(forged.verify().is_err());
+    assert!(forged.verify(&[]).is_err());
 }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! grants leases to nodes and loans of quotas to entries.
 
 mod amendment;
+mod archive;
 mod drain;
 mod members_api;
 mod operator_api;
@@ -22,6 +23,7 @@
 use crate::serve::{self, Server};
 use crate::settings::Controller;
 
+use archive::Archive;
 use drain::{DrainApi, Drains};
 use members_api::MembersApi;
 use operator_api::OperatorApi;
@@ -31,6 +33,7 @@
 use state::{ReplicatedLog, SharedState};
 
 pub(crate) use replica::StartError;
+pub(crate) use state::Backlog;
 
 /// Maximum number of open HTTP connections.
 const MAX_CONNECTIONS: usize = 1024;
@@ -60,10 +63,14 @@
         let http = http.map_err(Error::listen("controller.http", section.http))?;
         let peer = TcpListener::bind(section.peer).await;
         let peer = peer.map_err(Error::listen("controller.peer", section.peer))?;
-        let state = SharedState::new();
         let address = peer.local_addr()?.to_string();
         let tolerated = section.tolerates.unwrap_or(0) as usize;
         let store = replica::open_store(&section.data).await?;
+        let archive = Archive::open(&section.data).map_err(|source| {
+            let path = section.data.display().to_string();
+            StartError::Archive { path, source }
+        })?;
+        let state = SharedState::new(archive);
         let replica = Handle::start(&section.data, store, address, tolerated, state.clone())?;
         Ok(Role {
             http,
@@ -105,6 +112,7 @@
         let api = ReleaseApi::new(service.clone(), drains, dialect, port, api);
         let api = Arc::new(api);
         let ticking = tokio::spawn(tick(service.clone(), stop.clone()));
+        tokio::spawn(archive::repair(service.clone(), stop.clone()));
         let peer = tonic::transport::Server::builder()
             .add_service(self.replica.server())
             .add_service(ControlServer::new(service))
--- a/crates/core/src/control/operator_api.rs
+++ b/crates/core/src/control/operator_api.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use gentian::config::ledger::Answer;
+use gentian::config::ledger::{Answer, Record, Segment};
 use gentian::config::patch::{Patch, MAX_PATCH_BYTES};
 use gentian::wire::id::Version;
 use gentian::wire::outcome::Outcome;
@@ -57,11 +57,23 @@
     fn history(&self, query: &str) -> Result<Response, Problem> {
         let after = parse_after(query)?;
         let leads = self.service.read(|_| ()).is_some();
-        let applied = self.service.shared().read();
+        let shared = self.service.shared();
+        let applied = shared.read();
         let ledger = applied.state.ledger();
-        let versions = ledger.history_page(after, MAX_PAGE_BYTES);
+        let in_force = ledger.version();
+        let segment = ledger.segment(Version(after.0.saturating_add(1))).cloned();
+        let versions = match segment {
+            None => ledger.history_page(after, MAX_PAGE_BYTES),
+            Some(segment) => {
+                drop(applied);
+                let records = shared.archive().records(&segment);
+                let records = records.ok_or_else(|| missing(&segment))?;
+                let later = |record: &Record| record.version > after;
+                records.into_iter().filter(later).collect()
+            }
+        };
         let last = versions.last().map_or(after, |record| record.version);
-        let more = last < ledger.version();
+        let more = last < in_force;
         let history = json!({
             "versions": versions,
             "more": more,
@@ -102,6 +114,8 @@
             view: window.number().0,
             members: window.members().len(),
             drained: drain::drained(&applied).map(BTreeSet::len),
+            backlog: self.service.backlog(),
+            history_bytes: self.service.shared().archive().bytes(),
         })
     }
 
@@ -173,6 +187,12 @@
     }
 }
 
+fn missing(segment: &Segment) -> Problem {
+    let (first, last) = (segment.first, segment.last);
+    let detail = format!("versions {first} to {last} are not at this instance yet; ask another");
+    Problem::busy(&detail)
+}
+
 fn parse_after(query: &str) -> Result<Version, Problem> {
     let value = query
         .split('&')
--- a/crates/core/src/control/replica/mod.rs
+++ b/crates/core/src/control/replica/mod.rs
@@ -72,6 +72,9 @@
     /// The store can't be opened.
     #[error("data folder {path}: {source}")]
     Store { path: String, source: store::Error },
+    /// The folder of old records can't be opened.
+    #[error("history in data folder {path}: {source}")]
+    Archive { path: String, source: io::Error },
     /// The thread can't be started.
     #[error("can't start the control thread: {0}")]
     Thread(#[from] io::Error),
--- a/crates/core/src/control/replica/replicated_log.rs
+++ b/crates/core/src/control/replica/replicated_log.rs
@@ -3,7 +3,7 @@
 use gentian::quorum::id::Member;
 
 use super::{Error, Handle};
-use crate::control::state::{self, Leader, ReplicatedLog};
+use crate::control::state::{self, Backlog, Leader, ReplicatedLog};
 
 impl ReplicatedLog for Handle {
     fn members(&self) -> Vec<String> {
@@ -15,6 +15,15 @@
             .collect()
     }
 
+    fn backlog(&self) -> Backlog {
+        let status = self.status();
+        Backlog {
+            log_bytes: status.log_bytes,
+            snapshot_bytes: status.snapshot_bytes,
+            unapplied: status.commit.saturating_sub(status.applied),
+        }
+    }
+
     fn join(&self, member: Member, address: String) -> bool {
         self.join_requested(member, address)
     }
--- a/crates/core/src/control/replica/thread.rs
+++ b/crates/core/src/control/replica/thread.rs
@@ -174,7 +174,8 @@
             return;
         }
         // The replica's own applied index may be ahead of the state machine's.
-        if self.replica.log().is_compaction_due(self.last_applied) {
+        let is_due = self.replica.log().is_compaction_due(self.last_applied);
+        if is_due && self.machine.may_compact() {
             let data = Bytes::from(self.machine.snapshot());
             self.replica.compact(now, self.last_applied, data);
         }
--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use gentian::claim::key_window::{MAX_CLOCK_SKEW, RETENTION};
-use gentian::config::ledger::{Answer, Ledger, Proposal};
+use gentian::config::ledger::{Answer, Ledger, Proposal, Record, Segment};
 use gentian::config::patch::Patch;
 use gentian::member::lease_table::Announcement;
 use gentian::member::member::{self, Member};
@@ -19,15 +19,15 @@
 use gentian::quorum::id;
 use gentian::wire::control::control_server::Control;
 use gentian::wire::control::{
-    self as messages, JoinReply, JoinRequest, LendReply, LendRequest, RenewReply, RenewRequest,
-    Role, Share,
+    self as messages, HistoryReply, HistoryRequest, JoinReply, JoinRequest, LendReply, LendRequest,
+    RenewReply, RenewRequest, Role, Share,
 };
-use gentian::wire::id::{Incarnation, Node, Team, View};
+use gentian::wire::id::{Incarnation, Node, Team, Version, View};
 use prost::Message;
 use tonic::{Request, Response, Status};
 
 use super::state::{
-    AppliedState, Error, Leader, LeaderState, ReplicatedLog, SharedState, LEASE_DURATION,
+    AppliedState, Backlog, Error, Leader, LeaderState, ReplicatedLog, SharedState, LEASE_DURATION,
     LOAN_DURATION,
 };
 use crate::panics::Mutex;
@@ -102,6 +102,16 @@
         leads.then_some(value)
     }
 
+    /// Returns what this instance holds of the log.
+    pub(crate) fn backlog(&self) -> Backlog {
+        self.log.backlog()
+    }
+
+    /// Returns the peer addresses of the control instances.
+    pub(crate) fn members(&self) -> Vec<String> {
+        self.log.members()
+    }
+
     /// Proposes a patch and returns the answer to it. A repeated patch gets its first
     /// answer again. One that no replica could read is refused without being proposed.
     pub(crate) async fn patch(&self, patch: Patch) -> Result<Answer, Error> {
@@ -111,6 +121,9 @@
         }
         let known = self.read(|applied| {
             let ledger = applied.state.ledger();
+            if let Some(segment) = ledger.segment(Version(patch.base.0.saturating_add(1))) {
+                return PatchState::Old(segment.clone(), ledger.version(), patch);
+            }
             match ledger.first_answer(&patch) {
                 Some(answer) => PatchState::Answered(answer),
                 None => PatchState::New(proposal(ledger, patch)),
@@ -118,6 +131,9 @@
         });
         match known.ok_or(Error::NotLeader)? {
             PatchState::Answered(answer) => Ok(answer),
+            PatchState::Old(segment, in_force, patch) => {
+                self.answer_old(&segment, in_force, &patch)
+            }
             PatchState::New(proposal) => match self.commit(Command::Patch(proposal)).await? {
                 Reply::Patch(answer) => Ok(answer),
                 Reply::View(_) => Err(Error::Unknown),
@@ -125,6 +141,26 @@
         }
     }
 
+    /// Returns the answer to a patch to a version whose successor was sealed: that patch sent
+    /// again, or one that comes too late.
+    fn answer_old(
+        &self,
+        segment: &Segment,
+        in_force: Version,
+        patch: &Patch,
+    ) -> Result<Answer, Error> {
+        let records = self.shared.archive().records(segment);
+        let mut records = records.ok_or(Error::Unknown)?.into_iter();
+        let accepted = records.find(|record| record.version.0 == patch.base.0 + 1);
+        match accepted {
+            Some(record) if record.id == patch.id => Ok(record.answer(patch)),
+            other => Ok(Answer::Conflict {
+                in_force,
+                winner: other.map(Record::winner),
+            }),
+        }
+    }
+
     /// If this instance leads, proposes the view changes that are due. To be called
     /// several times a second.
     pub(crate) async fn tick(&self) {
@@ -244,6 +280,9 @@
 /// Whether a patch was answered before.
 enum PatchState {
     Answered(Answer),
+    /// The record of the version after its base is in a segment; also holds the version in
+    /// force.
+    Old(Segment, Version, Patch),
     New(Proposal),
 }
 
@@ -384,6 +423,17 @@
         }))
     }
 
+    async fn history(
+        &self,
+        request: Request<HistoryRequest>,
+    ) -> Result<Response<HistoryReply>, Status> {
+        let last = Version(request.get_ref().last);
+        let content = self.shared.archive().content(last);
+        let content = content.map_err(|error| Status::unavailable(error.to_string()))?;
+        let content = content.unwrap_or_default().into();
+        Ok(Response::new(HistoryReply { content }))
+    }
+
     async fn lend(&self, request: Request<LendRequest>) -> Result<Response<LendReply>, Status> {
         self.handle_lend(request.get_ref()).map(Response::new)
     }
--- a/crates/core/src/control/state/mod.rs
+++ b/crates/core/src/control/state/mod.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, OnceLock, RwLockReadGuard, RwLockWriteGuard};
 use std::time::{Duration, Instant};
 
+use crate::control::archive::Archive;
 use crate::panics::RwLock;
 use gentian::config::document::Document;
 use gentian::member::state::State;
@@ -15,7 +16,7 @@
 use gentian::wire::id::{Version, View};
 
 pub(crate) use leader_state::{LeaderState, LEASE_DURATION, LOAN_DURATION};
-pub(crate) use replicated_log::{Error, Leader, ReplicatedLog};
+pub(crate) use replicated_log::{Backlog, Error, Leader, ReplicatedLog};
 
 /// The replicated state, shared between the log that applies entries to it and its
 /// readers.
@@ -23,6 +24,7 @@
 pub(crate) struct SharedState {
     origin: Instant,
     applied: Arc<RwLock<AppliedState>>,
+    archive: Archive,
 }
 
 /// The state after the entries applied so far, and values derived from it.
@@ -37,8 +39,9 @@
 }
 
 impl SharedState {
-    /// Creates the state before the first entry of the log.
-    pub(crate) fn new() -> SharedState {
+    /// Creates the state before the first entry of the log. Old records of the
+    /// configuration's history go to `archive`.
+    pub(crate) fn new(archive: Archive) -> SharedState {
         let applied = AppliedState {
             state: State::default(),
             document: OnceLock::new(),
@@ -47,9 +50,15 @@
         SharedState {
             origin: Instant::now(),
             applied: Arc::new(RwLock::new(applied)),
+            archive,
         }
     }
 
+    /// Returns the old records of the configuration's history.
+    pub(crate) fn archive(&self) -> &Archive {
+        &self.archive
+    }
+
     /// Returns the monotonic time since this value was created.
     pub(crate) fn now(&self) -> Duration {
         self.origin.elapsed()
@@ -110,10 +119,20 @@
         let previous = applied.state.ledger().version();
         let reply = applied.state.apply(index, payload);
         applied.update_derived(previous, now);
-        // A replica that skipped an entry would diverge from the others.
+        let sealed = applied.state.seal();
+        drop(applied);
+        // A replica that skipped an entry, or the sealing after it, would diverge from the
+        // others.
+        if let Some(sealed) = sealed.unwrap_or_else(|error| panic!("{error}")) {
+            self.archive.save(sealed);
+        }
         reply.unwrap_or_else(|error| panic!("{error}"))
     }
 
+    fn may_compact(&mut self) -> bool {
+        self.archive.is_saved()
+    }
+
     fn snapshot(&self) -> Vec<u8> {
         let bytes = self.read().state.snapshot();
         bytes.expect("the state can be written as JSON")
--- a/crates/core/src/control/state/replicated_log.rs
+++ b/crates/core/src/control/state/replicated_log.rs
@@ -29,6 +29,17 @@
     Other(Option<SocketAddr>),
 }
 
+/// What an instance holds of the log, and has yet to do with it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Backlog {
+    /// Size of the entries after the snapshot, in bytes.
+    pub(crate) log_bytes: usize,
+    /// Size of the state in the snapshot, in bytes.
+    pub(crate) snapshot_bytes: usize,
+    /// Number of committed entries that are not applied.
+    pub(crate) unapplied: u64,
+}
+
 /// A replicated log whose entries are applied to a [`SharedState`](super::SharedState).
 pub(crate) trait ReplicatedLog: Send + Sync + 'static {
     /// Proposes a payload and returns the state machine's reply once it is applied.
@@ -42,6 +53,9 @@
     /// names nobody.
     fn is_unconfirmed(&self) -> bool;
 
+    /// Returns what this instance holds of the log.
+    fn backlog(&self) -> Backlog;
+
     /// Returns the peer addresses of the control instances.
     fn members(&self) -> Vec<String>;
 
--- a/crates/core/src/metrics/control.rs
+++ b/crates/core/src/metrics/control.rs
@@ -4,6 +4,7 @@
 use prometheus::{IntCounterVec, IntGauge, Opts, Registry};
 
 use super::{page, register};
+use crate::control::Backlog;
 use crate::serve::Response;
 
 const ANSWERS: [&str; 4] = ["accepted", "conflict", "invalid", "reused"];
@@ -17,6 +18,10 @@
     view: IntGauge,
     members: IntGauge,
     drained: IntGauge,
+    log_bytes: IntGauge,
+    snapshot_bytes: IntGauge,
+    history_bytes: IntGauge,
+    unapplied: IntGauge,
     patches: IntCounterVec,
 }
 
@@ -33,6 +38,10 @@
     pub(crate) members: usize,
     /// Number of data centres that are drained, if known.
     pub(crate) drained: Option<usize>,
+    /// What the instance holds of the log.
+    pub(crate) backlog: Backlog,
+    /// Size of the old part of the history, in bytes.
+    pub(crate) history_bytes: u64,
 }
 
 impl Control {
@@ -62,6 +71,22 @@
                 "gentian_control_drained_data_centers",
                 "Data centres that operators have drained",
             ),
+            log_bytes: gauge(
+                "gentian_control_log_bytes",
+                "Size of the log after the snapshot",
+            ),
+            snapshot_bytes: gauge(
+                "gentian_control_snapshot_bytes",
+                "Size of the state in the snapshot",
+            ),
+            history_bytes: gauge(
+                "gentian_control_history_bytes",
+                "Size of the old part of the history on disk",
+            ),
+            unapplied: gauge(
+                "gentian_control_unapplied_entries",
+                "Committed entries of the log that it has not applied",
+            ),
             patches,
             registry,
         }
@@ -85,6 +110,15 @@
         self.version.set(to_i64(status.version));
         self.view.set(to_i64(status.view));
         self.members.set(to_i64(status.members as u64));
+        let Backlog {
+            log_bytes,
+            snapshot_bytes,
+            unapplied,
+        } = status.backlog;
+        self.log_bytes.set(to_i64(log_bytes as u64));
+        self.snapshot_bytes.set(to_i64(snapshot_bytes as u64));
+        self.history_bytes.set(to_i64(status.history_bytes));
+        self.unapplied.set(to_i64(unapplied));
         if let Some(drained) = status.drained {
             self.drained.set(to_i64(drained as u64));
         }
--- a/crates/core/src/renew/control_peers.rs
+++ b/crates/core/src/renew/control_peers.rs
@@ -91,7 +91,8 @@
     }
 }
 
-fn connect(address: SocketAddr, connect_timeout: Duration) -> ControlClient<Channel> {
+/// Returns a client of one control instance, which connects with the first call.
+pub(crate) fn connect(address: SocketAddr, connect_timeout: Duration) -> ControlClient<Channel> {
     let endpoint = Endpoint::from_shared(format!("http://{address}"))
         .expect("a socket address makes a valid URI")
         .tcp_nodelay(true)
--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -19,7 +19,7 @@
 use crate::clock;
 use crate::panics::AbortOnPanic;
 
-pub(crate) use control_peers::ControlPeers;
+pub(crate) use control_peers::{connect as connect_control, ControlPeers};
 pub(crate) use log_changes::log_changes;
 pub(crate) use state::LeaseState;
 pub(crate) use status::StatusHandler;
--- a/crates/member/src/state/mod.rs
+++ b/crates/member/src/state/mod.rs
@@ -3,7 +3,7 @@
 //! Both change through entries of the same log, so a lease that names a
 //! configuration version and a view refers to a single position in the log.
 
-use gentian_config::ledger::{self, Answer, Ledger, Proposal};
+use gentian_config::ledger::{self, Answer, Ledger, Proposal, Sealed};
 use gentian_wire::id::View;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
@@ -99,6 +99,12 @@
         &self.window
     }
 
+    /// Removes old records of the configuration's history from the state, if they take much
+    /// room, and returns them. To be called after each entry on every replica.
+    pub fn seal(&mut self) -> Result<Option<Sealed>> {
+        Ok(self.ledger.seal()?)
+    }
+
     /// Decodes and applies a log entry, and returns the encoded reply.
     pub fn apply(&mut self, index: u64, payload: &[u8]) -> Result<Vec<u8>> {
         let command =
--- a/crates/quorum/src/state_machine.rs
+++ b/crates/quorum/src/state_machine.rs
@@ -19,6 +19,12 @@
     /// a payload.
     fn apply(&mut self, index: u64, payload: &[u8]) -> Vec<u8>;
 
+    /// Whether what the state machine keeps outside of its state is durable, so that the entries
+    /// that led to it may be replaced by a snapshot.
+    fn may_compact(&mut self) -> bool {
+        true
+    }
+
     /// Encodes the whole state.
     fn snapshot(&self) -> Vec<u8>;
 
