Nodes get the configuration without the text that the operator sent

Cause, in part: each change sends the whole document to every entry and agent, and half of it is the text of the release, which only control needs, to return it as it was sent. The leader encoded the document anew for each node.

Change: the leader encodes the document once a version, with an empty text.

Result: nodes_receive_the_configuration_without_the_text_that_was_sent.

--- a/crates/core/src/control/service.rs
+++ b/crates/core/src/control/service.rs
@@ -309,7 +309,7 @@
         ..RenewReply::default()
     };
     if request.known_version != reply.version {
-        reply.document = ledger.document().to_string().into_bytes().into();
+        reply.document = applied.node_document();
     }
     window
         .delta_since(View(request.known_view))
--- a/crates/core/src/control/state/mod.rs
+++ b/crates/core/src/control/state/mod.rs
@@ -9,11 +9,13 @@
 
 use crate::control::archive::Archive;
 use crate::panics::RwLock;
+use bytes::Bytes;
 use gentian::config::document::Document;
 use gentian::member::state::State;
 use gentian::member::view::ViewAges;
 use gentian::quorum::state_machine::{RestoreError, StateMachine};
 use gentian::wire::id::{Version, View};
+use serde_json::Value;
 
 pub(crate) use leader_state::{LeaderState, LEASE_DURATION, LOAN_DURATION};
 pub(crate) use replicated_log::{Backlog, Error, Leader, ReplicatedLog};
@@ -35,6 +37,8 @@
     /// when it is first asked for: of the versions that an instance applies at a start or to
     /// catch up, only the last one matters.
     document: OnceLock<Option<Document>>,
+    /// The configuration in force as JSON, as nodes get it.
+    node_document: OnceLock<Bytes>,
     view_ages: ViewAges,
 }
 
@@ -45,6 +49,7 @@
         let applied = AppliedState {
             state: State::default(),
             document: OnceLock::new(),
+            node_document: OnceLock::new(),
             view_ages: ViewAges::default(),
         };
         SharedState {
@@ -102,12 +107,26 @@
         self.document.get_or_init(read).as_ref()
     }
 
+    /// Returns the configuration in force as JSON, without the text of a release, which is as
+    /// large as all else and of no use to nodes.
+    pub(crate) fn node_document(&self) -> Bytes {
+        let encode = || {
+            let mut document = self.state.ledger().document().clone();
+            if let Some(text) = document.pointer_mut("/release/body") {
+                *text = Value::String(String::new());
+            }
+            Bytes::from(document.to_string())
+        };
+        self.node_document.get_or_init(encode).clone()
+    }
+
     /// Updates the derived values after an entry or a snapshot was applied to a state
     /// with configuration version `previous`.
     fn update_derived(&mut self, previous: Version, now: Duration) {
         self.view_ages.observe(now, self.state.window().number());
         if self.state.ledger().version() != previous {
             self.document = OnceLock::new();
+            self.node_document = OnceLock::new();
         }
     }
 }
--- a/crates/core/tests/platform.rs
+++ b/crates/core/tests/platform.rs
@@ -8,7 +8,7 @@
 
 use gentian::wire::control::control_client::ControlClient;
 use gentian::wire::control::{Node, RenewReply, RenewRequest, Role};
-use serde_json::json;
+use serde_json::{json, Value};
 use support::platform::control::config;
 use support::platform::{job, Platform, COMPLETED};
 use support::system::poll;
@@ -393,3 +393,16 @@
     let reply = renew(&platform, "agent-9", Role::Agent);
     assert_eq!((0, 0), (reply.roster, reply.present.len()));
 }
+
+/// Nodes got the text of a release with each change, which was as large as all else.
+#[test]
+fn nodes_receive_the_configuration_without_the_text_that_was_sent() {
+    let platform = Platform::start(1, 1);
+    let config = config(3, 2_000);
+    platform.put_config_body(&config);
+    let reply = renew(&platform, "entry-9", Role::Entry);
+    let document: Value = serde_json::from_slice(&reply.document).expect("valid JSON");
+    assert_eq!(json!({ "number": 3, "body": "" }), document["release"]);
+    assert_eq!(1, document["queues"].as_object().map_or(0, |q| q.len()));
+    assert_eq!(config, platform.read_config());
+}
