An entry that has stood still asks control before it handles requests

Cause: the entry looked a request up in the configuration that it held. Its age was checked against 15 s only, which lets callers be served while all of control is down. That this entry had not asked for longer than three renewals, and so might have missed a version, was not looked at.

Ruled out: that control grants leases on outdated versions (tests of config and replica).

Change: if neither a renewal nor a failed attempt is younger than 1.5 s, a request waits for the end of the next one, at most 300 ms. While control is away attempts fail all the time, so nothing waits then.

--- a/crates/core/src/entry/lease/api.rs
+++ b/crates/core/src/entry/lease/api.rs
@@ -36,6 +36,13 @@
 /// is known to be missing: two renewals.
 const MAX_ABSENCE_AGE: Duration = Duration::from_millis(1_000);
 
+/// Time without a renewal, or an attempt of one, after which this entry asks control before it
+/// acts on its configuration: three renewals.
+const MAX_UNASKED: Duration = Duration::from_millis(1_500);
+
+/// Longest time that a request waits for that answer.
+const RENEWAL_WAIT: Duration = Duration::from_millis(300);
+
 /// Retry delay for callers that are refused because there is no configuration.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -104,11 +111,15 @@
     }
 
     /// The configuration in force. If this entry has had none since its start, the request
-    /// waits a little for the first one. Where control no longer confirms an old one, nothing
-    /// tells that it will do so soon, and the request is refused at once.
+    /// waits a little for the first one; so it does if this entry has stood still, since others
+    /// may have been told of a later one meanwhile. Where control no longer confirms an old one,
+    /// nothing tells that it will do so soon, and the request is refused at once.
     async fn config_or_wait(&self, arrival: &Arrival<'_>) -> Result<Arc<LeaseState>> {
-        if self.held.borrow().document.release.is_none() {
+        let held = self.held.borrow().clone();
+        if held.document.release.is_none() {
             self.wait_for_first_config(arrival.head.deadline).await;
+        } else if held.has_stood_still(clock::now(), MAX_UNASKED) {
+            self.wait_for_renewal().await;
         }
         self.config().ok_or_else(|| {
             tracing::info!(
@@ -133,6 +144,15 @@
         }
     }
 
+    /// Waits until a renewal has ended, at most for [`RENEWAL_WAIT`].
+    async fn wait_for_renewal(&self) {
+        let mut held = self.held.clone();
+        let asked = held.wait_for(|held| !held.has_stood_still(clock::now(), MAX_UNASKED));
+        if tokio::time::timeout(RENEWAL_WAIT, asked).await.is_err() {
+            log::debug!("no answer of control within {RENEWAL_WAIT:?} of a request");
+        }
+    }
+
     fn metrics(&self) -> Response {
         let held = self.held.borrow().clone();
         self.dispatcher.metrics().page(metrics::JobStatus {
--- a/crates/core/src/renew/state.rs
+++ b/crates/core/src/renew/state.rs
@@ -59,6 +59,8 @@
     pub(crate) unreadable: usize,
     /// When the last successful renewal was sent.
     renewed_at: Option<Duration>,
+    /// When a renewal last ended without a grant.
+    failed_at: Option<Duration>,
     /// The view in force and the earlier views that are still needed.
     pub(crate) window: Arc<Window>,
 }
@@ -79,6 +81,7 @@
             present: Arc::default(),
             unreadable: 0,
             renewed_at: None,
+            failed_at: None,
             window: Arc::default(),
         }
     }
@@ -96,6 +99,18 @@
         Some(now.saturating_sub(self.renewed_at?))
     }
 
+    /// Whether the last renewal is older than `age`, though none has failed within `age`: this
+    /// node has not asked, since it stood still.
+    pub(crate) fn has_stood_still(&self, now: Duration, age: Duration) -> bool {
+        let is_old = |at: Option<Duration>| at.is_none_or(|at| now.saturating_sub(at) > age);
+        is_old(self.renewed_at) && is_old(self.failed_at)
+    }
+
+    /// Records that a renewal ended without a grant.
+    pub(super) fn record_failure(&mut self, now: Duration) {
+        self.failed_at = Some(now);
+    }
+
     /// Time until the lease expires; `None` if there is no valid lease.
     pub(super) fn remaining(&self, now: Duration) -> Option<Duration> {
         let left = self.lease.remaining(self.since_origin(now));
--- a/crates/core/tests/support/platform/mod.rs
+++ b/crates/core/tests/support/platform/mod.rs
@@ -271,6 +271,12 @@
         stream
     }
 
+    /// Reads a path of an entry from a new thread, which returns the status.
+    pub(crate) fn spawn_get(&self, entry: usize, path: &str) -> JoinHandle<u16> {
+        let url = format!("http://{}{path}", self.entry_http_addresses[entry]);
+        thread::spawn(move || call("GET", &url, &[], "").0.as_u16())
+    }
+
     /// Calls an entry; returns status and body.
     pub(crate) fn call(&self, entry: usize, method: &str, path: &str, body: &str) -> (u16, String) {
         self.call_with(entry, method, path, &[("deadline-ms", "10000")], body)
