--- a/crates/core/src/agent/lease/crashes.rs
+++ b/crates/core/src/agent/lease/crashes.rs
@@ -70,11 +70,10 @@
     }
 
     /// Records the crash that a heartbeat has told of, since the process that sent it has
-    /// answered with `list`. What that lists was not at the former process.
+    /// answered with `list`.
     pub(super) fn record_proven_crash(&self, state: &mut State, list: &List) {
-        if let Some(mut crash) = state.unproven_crash.take() {
-            crash.runs.retain(|crashed| !list.contains(&crashed.run));
-            self.record(state, crash);
+        if let Some(crash) = state.unproven_crash.take() {
+            self.record_before(state, crash, list);
         }
     }
 
@@ -86,8 +85,16 @@
         list: &List,
     ) {
         self.record_proven_crash(state, list);
-        state.unproven_crash = self.crash(state, former);
-        self.record_proven_crash(state, list);
+        if let Some(crash) = self.crash(state, former) {
+            self.record_before(state, crash, list);
+        }
+    }
+
+    /// Records a crash of the process before the one that answered with `list`. What that lists
+    /// was not at the former one.
+    fn record_before(&self, state: &mut State, mut crash: Crash, list: &List) {
+        crash.runs.retain(|crashed| !list.contains(&crashed.run));
+        self.record(state, crash);
     }
 
     /// The unplanned end of an upstream's process, if it was not announced. A process that has
