History: a record that can't be written ends no instance; a missing segment is said so

Seen in reading the change: an instance ended with a panic if old records could not be sealed, and a segment that an instance lacks was answered with empty content, which looks like an empty segment.

Cause: sealing was taken for a part of applying an entry, which must not fail on one replica alone. But it depends on the state alone and changes nothing if it fails, so all replicas keep the records.

Change: the failure is logged and the records stay in the state; a missing segment is NOT_FOUND, and the instance that asked goes on with the next one. Comments, order of imports.

Ruled out: a partial sealing (the records are encoded before any is taken out).

No case is known that makes sealing fail, so no test shows it.

--- a/crates/config/src/ledger/mod.rs
+++ b/crates/config/src/ledger/mod.rs
@@ -6,9 +6,9 @@
 //! reach the same state. A verdict holds only for the document that the proposer
 //! validated, which is determined by the version that the patch names.
 //!
-//! A resent patch gets the same answer as the first time: forever if it was
-//! accepted (see [`Segment`] for old ones), and while it is among the last [`REFUSALS_KEPT`] refusals if it was
-//! refused. A patch whose refusal was dropped is processed again when it is resent.
+//! A resent patch gets the same answer as the first time: forever if it was accepted (see
+//! [`Segment`] for old ones), and while it is among the last [`REFUSALS_KEPT`] refusals if
+//! it was refused. A patch whose refusal was dropped is processed again when it is resent.
 //! If the refusal was a conflict with an accepted patch, the resent patch is refused
 //! again, since its base is still outdated.
 
--- a/crates/core/src/agent/lease/crashes.rs
+++ b/crates/core/src/agent/lease/crashes.rs
@@ -9,7 +9,6 @@
 use gentian::claim::crash::{Crash, Process};
 use gentian::claim::run::{Owner, Replacement};
 use gentian::wire::agent::{self, Reports};
-
 use gentian_platform::order::List;
 
 use super::order::Order;
--- a/crates/core/src/control/archive/repair.rs
+++ b/crates/core/src/control/archive/repair.rs
@@ -53,14 +53,11 @@
         let mut client = connect_control(address, CALL_TIMEOUT);
         let request = HistoryRequest { last: last.0 };
         let reply = tokio::time::timeout(CALL_TIMEOUT, client.history(request)).await;
-        let content = match reply {
-            Ok(Ok(reply)) => reply.into_inner().content,
-            // An instance that is down is no news here; the next one may have the segment.
-            Ok(Err(_)) | Err(_) => continue,
-        };
-        if content.is_empty() {
+        // An instance that is down or lacks the segment is no news; the next one may have it.
+        let Ok(Ok(reply)) = reply else {
             continue;
-        }
+        };
+        let content = reply.into_inner().content;
         match service.shared().archive().insert(segment, &content) {
             Ok(()) => {
                 log::info!("history up to version {last} fetched from {address}");
--- a/crates/core/src/control/service/api.rs
+++ b/crates/core/src/control/service/api.rs
@@ -45,8 +45,14 @@
         let last = Version(request.get_ref().last);
         let content = self.shared.archive().content(last);
         let content = content.map_err(|error| Status::unavailable(error.to_string()))?;
-        let content = content.unwrap_or_default().into();
-        Ok(Response::new(HistoryReply { content }))
+        let content = content.ok_or_else(|| {
+            Status::not_found(format!(
+                "history up to version {last} is not at this instance"
+            ))
+        })?;
+        Ok(Response::new(HistoryReply {
+            content: content.into(),
+        }))
     }
 
     async fn lend(&self, request: Request<LendRequest>) -> Result<Response<LendReply>, Status> {
--- a/crates/core/src/control/state/mod.rs
+++ b/crates/core/src/control/state/mod.rs
@@ -140,11 +140,14 @@
         applied.update_derived(previous, now);
         let sealed = applied.state.seal();
         drop(applied);
-        // A replica that skipped an entry, or the sealing after it, would diverge from the
-        // others.
-        if let Some(sealed) = sealed.unwrap_or_else(|error| panic!("{error}")) {
-            self.archive.save(sealed);
+        match sealed {
+            Ok(sealed) => sealed
+                .into_iter()
+                .for_each(|sealed| self.archive.save(sealed)),
+            // It depends on the state alone, so no replica has sealed anything.
+            Err(error) => log::error!("old versions stay in the state: {error}"),
         }
+        // A replica that skipped an entry would diverge from the others.
         reply.unwrap_or_else(|error| panic!("{error}"))
     }
 
