History: a file that can't be read is fetched anew; a full disk is tried once a second

Seen in reading the change: a segment whose file could not be read counted as there for ever, so its versions, and the first answers to patches of that time, stayed unavailable at that instance. On a full disk each tick of 25 ms tried to write again and logged it. And a patch whose old record was not there was answered with "leadership was lost", which was not so.

Cause: only content that was read and differed from its checksum was forgotten; the retry had no delay; the error of a lost proposal was reused.

Change: any failure to read forgets the file, and the repair fetches it; writes are tried again after 1 s; the answer says that the old versions are not at this instance yet.

Ruled out: fetching while the caller waits (the answer would depend on other instances).

--- a/crates/core/src/control/amendment.rs
+++ b/crates/core/src/control/amendment.rs
@@ -41,7 +41,9 @@
     fn from(error: Error) -> Problem {
         let detail = error.to_string();
         match error {
-            Error::Log(state::Error::Unknown) => Problem::new(503, "not known", &detail),
+            Error::Log(state::Error::Unknown | state::Error::Missing) => {
+                Problem::new(503, "not known", &detail)
+            }
             Error::Invalid(_) => Problem::bad(&detail),
             Error::Log(state::Error::NotLeader)
             | Error::Contended
--- a/crates/core/src/control/archive/mod.rs
+++ b/crates/core/src/control/archive/mod.rs
@@ -10,16 +10,20 @@
 use std::io;
 use std::path::Path;
 use std::sync::{Arc, MutexGuard};
+use std::time::Duration;
 
 use gentian::config::ledger::{Record, Sealed, Segment};
 use gentian::quorum::store::disk::{Disk, Folder};
 use gentian::wire::id::Version;
 
+use crate::clock;
 use crate::panics::Mutex;
 
 pub(super) use repair::repair;
 
 const FOLDER: &str = "history";
+/// Time between a failed write, as on a full disk, and the next attempt.
+const RETRY_DELAY: Duration = Duration::from_secs(1);
 const TEMPORARY_FILE: &str = "next.tmp";
 
 /// The segments in the data folder of this instance.
@@ -33,6 +37,8 @@
     sizes: BTreeMap<u64, u64>,
     /// Segments that could not be written yet.
     unsaved: Vec<Sealed>,
+    /// Earliest time at which writing these is tried again.
+    retry_at: Duration,
 }
 
 impl Archive {
@@ -46,12 +52,13 @@
                 sizes.insert(last, std::fs::metadata(path.join(name))?.len());
             }
         }
-        let unsaved = Vec::new();
-        Ok(Archive(Arc::new(Mutex::new(Files {
+        let files = Files {
             folder,
             sizes,
-            unsaved,
-        }))))
+            unsaved: Vec::new(),
+            retry_at: Duration::ZERO,
+        };
+        Ok(Archive(Arc::new(Mutex::new(files))))
     }
 
     /// Writes a segment. If that fails, [`is_saved`](Self::is_saved) tries again.
@@ -91,17 +98,22 @@
     /// Returns the records of a segment, unless it is missing or damaged here; then it is
     /// fetched anew.
     pub(super) fn records(&self, segment: &Segment) -> Option<Vec<Record>> {
-        let content = self.content(segment.last);
-        let content = content.unwrap_or_else(|error| {
-            log::error!("history up to version {}: {error}", segment.last);
-            None
-        })?;
-        let records = segment.read(&content);
-        let forget = |error: &_| {
-            log::error!("history up to version {}: {error}", segment.last);
-            self.files().sizes.remove(&segment.last.0);
+        let last = segment.last;
+        let content = match self.content(last) {
+            Ok(content) => content?,
+            Err(error) => {
+                self.forget(last, &error);
+                return None;
+            }
         };
-        records.inspect_err(forget).ok()
+        let records = segment.read(&content);
+        records.inspect_err(|error| self.forget(last, error)).ok()
+    }
+
+    /// Counts a segment as missing, since its file can't be used.
+    fn forget(&self, last: Version, error: &dyn std::error::Error) {
+        log::error!("history up to version {last} is fetched anew: {error}");
+        self.files().sizes.remove(&last.0);
     }
 
     /// Returns the first of the segments that is missing here.
@@ -127,11 +139,18 @@
 
 impl Files {
     fn write_unsaved(&mut self) {
+        if clock::now() < self.retry_at {
+            return;
+        }
         while let Some(sealed) = self.unsaved.pop() {
             if let Err(error) = self.write(&sealed.segment, &sealed.content) {
                 let last = sealed.segment.last;
-                log::error!("history up to version {last} can't be written yet: {error}");
+                log::error!(
+                    "history up to version {last} can't be written, trying again in \
+                     {RETRY_DELAY:?}: {error}"
+                );
                 self.unsaved.push(sealed);
+                self.retry_at = clock::now() + RETRY_DELAY;
                 return;
             }
         }
--- a/crates/core/src/control/operator_api.rs
+++ b/crates/core/src/control/operator_api.rs
@@ -138,7 +138,7 @@
                 Ok(respond(status_code(&answer), &json!(answer)))
             }
             Err(Error::NotLeader) => Err(self.not_leader()),
-            Err(error @ Error::Unknown) => {
+            Err(error @ (Error::Unknown | Error::Missing)) => {
                 let detail = format!("{error}; send the patch again with the same id");
                 Err(Problem::new(503, "not known", &detail).outcome(Outcome::Unknown))
             }
--- a/crates/core/src/control/service/patch.rs
+++ b/crates/core/src/control/service/patch.rs
@@ -67,7 +67,7 @@
         patch: &Patch,
     ) -> Result<Answer, Error> {
         let records = self.shared.archive().records(segment);
-        let mut records = records.ok_or(Error::Unknown)?.into_iter();
+        let mut records = records.ok_or(Error::Missing)?.into_iter();
         let accepted = records.find(|record| record.version.0 == patch.base.0 + 1);
         match accepted {
             Some(record) if record.id == patch.id => Ok(record.answer(patch)),
--- a/crates/core/src/control/state/replicated_log.rs
+++ b/crates/core/src/control/state/replicated_log.rs
@@ -5,7 +5,7 @@
 
 use gentian::quorum::id::Member;
 
-/// Why a proposal has no reply.
+/// Why a change has no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub(crate) enum Error {
     /// Nothing was proposed, since this instance isn't the leader.
@@ -14,6 +14,10 @@
     /// The payload may or may not be committed.
     #[error("leadership was lost before the change was confirmed; it may still be committed")]
     Unknown,
+    /// Nothing was proposed: the change may have been accepted long ago, and the record that
+    /// tells is not at this instance yet.
+    #[error("the old versions that would tell the answer are not at this instance yet")]
+    Missing,
 }
 
 /// The result of a proposal.
--- a/crates/core/tests/history.rs
+++ b/crates/core/tests/history.rs
@@ -4,9 +4,10 @@
 mod support;
 
 use serde_json::{json, Value};
-use support::cluster::Cluster;
+use support::cluster::{Cluster, Instance};
 use support::system::poll;
 use support::{output, text};
+use test_case::test_case;
 
 /// Changes of [`PATCH_BYTES`] each after which several segments were sealed.
 const CHANGES: u64 = 24;
@@ -98,3 +99,18 @@
     }
     assert_eq!(cluster.version(), CHANGES);
 }
+
+/// Guards against files that can't be used and stay so, since the instance counts them as there.
+#[test_case(Instance::damage_history; "damaged")]
+#[test_case(Instance::remove_history; "removed")]
+fn files_that_cannot_be_used_are_fetched_anew(spoil: fn(&Instance)) {
+    let (cluster, answers) = start_with_history();
+    let leader = cluster.wait_for_leader();
+    poll(|| verifies(&cluster, leader).then_some(()));
+    spoil(&cluster.instances[leader]);
+    let (status, answer) = send(&cluster, &patch(0));
+    assert_eq!(status, 503, "{answer}");
+    poll(|| verifies(&cluster, leader).then_some(()));
+    let (status, answer) = send(&cluster, &patch(0));
+    assert_eq!((status, &answer), (200, &answers[0]));
+}
--- a/crates/core/tests/support/cluster.rs
+++ b/crates/core/tests/support/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::io::Write;
 use std::os::unix::process::CommandExt;
+use std::path::PathBuf;
 use std::process::Output;
 
 use oxhttp::model::StatusCode;
@@ -60,6 +61,26 @@
         self.data = tempfile::tempdir().expect("a temporary folder");
     }
 
+    /// Overwrites all files of old versions with zeros.
+    pub(crate) fn damage_history(&self) {
+        for file in self.history_files() {
+            let length = std::fs::metadata(&file).expect("a file").len();
+            std::fs::write(&file, vec![0; length as usize]).expect("the file is written");
+        }
+    }
+
+    /// Removes all files of old versions.
+    pub(crate) fn remove_history(&self) {
+        for file in self.history_files() {
+            std::fs::remove_file(&file).expect("the file is removed");
+        }
+    }
+
+    fn history_files(&self) -> Vec<PathBuf> {
+        let files = std::fs::read_dir(self.data.path().join("history")).expect("a folder");
+        files.map(|file| file.expect("a file").path()).collect()
+    }
+
     /// Runs another process on the same data folder until it exits.
     pub(crate) fn run_second_process(&self) -> Output {
         let file = write_settings("127.0.0.1:0", "127.0.0.1:0", &self.data);
