Agent: names and comments that a reader of the change stumbled on

handle_end said nothing of what has ended: it is handle_upstream_gone now. Why a run whose start was answered stays open, why a list ends the former process's runs, and what is not known before a heartbeat is said where it is used.

--- a/crates/claim/src/run/replacement.rs
+++ b/crates/claim/src/run/replacement.rs
@@ -54,11 +54,13 @@
             until: former_gone_at,
             same_id,
         };
+        // What the new process may have begun holds a lease of its own.
         let new_gone_at = self.gone_at.max(now + max_orphan_lifetime());
         let mut gone: Vec<Run> = Vec::new();
         for (run, live) in &mut self.live {
             let was_listed = std::mem::take(&mut live.listed);
             match live.phase {
+                // Its start may have been answered by either process.
                 Phase::Running { .. } if same_id && !was_listed => {
                     self.gone_at = new_gone_at;
                 }
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -57,6 +57,7 @@
                 let mut state = supervisor.state();
                 let origin = clock.map(|clock| supervisor.update_clock(&mut state, &order, clock));
                 if let (Some(Origin::Other), Some(clock)) = (origin, clock) {
+                    // The answer to a start lists no runs.
                     let list = List {
                         clock,
                         ..List::default()
@@ -91,7 +92,7 @@
                 }
             }
             Ok(Err(order::Error::Replaced)) => {
-                supervisor.handle_end(&mut supervisor.state(), &order);
+                supervisor.handle_upstream_gone(&mut supervisor.state(), &order);
                 return handle_start_answer(
                     &supervisor,
                     &run,
@@ -146,7 +147,9 @@
     match answer.map(|answer| order::parse_stop(answer.status)) {
         Ok(Ok(true)) => supervisor.handle_stop_answer(&order, &run),
         Ok(Ok(false)) => supervisor.raise_token(&mut supervisor.state(), order.authority.token),
-        Ok(Err(order::Error::Replaced)) => supervisor.handle_end(&mut supervisor.state(), &order),
+        Ok(Err(order::Error::Replaced)) => {
+            supervisor.handle_upstream_gone(&mut supervisor.state(), &order)
+        }
         // The stop is sent again as long as the upstream may have the run.
         Ok(Err(error)) => {
             log::warn!("{run}: stop has an unusable answer and will be retried: {error}")
@@ -232,7 +235,7 @@
                 false
             }
             Err(order::Error::Replaced) => {
-                self.handle_end(&mut self.state(), order);
+                self.handle_upstream_gone(&mut self.state(), order);
                 false
             }
             Err(error) => {
@@ -279,6 +282,7 @@
         if let Some(upstream) = &mut state.upstream {
             upstream.mark_confirmed();
         }
+        // The list names its process, so the former one has ended.
         if list.clock.born_ms != 0 {
             self.record_proven_crash(&mut state, list);
             ends.extend(state.runs.former_ended(now));
--- a/crates/core/src/agent/lease/order.rs
+++ b/crates/core/src/agent/lease/order.rs
@@ -148,7 +148,7 @@
 
     /// Handles an answer to `order` that shows that no process with the upstream's id is left
     /// at its address.
-    pub(super) fn handle_end(&self, state: &mut State, order: &Order) {
+    pub(super) fn handle_upstream_gone(&self, state: &mut State, order: &Order) {
         let outdated = order.is_outdated(state);
         let upstream = state.upstream.as_mut();
         let Some(upstream) = upstream.filter(|upstream| !outdated && !upstream.is_replaced())
--- a/crates/core/src/agent/lease/upstream.rs
+++ b/crates/core/src/agent/lease/upstream.rs
@@ -47,7 +47,7 @@
     replaced: bool,
     /// Whether it has answered a poll. A heartbeat alone may be of another writer.
     confirmed: bool,
-    /// Whether it has sent a heartbeat. It is not known what it has and takes before.
+    /// Whether it has sent a heartbeat. Before, its service and its capacity are not known.
     reported: bool,
     /// Number of polls in a row without an answer since the last heartbeat.
     unanswered_polls: u32,
