Nodes: a failed renewal is no new state that others act on

Seen in reading the change: since an entry that has stood still waits for control, each failed renewal copied the node's whole state (members, views) and woke all that follow it, many times a second while control is away.

Cause: the time of the failure was a field of the state that is published.

--- a/crates/core/src/entry/lease/api.rs
+++ b/crates/core/src/entry/lease/api.rs
@@ -144,11 +144,11 @@
         }
     }
 
-    /// Waits until a renewal has ended, at most for [`RENEWAL_WAIT`].
+    /// Waits for a renewal, at most for [`RENEWAL_WAIT`].
     async fn wait_for_renewal(&self) {
         let mut held = self.held.clone();
-        let asked = held.wait_for(|held| !held.has_stood_still(clock::now(), MAX_UNASKED));
-        if tokio::time::timeout(RENEWAL_WAIT, asked).await.is_err() {
+        let renewed = held.wait_for(|held| !held.has_stood_still(clock::now(), MAX_UNASKED));
+        if tokio::time::timeout(RENEWAL_WAIT, renewed).await.is_err() {
             log::debug!("no answer of control within {RENEWAL_WAIT:?} of a request");
         }
     }
--- a/crates/core/src/renew/mod.rs
+++ b/crates/core/src/renew/mod.rs
@@ -179,10 +179,7 @@
         };
         self.searching = renewal != Renewal::Granted;
         if renewal == Renewal::Failed {
-            let record = |state: &mut Arc<LeaseState>| {
-                Arc::make_mut(state).record_failure(clock::now());
-            };
-            self.state.send_modify(record);
+            self.state.borrow().record_failure(clock::now());
         }
         renewal
     }
--- a/crates/core/src/renew/state.rs
+++ b/crates/core/src/renew/state.rs
@@ -1,5 +1,6 @@
 //! The lease of a node, with the configuration and the views it has received.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -59,8 +60,9 @@
     pub(crate) unreadable: usize,
     /// When the last successful renewal was sent.
     renewed_at: Option<Duration>,
-    /// When a renewal last ended without a grant.
-    failed_at: Option<Duration>,
+    /// When a renewal last ended without a grant, in milliseconds; 0 before the first. It is
+    /// shared with later states, since a failure is no new state that others act on.
+    failed_at_ms: Arc<AtomicU64>,
     /// The view in force and the earlier views that are still needed.
     pub(crate) window: Arc<Window>,
 }
@@ -81,7 +83,7 @@
             present: Arc::default(),
             unreadable: 0,
             renewed_at: None,
-            failed_at: None,
+            failed_at_ms: Arc::default(),
             window: Arc::default(),
         }
     }
@@ -102,13 +104,15 @@
     /// Whether the last renewal is older than `age`, though none has failed within `age`: this
     /// node has not asked, since it stood still.
     pub(crate) fn has_stood_still(&self, now: Duration, age: Duration) -> bool {
-        let is_old = |at: Option<Duration>| at.is_none_or(|at| now.saturating_sub(at) > age);
-        is_old(self.renewed_at) && is_old(self.failed_at)
+        let failed_at = Duration::from_millis(self.failed_at_ms.load(Ordering::Relaxed));
+        let asked_at = self.renewed_at.unwrap_or_default().max(failed_at);
+        now.saturating_sub(asked_at) > age
     }
 
     /// Records that a renewal ended without a grant.
-    pub(super) fn record_failure(&mut self, now: Duration) {
-        self.failed_at = Some(now);
+    pub(super) fn record_failure(&self, now: Duration) {
+        let now = u64::try_from(now.as_millis()).unwrap_or(u64::MAX);
+        self.failed_at_ms.store(now, Ordering::Relaxed);
     }
 
     /// Time until the lease expires; `None` if there is no valid lease.
