--- /dev/null
+++ b/review/standin_2/main.rs
@@ -0,0 +1,50 @@
+//! Plays one case of `review/6` to `review/10`: starts the project's processes, stands in for
+//! workers, clients and the operator, and checks one rule by what these have seen.
+//!
+//! `standin CASE PROGRAM FOLDER RECORD TROUBLE`; exits with 1 if the rule was broken, with 0 if
+//! it held and with 2 if the case could not run.
+
+mod boot;
+mod cancel;
+mod client;
+mod drain;
+mod http;
+mod json;
+mod record;
+mod system;
+mod worker;
+
+use record::Record;
+use system::System;
+
+/// How a case ended.
+pub enum Verdict {
+    Broken(String),
+    Held(String),
+    NotRun(String),
+}
+
+fn main() {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let [case, program, folder, record, trouble] = &args[..] else {
+        eprintln!("usage: standin CASE PROGRAM FOLDER RECORD TROUBLE");
+        std::process::exit(2);
+    };
+    let record = Record::new(record);
+    let trouble = trouble != "0";
+    let mut system = System::new(program, folder, record.clone());
+    let verdict = match case.as_str() {
+        "boot" => boot::play(&mut system, trouble),
+        "cancel" => cancel::play(&mut system, trouble),
+        "drain" => drain::play(&mut system, trouble),
+        other => Verdict::NotRun(format!("no case is named {other}")),
+    };
+    drop(system);
+    let (code, text) = match verdict {
+        Verdict::Broken(text) => (1, format!("the rule was broken: {text}")),
+        Verdict::Held(text) => (0, format!("the rule held: {text}")),
+        Verdict::NotRun(text) => (2, format!("the case could not run: {text}")),
+    };
+    record.say(&text);
+    std::process::exit(code);
+}
