--- a/review/standin_2/boot.rs
+++ b/review/standin_2/boot.rs
@@ -10,8 +10,10 @@
 use crate::worker::Worker;
 use crate::Verdict;
 
-/// After the start of the processes.
-const LOST_AFTER: Duration = Duration::from_millis(300);
+/// Between the start of the first machine and that of the others; 0.3 s at most.
+const STAGGER: Duration = Duration::from_millis(280);
+/// After the start of the first machine.
+const LOST_AFTER: Duration = Duration::from_millis(600);
 /// Time for which the machine is dark.
 const DARK: Duration = Duration::from_secs(3);
 /// For how long the operator and the clients go on.
@@ -19,7 +21,9 @@
 
 pub fn play(system: &mut System, trouble: bool) -> Verdict {
     let began = Instant::now();
-    (1..=3).for_each(|i| system.start_control(i, true));
+    system.start_control(1, true);
+    thread::sleep(STAGGER);
+    (2..=3).for_each(|i| system.start_control(i, true));
     system.start_agent(1, ZONES[0]);
     let Ok(listener) = system.app(1) else {
         return Verdict::NotRun("a worker's port is taken".to_owned());
