--- a/review/standin_2/cancel.rs
+++ b/review/standin_2/cancel.rs
@@ -47,6 +47,7 @@
     // An open connection stays with its node; a new one goes to a node of the client's zone.
     let zone = if trouble { 2 } else { 1 };
     record.say(&format!("client: is in zone {} now", ZONES[zone - 1]));
+    client::ask(&record, "GET", system.entry(zone as u8), id);
     let mut status = 0;
     for _ in 0..3 {
         status = client::ask(&record, "DELETE", system.entry(zone as u8), id);
