--- a/review/standin_2/client.rs
+++ b/review/standin_2/client.rs
@@ -29,7 +29,10 @@
         match http::call(to, "POST", &path, &headers, &body, deadline) {
             Ok(answer) => {
                 let text = String::from_utf8_lossy(&answer.body).into_owned();
-                record.say(&format!("client: {id} is answered {}: {text}", answer.status()));
+                record.say(&format!(
+                    "client: {id} is answered {}: {text}",
+                    answer.status()
+                ));
                 answer.status()
             }
             Err(error) => {
@@ -39,13 +42,3 @@
         }
     })
 }
-
-/// Sends another call for a job; returns the status.
-pub fn ask(record: &Record, method: &str, to: SocketAddr, id: &str) -> u16 {
-    let path = format!("{PREFIX}{id}");
-    let headers = [("host", HOST), ("deadline-ms", "1500")];
-    let answer = http::call(to, method, &path, &headers, "", Duration::from_millis(1_500));
-    let status = answer.map_or(0, |answer| answer.status());
-    record.say(&format!("client: {method} {id} to {to}: {status}"));
-    status
-}
--- a/review/standin_2/drain.rs
+++ b/review/standin_2/drain.rs
@@ -37,19 +37,29 @@
         ));
     }
     system.start_entry(1, ZONES[0]);
-    if system.put_config(&config(7, 4), Duration::from_secs(20)).is_none()
+    if system
+        .put_config(&config(7, 4), Duration::from_secs(20))
+        .is_none()
         || !system.wait_until_ready(1, Duration::from_secs(20))
     {
         return Verdict::NotRun("the system does not serve".to_owned());
     }
     thread::sleep(Duration::from_secs(4));
     let record = system.record.clone();
-    let steps = format!("[{{\"count\":{TASKS},\"cpu\":30,\"mem-mb\":16,\"estimate-ms\":{WORK_MS}}}]");
+    let steps =
+        format!("[{{\"count\":{TASKS},\"cpu\":30,\"mem-mb\":16,\"estimate-ms\":{WORK_MS}}}]");
     let deadline = Duration::from_secs(20);
     let jobs: Vec<_> = (1..=3)
         .map(|n| {
             let id = format!("00000000000000{n:02x}");
-            client::submit(&record, system.entry(1), &id, &WORK_MS.to_string(), &steps, deadline)
+            client::submit(
+                &record,
+                system.entry(1),
+                &id,
+                &WORK_MS.to_string(),
+                &steps,
+                deadline,
+            )
         })
         .collect();
     thread::sleep(Duration::from_millis(300));
@@ -64,7 +74,10 @@
         leaving.leave();
         record.say(&format!("worker {}: leaves", leaving.id));
     }
-    let statuses: Vec<u16> = jobs.into_iter().map(|job| job.join().unwrap_or(0)).collect();
+    let statuses: Vec<u16> = jobs
+        .into_iter()
+        .map(|job| job.join().unwrap_or(0))
+        .collect();
     let Some(drained_at) = drained_at else {
         return match statuses.iter().all(|status| *status == 200) {
             true => Verdict::Held("nobody drained, and all jobs were completed".to_owned()),
@@ -81,6 +94,8 @@
              touch had acknowledged that it drains, the last after {last:.3} s",
             late.len()
         )),
-        None => Verdict::Held(format!("no start came later than {DRAIN} s; jobs {statuses:?}")),
+        None => Verdict::Held(format!(
+            "no start came later than {DRAIN} s; jobs {statuses:?}"
+        )),
     }
 }
--- a/review/standin_2/http.rs
+++ b/review/standin_2/http.rs
@@ -73,7 +73,10 @@
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(timeout))?;
     let mut head = format!("{method} {path} HTTP/1.1\r\nconnection: close\r\n");
-    if !headers.iter().any(|(name, _)| name.eq_ignore_ascii_case("host")) {
+    if !headers
+        .iter()
+        .any(|(name, _)| name.eq_ignore_ascii_case("host"))
+    {
         head += &format!("host: {to}\r\n");
     }
     for (name, value) in headers {
--- a/review/standin_2/main.rs
+++ b/review/standin_2/main.rs
@@ -1,11 +1,10 @@
-//! Plays one case of `review/6` to `review/10`: starts the project's processes, stands in for
+//! Plays a case of `review/6` or `review/7`: starts the project's processes, stands in for
 //! workers, clients and the operator, and checks one rule by what these have seen.
 //!
 //! `standin CASE PROGRAM FOLDER RECORD TROUBLE`; exits with 1 if the rule was broken, with 0 if
 //! it held and with 2 if the case could not run.
 
 mod boot;
-mod cancel;
 mod client;
 mod drain;
 mod http;
@@ -35,7 +34,6 @@
     let mut system = System::new(program, folder, record.clone());
     let verdict = match case.as_str() {
         "boot" => boot::play(&mut system, trouble),
-        "cancel" => cancel::play(&mut system, trouble),
         "drain" => drain::play(&mut system, trouble),
         other => Verdict::NotRun(format!("no case is named {other}")),
     };
--- a/review/standin_2/system.rs
+++ b/review/standin_2/system.rs
@@ -165,7 +165,10 @@
 
     /// Notes the processes that run, so that `run.sh` can end them if it is interrupted.
     fn write_pids(&self) {
-        let pids = self.processes.iter().map(|(_, child)| child.id().to_string());
+        let pids = self
+            .processes
+            .iter()
+            .map(|(_, child)| child.id().to_string());
         let pids: Vec<String> = pids.collect();
         let _ = fs::write(self.folder.join("pids"), pids.join("\n"));
     }
@@ -210,7 +213,8 @@
             }
             thread::sleep(Duration::from_millis(300));
         }
-        self.record.say(&format!("not acknowledged within {within:?}; last: {last}"));
+        self.record
+            .say(&format!("not acknowledged within {within:?}; last: {last}"));
         None
     }
 
@@ -248,7 +252,9 @@
     let listeners: Vec<TcpListener> = (0..6)
         .map(|_| TcpListener::bind((ip, 0)).expect("a free port"))
         .collect();
-    let ports = listeners.iter().map(|l| l.local_addr().expect("it is bound").port());
+    let ports = listeners
+        .iter()
+        .map(|l| l.local_addr().expect("it is bound").port());
     ports.collect()
 }
 
--- a/review/standin_2/worker.rs
+++ b/review/standin_2/worker.rs
@@ -143,7 +143,14 @@
         );
         drop(state);
         let path = format!("/-/instances/{}/heartbeat", self.id);
-        let answer = http::call(self.agent, "POST", &path, &[], &body, Duration::from_secs(1));
+        let answer = http::call(
+            self.agent,
+            "POST",
+            &path,
+            &[],
+            &body,
+            Duration::from_secs(1),
+        );
         answer.is_ok_and(|answer| (200..300).contains(&answer.status()))
     }
 
@@ -154,7 +161,11 @@
             }
             // Nobody may listen yet.
             let acknowledged = self.send_beat();
-            let pause = if acknowledged { HEARTBEAT } else { HEARTBEAT / 5 };
+            let pause = if acknowledged {
+                HEARTBEAT
+            } else {
+                HEARTBEAT / 5
+            };
             std::thread::sleep(pause);
         }
     }
@@ -171,7 +182,14 @@
     pub fn leave(&self) {
         let path = format!("/-/instances/{}/leave", self.id);
         let body = format!("{{\"born\":{}}}", self.born_ms);
-        let _ = http::call(self.agent, "POST", &path, &[], &body, Duration::from_secs(1));
+        let _ = http::call(
+            self.agent,
+            "POST",
+            &path,
+            &[],
+            &body,
+            Duration::from_secs(1),
+        );
         let mut state = self.state.lock().unwrap();
         let tasks: Vec<String> = state.running.keys().cloned().collect();
         for task in tasks {
@@ -193,7 +211,10 @@
         if request.word(0) == "GET" {
             return Some((200, "{}".to_owned()));
         }
-        if request.header("expect-instance").is_some_and(|id| id != self.id) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|id| id != self.id)
+        {
             return Some((421, self.clocked("")));
         }
         let Some(body) = Json::read(&request.body) else {
