review/7: one heartbeat with fields missing takes a worker out of use for good

Seen: one heartbeat of another writer to each of three agents; none of 60 requests is served after it, while all workers are up and report. Without it 60 of 60 are served. Measured with the script once each so far. The drain case is review/8 now.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/6 and review/7 start. It needs the Rust
+# Builds the stand-ins that the scripts of review/6 to review/8 start. It needs the Rust
 # compiler alone, no package.
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/standin_2/main.rs
+++ b/review/standin_2/main.rs
@@ -1,4 +1,4 @@
-//! Plays a case of `review/6` or `review/7`: starts the project's processes, stands in for
+//! Plays a case of `review/6` to `review/8`: starts the project's processes, stands in for
 //! workers, clients and the operator, and checks one rule by what these have seen.
 //!
 //! `standin CASE PROGRAM FOLDER RECORD TROUBLE`; exits with 1 if the rule was broken, with 0 if
@@ -9,6 +9,7 @@
 mod drain;
 mod http;
 mod json;
+mod odd;
 mod record;
 mod system;
 mod worker;
@@ -35,6 +36,7 @@
     let verdict = match case.as_str() {
         "boot" => boot::play(&mut system, trouble),
         "drain" => drain::play(&mut system, trouble),
+        "odd" => odd::play(&mut system, trouble),
         other => Verdict::NotRun(format!("no case is named {other}")),
     };
     drop(system);
