--- a/review/standin_2/main.rs
+++ b/review/standin_2/main.rs
@@ -39,6 +39,12 @@
         "odd" => odd::play(&mut system, trouble),
         other => Verdict::NotRun(format!("no case is named {other}")),
     };
+    // A port may have been taken between the look for it and its use.
+    let ended = system.ended();
+    let verdict = match ended.is_empty() {
+        true => verdict,
+        false => Verdict::NotRun(format!("{ended:?} ended by themselves")),
+    };
     drop(system);
     let (code, text) = match verdict {
         Verdict::Broken(text) => (1, format!("the rule was broken: {text}")),
--- a/review/standin_2/system.rs
+++ b/review/standin_2/system.rs
@@ -218,6 +218,16 @@
         None
     }
 
+    /// Names of the processes that have ended by themselves, as for want of a port.
+    pub fn ended(&mut self) -> Vec<String> {
+        let processes = self.processes.iter_mut();
+        let ended = processes.filter_map(|(name, child)| match child.try_wait() {
+            Ok(None) => None,
+            _ => Some(name.clone()),
+        });
+        ended.collect()
+    }
+
     /// Waits until an entry says that it is ready.
     pub fn wait_until_ready(&self, index: u8, within: Duration) -> bool {
         let until = Instant::now() + within;
