review: the stand-ins are files beside the cases, no folder

review/ holds a folder a case, so the folder of the stand-ins was taken for one. No line of their code changed but the paths of their modules.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2021 -O -o target/review-2/standin review/standin_2/main.rs
+rustc --edition 2021 -O -o target/review-2/standin review/standin2_main.rs
--- a/review/standin_2/main.rs
+++ b/review/standin2_main.rs
@@ -4,14 +4,23 @@
 //! `standin CASE PROGRAM FOLDER RECORD TROUBLE`; exits with 1 if the rule was broken, with 0 if
 //! it held and with 2 if the case could not run.
 
+#[path = "standin2_boot.rs"]
 mod boot;
+#[path = "standin2_client.rs"]
 mod client;
+#[path = "standin2_drain.rs"]
 mod drain;
+#[path = "standin2_http.rs"]
 mod http;
+#[path = "standin2_json.rs"]
 mod json;
+#[path = "standin2_odd.rs"]
 mod odd;
+#[path = "standin2_record.rs"]
 mod record;
+#[path = "standin2_system.rs"]
 mod system;
+#[path = "standin2_worker.rs"]
 mod worker;
 
 use record::Record;
