--- /dev/null
+++ b/review/standin3_case.rs
@@ -0,0 +1,62 @@
+//! What the cases of this review have in common.
+
+use std::io;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use crate::record::Record;
+use crate::wire::Response;
+
+/// `cancel_ms` of the small sites.
+pub const CANCEL_MS: u128 = 3_000;
+/// The caller's id of the job.
+pub const ID: &str = "5c0e7a21d94b36f8";
+
+/// Plays a case and writes its record. The case returns whether the rule was broken, or none if
+/// it couldn't run; with `TROUBLE=0` it leaves the disruption out.
+pub fn run(folder: &Path, play: impl FnOnce(bool, &Arc<Record>) -> Option<bool>) -> ExitCode {
+    let trouble = std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0");
+    let record = Arc::new(Record::new());
+    let broken = play(trouble, &record);
+    record.note(match broken {
+        Some(true) => "the rule was broken",
+        Some(false) => "the rule held",
+        None => "the case couldn't run",
+    });
+    record
+        .write(&folder.join("record.txt"))
+        .expect("the folder can be written to");
+    ExitCode::from(broken.map_or(2, u8::from))
+}
+
+/// Steps of two tasks of half a second each, one step after the other.
+pub fn chain(steps: usize) -> String {
+    let steps = (0..steps).map(|step| {
+        let after = step
+            .checked_sub(1)
+            .map_or(String::new(), |on| format!(r#","depends-on":[{on}]"#));
+        format!(r#"{{"count":2,"cpu":1000,"mem-mb":64,"estimate-ms":500{after}}}"#)
+    });
+    steps.collect::<Vec<_>>().join(",")
+}
+
+/// Whether the answer to a DELETE acknowledges it.
+pub fn is_acknowledged(answer: &io::Result<Response>) -> bool {
+    answer
+        .as_ref()
+        .is_ok_and(|answer| answer.status / 100 == 2 || answer.status == 410)
+}
+
+/// Number of the job's tasks that were started later than that.
+pub fn late_starts(record: &Record, than_ms: u128) -> usize {
+    let runs = record.runs();
+    let late = runs
+        .iter()
+        .filter(|run| run.task.starts_with(ID) && run.began_ms > than_ms)
+        .count();
+    record.note(&format!(
+        "{late} tasks of the job were started later than at {than_ms} ms"
+    ));
+    late
+}
--- /dev/null
+++ b/review/standin3_main.rs
@@ -0,0 +1,39 @@
+//! Plays a case of this review: `standin3_main CASE FOLDER`.
+
+#[path = "standin3_case.rs"]
+mod case;
+#[path = "standin3_drain.rs"]
+mod drain;
+#[path = "standin3_dropped.rs"]
+mod dropped;
+#[path = "standin3_record.rs"]
+mod record;
+#[path = "standin3_shift.rs"]
+mod shift;
+#[path = "standin3_system.rs"]
+mod system;
+#[path = "standin3_wire.rs"]
+mod wire;
+#[path = "standin3_worker.rs"]
+mod worker;
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [name, folder] = &arguments[..] else {
+        eprintln!("usage: standin3_main CASE FOLDER");
+        return ExitCode::from(2);
+    };
+    let folder = PathBuf::from(folder);
+    match name.as_str() {
+        "shift" => case::run(&folder, shift::play),
+        "dropped" => case::run(&folder, dropped::play),
+        "drain" => case::run(&folder, drain::play),
+        _ => {
+            eprintln!("no case is named {name}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/review/standin3_worker.rs
@@ -0,0 +1,373 @@
+//! A worker of the platform, as PROTOCOL.md describes it: it carries out the orders of the agent
+//! on its machine, holds a lease for all that it runs, and reports itself.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::record::Record;
+use crate::system::SERVICE;
+use crate::wire::{self, quoted, Json, Request};
+
+/// `hold-max-ms` of the small sites.
+const HOLD_MAX: Duration = Duration::from_millis(1_000);
+/// `heartbeat-ms` of the small sites.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// How often runs are looked at that have ended or whose lease has lapsed.
+const TICK: Duration = Duration::from_millis(2);
+
+/// What a worker is like.
+#[derive(Clone, Debug)]
+pub struct Kind {
+    pub service: String,
+    pub cpu: u64,
+    pub labels: Vec<String>,
+    /// Time that the worker takes to start a task, before it answers.
+    pub start_time: Duration,
+}
+
+impl Kind {
+    /// A worker of the small sites with this label.
+    pub fn of(label: &str) -> Kind {
+        Kind {
+            service: SERVICE.to_owned(),
+            cpu: 32_000,
+            labels: vec![label.to_owned()],
+            start_time: Duration::ZERO,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Run {
+    number: u64,
+    began: Instant,
+    work: Duration,
+}
+
+#[derive(Debug)]
+struct State {
+    token: u64,
+    /// End of the lease, on the worker's clock.
+    lease_until: Duration,
+    running: BTreeMap<String, Run>,
+    /// Highest run of each task that was stopped or has ended.
+    over: BTreeMap<String, u64>,
+    ended: Vec<(u64, String, u64, &'static str)>,
+    last_end: u64,
+    seq: u64,
+    draining: bool,
+    gone: bool,
+}
+
+#[derive(Debug)]
+pub struct Worker {
+    pub id: String,
+    pub address: SocketAddr,
+    /// Where the agent on its machine takes heartbeats.
+    pub agent: SocketAddr,
+    pub zone: String,
+    pub kind: Kind,
+    born_ms: u64,
+    clock_start: Instant,
+    record: Arc<Record>,
+    state: Mutex<State>,
+}
+
+impl Worker {
+    /// Starts a worker that listens at the listener's address.
+    pub fn start(
+        id: &str,
+        listener: TcpListener,
+        agent: SocketAddr,
+        zone: &str,
+        kind: Kind,
+        record: Arc<Record>,
+    ) -> Arc<Worker> {
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let worker = Arc::new(Worker {
+            id: id.to_owned(),
+            address: listener
+                .local_addr()
+                .expect("a bound listener has an address"),
+            agent,
+            zone: zone.to_owned(),
+            kind,
+            born_ms: born.as_millis() as u64,
+            clock_start: Instant::now(),
+            record,
+            state: Mutex::new(State {
+                token: 0,
+                lease_until: Duration::ZERO,
+                running: BTreeMap::new(),
+                over: BTreeMap::new(),
+                ended: Vec::new(),
+                last_end: 0,
+                seq: 0,
+                draining: false,
+                gone: false,
+            }),
+        });
+        let served = worker.clone();
+        wire::serve(listener, move |request| served.answer(&request));
+        let ticking = worker.clone();
+        thread::spawn(move || loop {
+            thread::sleep(TICK);
+            ticking.tick();
+        });
+        let beating = worker.clone();
+        thread::spawn(move || loop {
+            beating.beat();
+            thread::sleep(HEARTBEAT);
+        });
+        worker
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no thread panics with the lock")
+    }
+
+    fn clock(&self) -> Duration {
+        self.clock_start.elapsed()
+    }
+
+    pub fn running(&self) -> usize {
+        self.state().running.len()
+    }
+
+    /// The body of the next heartbeat.
+    fn heartbeat(&self) -> Option<String> {
+        let mut state = self.state();
+        if state.gone {
+            return None;
+        }
+        state.seq += 1;
+        let labels: Vec<String> = self.kind.labels.iter().map(|label| quoted(label)).collect();
+        Some(format!(
+            r#"{{"service":{},"address":"{}","zone":{},"version":"v1","slots":8,"state":"{}","cold-remaining-ms":0,"capacity":{{"cpu":{},"mem-mb":65536,"gpu":0}},"labels":[{}],"clock-ms":{},"seq":{},"born":{}}}"#,
+            quoted(&self.kind.service),
+            self.address,
+            quoted(&self.zone),
+            if state.draining { "draining" } else { "ready" },
+            self.kind.cpu,
+            labels.join(","),
+            self.clock().as_millis(),
+            state.seq,
+            self.born_ms,
+        ))
+    }
+
+    /// Sends a heartbeat; returns whether it was acknowledged.
+    fn beat(&self) -> bool {
+        let Some(body) = self.heartbeat() else {
+            return false;
+        };
+        let path = format!("/-/instances/{}/heartbeat", self.id);
+        let answer = wire::call(
+            self.agent,
+            "POST",
+            &path,
+            &[],
+            &body,
+            Duration::from_secs(1),
+        );
+        answer.is_ok_and(|answer| (200..300).contains(&answer.status))
+    }
+
+    /// Says that it drains; returns whether that is acknowledged.
+    pub fn drain(&self) -> bool {
+        self.state().draining = true;
+        let acknowledged = self.beat();
+        let how = if acknowledged {
+            "acknowledged"
+        } else {
+            "not acknowledged"
+        };
+        self.record
+            .note(&format!("worker {} says that it drains: {how}", self.id));
+        acknowledged
+    }
+
+    /// Leaves, as a worker does some time after it has said that it drains: all that it runs
+    /// ends.
+    pub fn leave(&self) {
+        let mut state = self.state();
+        state.gone = true;
+        for task in state.running.keys().cloned().collect::<Vec<_>>() {
+            self.end(&mut state, &task, "ended with its worker");
+        }
+        state.ended.clear();
+        drop(state);
+        let path = format!("/-/instances/{}/leave", self.id);
+        let left = wire::call(self.agent, "POST", &path, &[], "{}", Duration::from_secs(1));
+        self.record
+            .note(&format!("worker {} leaves: {left:?}", self.id));
+    }
+
+    /// Ends runs that are done, or all of them if the lease has lapsed.
+    fn tick(&self) {
+        let mut state = self.state();
+        let lapsed = self.clock() > state.lease_until;
+        let ending = |run: &Run| match run.began.elapsed() >= run.work {
+            true => Some("done"),
+            false => lapsed.then_some("lapsed"),
+        };
+        let running = state.running.iter();
+        let over = running.filter_map(|(task, run)| Some((task.clone(), ending(run)?)));
+        for (task, how) in over.collect::<Vec<_>>() {
+            self.end(&mut state, &task, how);
+        }
+    }
+
+    fn end(&self, state: &mut State, task: &str, how: &'static str) {
+        let Some(run) = state.running.remove(task) else {
+            return;
+        };
+        state.last_end += 1;
+        let end = (state.last_end, task.to_owned(), run.number, how);
+        state.ended.push(end);
+        mark_over(state, task, run.number);
+        self.record.ended(task, run.number, &self.id, how);
+    }
+
+    fn answer(&self, request: &Request) -> Option<(u16, String)> {
+        let body = Json::read(&request.body)?;
+        if request
+            .headers
+            .get("expect-instance")
+            .is_some_and(|id| *id != self.id)
+        {
+            return Some((421, "{}".to_owned()));
+        }
+        let token = body.number("fencing-token").unwrap_or(0);
+        let mut state = self.state();
+        if state.gone {
+            return None;
+        }
+        if token < state.token {
+            return Some((409, self.refusal("fence")));
+        }
+        state.token = token;
+        if let Some(until) = body.number("deadline-ms").map(Duration::from_millis) {
+            state.lease_until = state.lease_until.max(until.min(self.clock() + HOLD_MAX));
+        }
+        match request.path.as_str() {
+            "/-/run-start" => {
+                let answer = self.start_run(&mut state, &body)?;
+                drop(state);
+                thread::sleep(self.kind.start_time);
+                Some(answer)
+            }
+            "/-/run-stop" => {
+                let (task, number) = (body.text("task")?, body.number("run-id")?);
+                if state
+                    .running
+                    .get(task)
+                    .is_some_and(|run| run.number <= number)
+                {
+                    self.end(&mut state, task, "stopped");
+                }
+                mark_over(&mut state, task, number);
+                Some((200, format!("{{{}}}", self.clock_fields())))
+            }
+            "/-/hold" => {
+                drop(state);
+                Some((200, self.list(&body)))
+            }
+            _ => Some((404, "{}".to_owned())),
+        }
+    }
+
+    fn clock_fields(&self) -> String {
+        format!(
+            r#""clock-ms":{},"born":{}"#,
+            self.clock().as_millis(),
+            self.born_ms
+        )
+    }
+
+    fn refusal(&self, reason: &str) -> String {
+        format!(r#"{{{},"reason":"{reason}"}}"#, self.clock_fields())
+    }
+
+    fn start_run(&self, state: &mut State, body: &Json) -> Option<(u16, String)> {
+        let (task, number) = (body.text("task")?, body.number("run-id")?);
+        let refuse = |reason| Some((409, self.refusal(reason)));
+        if body
+            .number("deadline-ms")
+            .is_some_and(|until| u128::from(until) < self.clock().as_millis())
+        {
+            return refuse("late");
+        }
+        match state.running.get(task) {
+            Some(run) if run.number == number => {}
+            Some(_) => return refuse("old"),
+            None if state.over.get(task).is_some_and(|over| *over >= number) => {
+                return refuse("old")
+            }
+            None => {
+                let work = body.text("spec")?.parse().ok().map(Duration::from_millis)?;
+                let run = Run {
+                    number,
+                    began: Instant::now(),
+                    work,
+                };
+                state.running.insert(task.to_owned(), run);
+                self.record.started(task, number, &self.id);
+            }
+        }
+        Some((200, format!("{{{}}}", self.clock_fields())))
+    }
+
+    /// Lists what runs and has ended, at once or when a run ends within `wait-ms`.
+    fn list(&self, body: &Json) -> String {
+        let acknowledged = body.number("ack-seq").unwrap_or(0);
+        let wait = Duration::from_millis(body.number("wait-ms").unwrap_or(0).min(2_000));
+        let give_up_at = Instant::now() + wait;
+        loop {
+            let mut state = self.state();
+            state.ended.retain(|(number, ..)| *number > acknowledged);
+            if !state.ended.is_empty() || Instant::now() >= give_up_at {
+                return self.list_now(&state);
+            }
+            drop(state);
+            thread::sleep(TICK);
+        }
+    }
+
+    fn list_now(&self, state: &State) -> String {
+        let running = state.running.iter().map(|(task, run)| {
+            let percent = run.began.elapsed().as_millis() * 100 / run.work.as_millis().max(1);
+            format!(
+                r#"[{},{},"",{},0]"#,
+                quoted(task),
+                run.number,
+                percent.min(100)
+            )
+        });
+        let running: Vec<String> = running.collect();
+        let ended = state
+            .ended
+            .iter()
+            .take(500)
+            .map(|(number, task, run, how)| {
+                format!(r#"[{number},{},{run},"{how}",""]"#, quoted(task))
+            });
+        let ended: Vec<String> = ended.collect();
+        format!(
+            r#"{{{},"running":[{}],"ended-runs":[{}]}}"#,
+            self.clock_fields(),
+            running.join(","),
+            ended.join(",")
+        )
+    }
+}
+
+fn mark_over(state: &mut State, task: &str, number: u64) {
+    let over = state.over.entry(task.to_owned()).or_default();
+    *over = number.max(*over);
+}
