--- a/review/standin3_case.rs
+++ b/review/standin3_case.rs
@@ -48,15 +48,15 @@
         .is_ok_and(|answer| answer.status / 100 == 2 || answer.status == 410)
 }
 
-/// Number of the job's tasks that were started later than that.
-pub fn late_starts(record: &Record, than_ms: u128) -> usize {
+/// Number of tasks, of jobs whose ids begin with that, that were started later than that.
+pub fn late_starts(record: &Record, ids: &str, than_ms: u128) -> usize {
     let runs = record.runs();
     let late = runs
         .iter()
-        .filter(|run| run.task.starts_with(ID) && run.began_ms > than_ms)
+        .filter(|run| run.task.starts_with(ids) && run.began_ms > than_ms)
         .count();
     record.note(&format!(
-        "{late} tasks of the job were started later than at {than_ms} ms"
+        "{late} tasks were started later than at {than_ms} ms"
     ));
     late
 }
--- a/review/standin3_drain.rs
+++ b/review/standin3_drain.rs
@@ -34,7 +34,7 @@
         worker.drain().then_some(())?;
         let acknowledged = record.now_ms();
         thread::sleep(Duration::from_secs(6));
-        broken = late_starts(record, acknowledged + DRAIN_MS) > 0;
+        broken = late_starts(record, ID, acknowledged + DRAIN_MS) > 0;
         worker.leave();
     }
     let answer = wire::receive(open, Duration::from_secs(26));
--- a/review/standin3_dropped.rs
+++ b/review/standin3_dropped.rs
@@ -42,5 +42,5 @@
     let answer = wire::receive(open, Duration::from_secs(26));
     record.note(&format!("the answer to the job's POST: {}", told(&answer)));
     thread::sleep(Duration::from_millis(500));
-    Some(late_starts(record, counts_from + CANCEL_MS) > 0)
+    Some(late_starts(record, ID, counts_from + CANCEL_MS) > 0)
 }
--- a/review/standin3_main.rs
+++ b/review/standin3_main.rs
@@ -6,6 +6,8 @@
 mod drain;
 #[path = "standin3_dropped.rs"]
 mod dropped;
+#[path = "standin3_odd.rs"]
+mod odd;
 #[path = "standin3_record.rs"]
 mod record;
 #[path = "standin3_shift.rs"]
@@ -31,6 +33,7 @@
         "shift" => case::run(&folder, shift::play),
         "dropped" => case::run(&folder, dropped::play),
         "drain" => case::run(&folder, drain::play),
+        "odd" => case::run(&folder, odd::play),
         _ => {
             eprintln!("no case is named {name}");
             ExitCode::from(2)
--- a/review/standin3_shift.rs
+++ b/review/standin3_shift.rs
@@ -33,5 +33,5 @@
     let answer = wire::receive(open, Duration::from_secs(21));
     record.note(&format!("the answer to the job's POST: {}", told(&answer)));
     thread::sleep(Duration::from_millis(500));
-    Some(late_starts(record, acknowledged + CANCEL_MS) > 0)
+    Some(late_starts(record, ID, acknowledged + CANCEL_MS) > 0)
 }
--- a/review/standin3_worker.rs
+++ b/review/standin3_worker.rs
@@ -9,7 +9,7 @@
 
 use crate::record::Record;
 use crate::system::SERVICE;
-use crate::wire::{self, quoted, Json, Request};
+use crate::wire::{self, quoted, told, Json, Request};
 
 /// `hold-max-ms` of the small sites.
 const HOLD_MAX: Duration = Duration::from_millis(1_000);
@@ -192,6 +192,34 @@
         acknowledged
     }
 
+    /// Sends a heartbeat of another writer to the agent: under this worker's id, with a number of
+    /// its own, and with `zone`, `version`, `slots` and `cold-remaining-ms` missing.
+    pub fn be_impersonated(&self) {
+        let seq = self.state().seq + 100;
+        let body = format!(
+            r#"{{"service":{},"address":"{}","state":"ready","capacity":{{"cpu":{},"mem-mb":65536,"gpu":0}},"labels":{:?},"clock-ms":{},"seq":{seq},"born":{}}}"#,
+            quoted(&self.kind.service),
+            self.address,
+            self.kind.cpu,
+            self.kind.labels,
+            self.clock().as_millis(),
+            self.born_ms,
+        );
+        let path = format!("/-/instances/{}/heartbeat", self.id);
+        let answer = wire::call(
+            self.agent,
+            "POST",
+            &path,
+            &[],
+            &body,
+            Duration::from_secs(1),
+        );
+        self.record.note(&format!(
+            "another writer sends {path} {body}: {}",
+            told(&answer)
+        ));
+    }
+
     /// Leaves, as a worker does some time after it has said that it drains: all that it runs
     /// ends.
     pub fn leave(&self) {
@@ -205,7 +233,7 @@
         let path = format!("/-/instances/{}/leave", self.id);
         let left = wire::call(self.agent, "POST", &path, &[], "{}", Duration::from_secs(1));
         self.record
-            .note(&format!("worker {} leaves: {left:?}", self.id));
+            .note(&format!("worker {} leaves: {}", self.id, told(&left)));
     }
 
     /// Ends runs that are done, or all of them if the lease has lapsed.
