--- a/review/standin3_drain.rs
+++ b/review/standin3_drain.rs
@@ -6,7 +6,7 @@
 
 use crate::case::{late_starts, ID};
 use crate::record::Record;
-use crate::system::System;
+use crate::system::{System, PREFIX};
 use crate::wire::{self, told};
 use crate::worker::Kind;
 
@@ -24,7 +24,7 @@
     // As wide as the letter says that jobs get.
     let step = r#"{"count":830,"cpu":10,"mem-mb":16,"estimate-ms":3000,"requires":"b"}"#;
     record.note(&format!("the caller hands job {ID} in"));
-    let open = system.submit(0, ID, 3_000, step, 25_000).ok()?;
+    let open = system.submit(0, PREFIX, ID, 3_000, step, 25_000).ok()?;
     let worker = &system.workers[2];
     wire::wait_for(Duration::from_secs(2), || {
         (worker.running() > 0).then_some(())
--- a/review/standin3_dropped.rs
+++ b/review/standin3_dropped.rs
@@ -7,7 +7,7 @@
 
 use crate::case::{chain, is_acknowledged, late_starts, CANCEL_MS, ID};
 use crate::record::Record;
-use crate::system::{System, OTHER_PREFIX};
+use crate::system::{System, OTHER_PREFIX, PREFIX};
 use crate::wire::{self, told};
 use crate::worker::Kind;
 
@@ -21,7 +21,7 @@
 pub fn play(trouble: bool, record: &Arc<Record>) -> Option<bool> {
     let system = System::start(1, &vec![Kind::of("a"); 3], record.clone())?;
     record.note(&format!("the caller hands job {ID} in"));
-    let open = system.submit(0, ID, 500, &chain(30), 25_000).ok()?;
+    let open = system.submit(0, PREFIX, ID, 500, &chain(30), 25_000).ok()?;
     thread::sleep(Duration::from_millis(500));
     if trouble {
         // The job's queue is not in it any more.
--- a/review/standin3_main.rs
+++ b/review/standin3_main.rs
@@ -6,6 +6,8 @@
 mod drain;
 #[path = "standin3_dropped.rs"]
 mod dropped;
+#[path = "standin3_ejected.rs"]
+mod ejected;
 #[path = "standin3_odd.rs"]
 mod odd;
 #[path = "standin3_record.rs"]
@@ -33,6 +35,7 @@
         "shift" => case::run(&folder, shift::play),
         "dropped" => case::run(&folder, dropped::play),
         "drain" => case::run(&folder, drain::play),
+        "ejected" => case::run(&folder, ejected::play),
         "odd" => case::run(&folder, odd::play),
         _ => {
             eprintln!("no case is named {name}");
--- a/review/standin3_odd.rs
+++ b/review/standin3_odd.rs
@@ -7,7 +7,7 @@
 
 use crate::case::late_starts;
 use crate::record::Record;
-use crate::system::System;
+use crate::system::{System, PREFIX};
 use crate::wire;
 use crate::worker::Kind;
 
@@ -37,7 +37,7 @@
         number += 1;
         let id = format!("{:08x}{number:08x}", 0x5c0e_7a21);
         let step = r#"{"count":1,"cpu":1000,"mem-mb":64,"estimate-ms":200,"requires":"b"}"#;
-        let open = system.submit(0, &id, 200, step, 1_500).ok()?;
+        let open = system.submit(0, PREFIX, &id, 200, step, 1_500).ok()?;
         answers.push(thread::spawn(move || {
             wire::receive(open, Duration::from_millis(1_500))
         }));
--- a/review/standin3_record.rs
+++ b/review/standin3_record.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Number of tasks that a worker has started, and the time since the last of them.
+    pub fn starts_at(&self, worker: &str) -> (usize, u128) {
+        let content = self.content();
+        let starts = content.runs.iter().filter(|run| run.worker == worker);
+        let last = starts.clone().last().map_or(0, |run| run.began_ms);
+        (starts.count(), self.now_ms() - last)
+    }
+
     pub fn runs(&self) -> Vec<RunRecord> {
         self.content().runs.clone()
     }
--- a/review/standin3_shift.rs
+++ b/review/standin3_shift.rs
@@ -6,7 +6,7 @@
 
 use crate::case::{chain, is_acknowledged, late_starts, CANCEL_MS, ID};
 use crate::record::Record;
-use crate::system::System;
+use crate::system::{System, PREFIX};
 use crate::wire::{self, told};
 use crate::worker::Kind;
 
@@ -16,7 +16,7 @@
     record.note(&format!(
         "the caller hands job {ID} in, at the entry of {zone}"
     ));
-    let open = system.submit(0, ID, 500, &chain(20), 20_000).ok()?;
+    let open = system.submit(0, PREFIX, ID, 500, &chain(20), 20_000).ok()?;
     thread::sleep(Duration::from_millis(1_000));
     let entry = usize::from(trouble);
     let zone = &system.entries[entry].zone;
--- a/review/standin3_system.rs
+++ b/review/standin3_system.rs
@@ -5,7 +5,8 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
+use std::thread;
 use std::time::Duration;
 
 use crate::record::Record;
@@ -14,7 +15,7 @@
 
 const PROGRAM: &str = "target/release/gentiancove";
 /// The one service, the host of the queues, and the path prefixes of the two that there are at
-/// first. Jobs are handed in at the first of them.
+/// first.
 pub const SERVICE: &str = "huvo11a";
 const HOST: &str = "nony24.example";
 pub const PREFIX: &str = "/lohu930/";
@@ -22,18 +23,75 @@
 /// `grace-s` of the small sites.
 const GRACE_S: u32 = 6;
 
+const SIGTERM: i32 = 15;
+
+extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+}
+
 /// A process of the project that this case has started; it ends with this value.
 #[derive(Debug)]
-struct Process(Child);
+struct Process {
+    settings: PathBuf,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Process {
+    /// Starts a process with these settings; its log goes into the folder.
+    fn start(folder: &Path, name: &str, settings: &str) -> Option<Process> {
+        let path = folder.join(format!("{name}.json"));
+        fs::write(&path, settings).ok()?;
+        let log = folder.join(format!("{name}.log"));
+        let child = spawn(&path, &log)?;
+        Some(Process {
+            settings: path,
+            log,
+            child,
+        })
+    }
+
+    /// SIGKILL.
+    fn kill(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// SIGTERM, and SIGKILL after `grace-s`.
+    fn terminate(&mut self) {
+        // SAFETY: the child was not waited for, so its id is still its own.
+        unsafe { kill(self.child.id() as i32, SIGTERM) };
+        let grace = Duration::from_secs(GRACE_S.into());
+        wire::wait_for(grace, || self.child.try_wait().ok().flatten());
+        self.kill();
+    }
+
+    /// Starts it again, as the platform does after its end.
+    fn start_again(&mut self) -> Option<()> {
+        self.child = spawn(&self.settings, &self.log)?;
+        Some(())
+    }
+}
 
 impl Drop for Process {
     fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        self.kill();
     }
 }
 
+fn spawn(settings: &Path, log: &Path) -> Option<Child> {
+    let log = File::options().create(true).append(true).open(log).ok()?;
+    let child = Command::new(PROGRAM)
+        .args(["run", "--settings"])
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone().ok()?)
+        .stderr(log)
+        .spawn();
+    child.ok()
+}
+
 /// A machine that takes callers' connections.
 #[derive(Debug)]
 pub struct Entry {
@@ -47,8 +105,8 @@
 pub struct System {
     folder: PathBuf,
     pub entries: Vec<Entry>,
-    agents: Vec<Process>,
-    control_processes: Vec<Process>,
+    agents: Vec<Mutex<Process>>,
+    control_processes: Vec<Mutex<Process>>,
     controls: Vec<SocketAddr>,
     pub workers: Vec<Arc<Worker>>,
     record: Arc<Record>,
@@ -57,6 +115,8 @@
 /// Names of the zones; machines of a class are spread over them in turn.
 const ZONES: [&str; 3] = ["beauce", "bas", "estrie"];
 const CONTROLS: usize = 3;
+/// Time after which the platform starts a process again.
+const RESTART_DELAY: Duration = Duration::from_millis(500);
 
 /// Ports that are the same on all machines, free on all their addresses.
 fn free_ports(addresses: &[String], count: usize) -> Vec<u16> {
@@ -117,7 +177,7 @@
                 common(&name, ZONES[index % ZONES.len()]),
                 quoted(&data.display().to_string()),
             );
-            controls.push(start(&folder, &name, &settings)?);
+            controls.push(Mutex::new(Process::start(&folder, &name, &settings)?));
         }
         let mut agents = Vec::new();
         let mut workers = Vec::new();
@@ -128,7 +188,7 @@
                 r#"{{{},"agent":{{"http":"{http}","peer":"{ip}:{peer_port}","dialect":"platform","drain_timeout":"{GRACE_S}s"}}}}"#,
                 common(&name, zone),
             );
-            agents.push(start(&folder, &name, &settings)?);
+            agents.push(Mutex::new(Process::start(&folder, &name, &settings)?));
             let listener = TcpListener::bind(format!("{ip}:{app_port}")).ok()?;
             let id = format!("i-{index}");
             workers.push(Worker::start(
@@ -149,7 +209,7 @@
                 r#"{{{},"entry":{{"http":"{front}","ready":"{ready}","dialect":"platform","drain_timeout":"{GRACE_S}s"}}}}"#,
                 common(&name, zone),
             );
-            let process = start(&folder, &name, &settings)?;
+            let process = Process::start(&folder, &name, &settings)?;
             fronts.push(Entry {
                 _process: process,
                 zone: zone.to_owned(),
@@ -174,8 +234,10 @@
     /// until one acknowledges it.
     pub fn configure(&self, version: u64, prefixes: &[&str]) -> bool {
         let routes = prefixes.iter().enumerate().map(|(index, prefix)| {
+            // Long jobs are handed in at the first queue; the other is like those of the site.
+            let (timeout, target) = if *prefix == PREFIX { (30_000, 20_000) } else { (1_500, 60) };
             format!(
-                r#"{{"name":"r-{index}","host":"{HOST}","path-prefix":"{prefix}","kind":"unsafe","timeout-ms":30000,"target-latency-ms":20000,"priority":0,"service":"{SERVICE}","max-attempts":4,"stretch":1.6}}"#
+                r#"{{"name":"r-{index}","host":"{HOST}","path-prefix":"{prefix}","kind":"unsafe","timeout-ms":{timeout},"target-latency-ms":{target},"priority":0,"service":"{SERVICE}","max-attempts":4,"stretch":1.6}}"#
             )
         });
         let routes: Vec<String> = routes.collect();
@@ -234,7 +296,7 @@
                 wire::wait_for(timeout, || {
                     tries += 1;
                     let id = format!("{:08x}{tries:08x}", index + 1);
-                    let answer = self.submit(index, &id, 20, &steps.join(","), 3_000);
+                    let answer = self.submit(index, PREFIX, &id, 20, &steps.join(","), 3_000);
                     let answer =
                         answer.and_then(|open| wire::receive(open, Duration::from_secs(4)));
                     answer
@@ -254,6 +316,7 @@
     pub fn submit(
         &self,
         entry: usize,
+        prefix: &str,
         id: &str,
         work_ms: u64,
         steps: &str,
@@ -265,12 +328,44 @@
         wire::send(
             self.entries[entry].front,
             "POST",
-            &format!("{PREFIX}{id}"),
+            &format!("{prefix}{id}"),
             &headers,
             &body,
         )
     }
 
+    /// Stops an agent as the platform does, and starts it again.
+    pub fn restart_agent(&self, index: usize) -> Option<()> {
+        let mut agent = self.agents[index].lock().ok()?;
+        let name = format!("the agent of side-{index}");
+        self.record.note(&format!("{name} gets SIGTERM"));
+        agent.terminate();
+        self.record.note(&format!("{name} has ended"));
+        thread::sleep(RESTART_DELAY);
+        agent.start_again()?;
+        self.record
+            .note(&format!("the agent of side-{index} is started again"));
+        Some(())
+    }
+
+    /// Kills a control machine, and starts it again with an empty disk.
+    pub fn wipe_control(&self, index: usize) -> Option<()> {
+        let mut control = self.control_processes[index].lock().ok()?;
+        self.record
+            .note(&format!("core-{index} is killed and loses its disk"));
+        control.kill();
+        let data = self.folder.join(format!("data-{index}"));
+        fs::remove_dir_all(&data).ok()?;
+        fs::create_dir_all(&data).ok()?;
+        let settings = fs::read_to_string(&control.settings).ok()?;
+        let settings = settings.replace(r#""found":true"#, r#""found":false"#);
+        fs::write(&control.settings, settings).ok()?;
+        thread::sleep(RESTART_DELAY);
+        control.start_again()?;
+        self.record.note(&format!("core-{index} is started again"));
+        Some(())
+    }
+
     /// Asks an entry for something of a job.
     pub fn ask(&self, entry: usize, method: &str, id: &str) -> std::io::Result<wire::Response> {
         let headers = [("host", HOST), ("deadline-ms", "1500")];
@@ -311,18 +406,3 @@
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
-
-/// Starts a process with these settings; its log goes into the folder.
-fn start(folder: &Path, name: &str, settings: &str) -> Option<Process> {
-    let path = folder.join(format!("{name}.json"));
-    fs::write(&path, settings).ok()?;
-    let log = File::create(folder.join(format!("{name}.log"))).ok()?;
-    let child = Command::new(PROGRAM)
-        .args(["run", "--settings"])
-        .arg(&path)
-        .stdin(Stdio::null())
-        .stdout(log.try_clone().ok()?)
-        .stderr(log)
-        .spawn();
-    child.ok().map(Process)
-}
--- a/review/standin3_worker.rs
+++ b/review/standin3_worker.rs
@@ -59,6 +59,8 @@
     last_end: u64,
     seq: u64,
     draining: bool,
+    /// Whether it fails all that it starts.
+    failing: bool,
     gone: bool,
 }
 
@@ -109,6 +111,7 @@
                 last_end: 0,
                 seq: 0,
                 draining: false,
+                failing: false,
                 gone: false,
             }),
         });
@@ -178,6 +181,17 @@
         answer.is_ok_and(|answer| (200..300).contains(&answer.status))
     }
 
+    /// Sets whether it fails all that it starts.
+    pub fn set_failing(&self, failing: bool) {
+        self.state().failing = failing;
+        let how = if failing {
+            "fails all that it starts"
+        } else {
+            "is sound again"
+        };
+        self.record.note(&format!("worker {} {how}", self.id));
+    }
+
     /// Says that it drains; returns whether that is acknowledged.
     pub fn drain(&self) -> bool {
         self.state().draining = true;
@@ -240,7 +254,9 @@
     fn tick(&self) {
         let mut state = self.state();
         let lapsed = self.clock() > state.lease_until;
+        let failing = state.failing;
         let ending = |run: &Run| match run.began.elapsed() >= run.work {
+            _ if failing => Some("failed"),
             true => Some("done"),
             false => lapsed.then_some("lapsed"),
         };
