--- a/review/standin3_main.rs
+++ b/review/standin3_main.rs
@@ -8,8 +8,8 @@
 mod dropped;
 #[path = "standin3_ejected.rs"]
 mod ejected;
-#[path = "standin3_odd.rs"]
-mod odd;
+#[path = "standin3_reborn.rs"]
+mod reborn;
 #[path = "standin3_record.rs"]
 mod record;
 #[path = "standin3_shift.rs"]
@@ -36,7 +36,7 @@
         "dropped" => case::run(&folder, dropped::play),
         "drain" => case::run(&folder, drain::play),
         "ejected" => case::run(&folder, ejected::play),
-        "odd" => case::run(&folder, odd::play),
+        "reborn" => case::run(&folder, reborn::play),
         _ => {
             eprintln!("no case is named {name}");
             ExitCode::from(2)
--- a/review/standin3_record.rs
+++ b/review/standin3_record.rs
@@ -1,5 +1,6 @@
 //! What was sent, answered and run, with the time in milliseconds since the case began.
 
+use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::path::Path;
 use std::sync::{Mutex, MutexGuard};
@@ -19,6 +20,8 @@
 struct Content {
     lines: Vec<(u128, String)>,
     runs: Vec<RunRecord>,
+    /// Labels of each worker.
+    labels: BTreeMap<String, Vec<String>>,
 }
 
 #[derive(Debug)]
@@ -34,6 +37,7 @@
             content: Mutex::new(Content {
                 lines: Vec::new(),
                 runs: Vec::new(),
+                labels: BTreeMap::new(),
             }),
         }
     }
@@ -54,6 +58,17 @@
         now
     }
 
+    pub fn set_labels(&self, worker: &str, labels: &[String]) {
+        let mut content = self.content();
+        content.labels.insert(worker.to_owned(), labels.to_vec());
+    }
+
+    pub fn has_label(&self, worker: &str, label: &str) -> bool {
+        let content = self.content();
+        let labels = content.labels.get(worker);
+        labels.is_some_and(|labels| labels.iter().any(|own| own == label))
+    }
+
     pub fn started(&self, task: &str, number: u64, worker: &str) {
         let mut content = self.content();
         let began_ms = self.now_ms();
--- a/review/standin3_system.rs
+++ b/review/standin3_system.rs
@@ -24,6 +24,8 @@
 const GRACE_S: u32 = 6;
 
 const SIGTERM: i32 = 15;
+const SIGCONT: i32 = 18;
+const SIGSTOP: i32 = 19;
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -58,10 +60,14 @@
         let _ = self.child.wait();
     }
 
+    fn signal(&self, signal: i32) {
+        // SAFETY: the child was not waited for, so its id is still its own.
+        unsafe { kill(self.child.id() as i32, signal) };
+    }
+
     /// SIGTERM, and SIGKILL after `grace-s`.
     fn terminate(&mut self) {
-        // SAFETY: the child was not waited for, so its id is still its own.
-        unsafe { kill(self.child.id() as i32, SIGTERM) };
+        self.signal(SIGTERM);
         let grace = Duration::from_secs(GRACE_S.into());
         wire::wait_for(grace, || self.child.try_wait().ok().flatten());
         self.kill();
@@ -95,7 +101,7 @@
 /// A machine that takes callers' connections.
 #[derive(Debug)]
 pub struct Entry {
-    _process: Process,
+    process: Process,
     pub zone: String,
     front: SocketAddr,
     ready: SocketAddr,
@@ -211,7 +217,7 @@
             );
             let process = Process::start(&folder, &name, &settings)?;
             fronts.push(Entry {
-                _process: process,
+                process,
                 zone: zone.to_owned(),
                 front,
                 ready,
@@ -334,6 +340,28 @@
         )
     }
 
+    /// Starts another worker at the address of one that has crashed, of this kind.
+    pub fn replace_worker(&mut self, index: usize, kind: Kind) -> Option<()> {
+        let former = self.workers[index].clone();
+        let listener = wire::wait_for(Duration::from_secs(1), || {
+            TcpListener::bind(former.address).ok()
+        })?;
+        let id = format!("{}-again", former.id);
+        self.record
+            .note(&format!("worker {id} starts at its address: {kind:?}"));
+        let (agent, record) = (former.agent, self.record.clone());
+        self.workers[index] = Worker::start(&id, listener, agent, &former.zone, kind, record);
+        Some(())
+    }
+
+    /// Freezes an entry (SIGSTOP), or wakes it again (SIGCONT).
+    pub fn freeze_entry(&self, index: usize, frozen: bool) {
+        let how = if frozen { "freezes" } else { "wakes again" };
+        self.record.note(&format!("front-{index} {how}"));
+        let signal = if frozen { SIGSTOP } else { SIGCONT };
+        self.entries[index].process.signal(signal);
+    }
+
     /// Stops an agent as the platform does, and starts it again.
     pub fn restart_agent(&self, index: usize) -> Option<()> {
         let mut agent = self.agents[index].lock().ok()?;
--- a/review/standin3_wire.rs
+++ b/review/standin3_wire.rs
@@ -2,11 +2,15 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::Arc;
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Time between two looks for a new connection.
+const ACCEPT_PAUSE: Duration = Duration::from_micros(200);
+
 /// A JSON value. Numbers are kept as `f64`: all that are read here are below 2^53.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Json {
@@ -223,28 +227,64 @@
     Ok(Some((first.trim_end().to_owned(), headers, body)))
 }
 
-/// Serves connections with a thread each, for as long as the process runs. No answer closes
-/// the connection.
-pub fn serve(
-    listener: TcpListener,
-    handle: impl Fn(Request) -> Option<(u16, String)> + Send + Sync + 'static,
-) {
-    let handle = Arc::new(handle);
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let handle = handle.clone();
-            thread::spawn(move || {
+/// A server, until it is closed.
+#[derive(Clone, Debug, Default)]
+pub struct Server {
+    closed: Arc<AtomicBool>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Server {
+    /// Serves connections with a thread each. No answer closes the connection.
+    pub fn start(
+        listener: TcpListener,
+        handle: impl Fn(Request) -> Option<(u16, String)> + Send + Sync + 'static,
+    ) -> io::Result<Server> {
+        let server = Server::default();
+        let accepting = server.clone();
+        let handle = Arc::new(handle);
+        listener.set_nonblocking(true)?;
+        thread::spawn(move || {
+            while !accepting.closed.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(ACCEPT_PAUSE);
+                    continue;
+                };
+                accepting.keep(&stream);
+                let handle = handle.clone();
                 // Whoever called notices a failed connection itself.
-                let _ = serve_connection(stream, &*handle);
-            });
+                thread::spawn(move || serve_connection(stream, &*handle));
+            }
+        });
+        Ok(server)
+    }
+
+    fn keep(&self, stream: &TcpStream) {
+        let Ok(stream) = stream.try_clone() else {
+            return;
+        };
+        let mut open = self.open.lock().expect("no thread panics with the lock");
+        // Those of callers that have left.
+        open.retain(|stream| stream.peer_addr().is_ok());
+        open.push(stream);
+    }
+
+    /// Closes the listener and all connections.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        let mut open = self.open.lock().expect("no thread panics with the lock");
+        for stream in open.drain(..) {
+            // The caller may have closed it.
+            let _ = stream.shutdown(Shutdown::Both);
         }
-    });
+    }
 }
 
 fn serve_connection(
     stream: TcpStream,
     handle: &impl Fn(Request) -> Option<(u16, String)>,
 ) -> io::Result<()> {
+    stream.set_nonblocking(false)?;
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
--- a/review/standin3_worker.rs
+++ b/review/standin3_worker.rs
@@ -9,7 +9,7 @@
 
 use crate::record::Record;
 use crate::system::SERVICE;
-use crate::wire::{self, quoted, told, Json, Request};
+use crate::wire::{self, quoted, told, Json, Request, Server};
 
 /// `hold-max-ms` of the small sites.
 const HOLD_MAX: Duration = Duration::from_millis(1_000);
@@ -76,6 +76,7 @@
     clock_start: Instant,
     record: Arc<Record>,
     state: Mutex<State>,
+    server: Mutex<Server>,
 }
 
 impl Worker {
@@ -114,9 +115,16 @@
                 failing: false,
                 gone: false,
             }),
+            server: Mutex::default(),
         });
+        worker.record.set_labels(id, &worker.kind.labels);
         let served = worker.clone();
-        wire::serve(listener, move |request| served.answer(&request));
+        let server = Server::start(listener, move |request| served.answer(&request));
+        let server = server.expect("a bound listener can be served");
+        *worker
+            .server
+            .lock()
+            .expect("no thread panics with the lock") = server;
         let ticking = worker.clone();
         thread::spawn(move || loop {
             thread::sleep(TICK);
@@ -138,6 +146,11 @@
         self.clock_start.elapsed()
     }
 
+    /// Whether it has this label.
+    pub fn is_of(&self, label: &str) -> bool {
+        self.kind.labels.iter().any(|own| own == label)
+    }
+
     pub fn running(&self) -> usize {
         self.state().running.len()
     }
@@ -181,6 +194,17 @@
         answer.is_ok_and(|answer| (200..300).contains(&answer.status))
     }
 
+    /// Crashes: all that it runs ends, and nothing listens at its address any more.
+    pub fn crash(&self) {
+        let mut state = self.state();
+        state.gone = true;
+        self.end_all(&mut state, "ended by its worker's crash");
+        drop(state);
+        let server = self.server.lock().expect("no thread panics with the lock");
+        server.close();
+        self.record.note(&format!("worker {} crashes", self.id));
+    }
+
     /// Sets whether it fails all that it starts.
     pub fn set_failing(&self, failing: bool) {
         self.state().failing = failing;
@@ -206,43 +230,12 @@
         acknowledged
     }
 
-    /// Sends a heartbeat of another writer to the agent: under this worker's id, with a number of
-    /// its own, and with `zone`, `version`, `slots` and `cold-remaining-ms` missing.
-    pub fn be_impersonated(&self) {
-        let seq = self.state().seq + 100;
-        let body = format!(
-            r#"{{"service":{},"address":"{}","state":"ready","capacity":{{"cpu":{},"mem-mb":65536,"gpu":0}},"labels":{:?},"clock-ms":{},"seq":{seq},"born":{}}}"#,
-            quoted(&self.kind.service),
-            self.address,
-            self.kind.cpu,
-            self.kind.labels,
-            self.clock().as_millis(),
-            self.born_ms,
-        );
-        let path = format!("/-/instances/{}/heartbeat", self.id);
-        let answer = wire::call(
-            self.agent,
-            "POST",
-            &path,
-            &[],
-            &body,
-            Duration::from_secs(1),
-        );
-        self.record.note(&format!(
-            "another writer sends {path} {body}: {}",
-            told(&answer)
-        ));
-    }
-
     /// Leaves, as a worker does some time after it has said that it drains: all that it runs
     /// ends.
     pub fn leave(&self) {
         let mut state = self.state();
         state.gone = true;
-        for task in state.running.keys().cloned().collect::<Vec<_>>() {
-            self.end(&mut state, &task, "ended with its worker");
-        }
-        state.ended.clear();
+        self.end_all(&mut state, "ended with its worker");
         drop(state);
         let path = format!("/-/instances/{}/leave", self.id);
         let left = wire::call(self.agent, "POST", &path, &[], "{}", Duration::from_secs(1));
@@ -278,6 +271,13 @@
         self.record.ended(task, run.number, &self.id, how);
     }
 
+    fn end_all(&self, state: &mut State, how: &'static str) {
+        for task in state.running.keys().cloned().collect::<Vec<_>>() {
+            self.end(state, &task, how);
+        }
+        state.ended.clear();
+    }
+
     fn answer(&self, request: &Request) -> Option<(u16, String)> {
         let body = Json::read(&request.body)?;
         if request
