--- a/review/standin3_main.rs
+++ b/review/standin3_main.rs
@@ -6,6 +6,8 @@
 mod dropped;
 #[path = "standin3_ejected.rs"]
 mod ejected;
+#[path = "standin3_hangs.rs"]
+mod hangs;
 #[path = "standin3_reborn.rs"]
 mod reborn;
 #[path = "standin3_record.rs"]
@@ -30,6 +32,7 @@
     match name.as_str() {
         "dropped" => case::run(&folder, dropped::play),
         "ejected" => case::run(&folder, ejected::play),
+        "hangs" => case::run(&folder, hangs::play),
         "reborn" => case::run(&folder, reborn::play),
         _ => {
             eprintln!("no case is named {name}");
--- a/review/standin3_system.rs
+++ b/review/standin3_system.rs
@@ -198,6 +198,8 @@
             let id = format!("i-{index}");
             workers.push(Worker::start(
                 &id,
+                Duration::ZERO,
+                Duration::ZERO,
                 listener,
                 http,
                 zone,
@@ -348,7 +350,36 @@
         self.record
             .note(&format!("worker {id} starts at its address: {kind:?}"));
         let (agent, record) = (former.agent, self.record.clone());
-        self.workers[index] = Worker::start(&id, listener, agent, &former.zone, kind, record);
+        self.workers[index] = Worker::start(
+            &id,
+            Duration::ZERO,
+            Duration::ZERO,
+            listener,
+            agent,
+            &former.zone,
+            kind,
+            record,
+        );
+        Some(())
+    }
+
+    /// Starts a worker that has crashed again, under its id. See [`Worker::start`].
+    pub fn restart_worker(
+        &mut self,
+        index: usize,
+        first_beat: Duration,
+        hangs_for: Duration,
+    ) -> Option<()> {
+        let former = self.workers[index].clone();
+        let listener = wire::wait_for(Duration::from_secs(1), || {
+            TcpListener::bind(former.address).ok()
+        })?;
+        let (id, zone, kind) = (&former.id, &former.zone, former.kind.clone());
+        self.record.note(&format!("worker {id} is up again"));
+        let (agent, record) = (former.agent, self.record.clone());
+        self.workers[index] = Worker::start(
+            id, first_beat, hangs_for, listener, agent, zone, kind, record,
+        );
         Some(())
     }
 
--- a/review/standin3_worker.rs
+++ b/review/standin3_worker.rs
@@ -15,6 +15,8 @@
 const HOLD_MAX: Duration = Duration::from_millis(1_000);
 /// `heartbeat-ms` of the small sites.
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
+/// How long the connection of an order without an answer stays open.
+const UNANSWERED: Duration = Duration::from_secs(5);
 /// How often runs are looked at that have ended or whose lease has lapsed.
 const TICK: Duration = Duration::from_millis(2);
 
@@ -73,12 +75,17 @@
     record: Arc<Record>,
     state: Mutex<State>,
     server: Mutex<Server>,
+    hangs_until: Instant,
 }
 
 impl Worker {
-    /// Starts a worker that listens at the listener's address.
+    /// Starts a worker that listens at the listener's address. Its first heartbeat comes after
+    /// `first_beat`. For `hangs_for` it carries orders out without answering them.
+    #[allow(clippy::too_many_arguments)]
     pub fn start(
         id: &str,
+        first_beat: Duration,
+        hangs_for: Duration,
         listener: TcpListener,
         agent: SocketAddr,
         zone: &str,
@@ -111,10 +118,11 @@
                 gone: false,
             }),
             server: Mutex::default(),
+            hangs_until: Instant::now() + hangs_for,
         });
         worker.record.set_labels(id, &worker.kind.labels);
         let served = worker.clone();
-        let server = Server::start(listener, move |request| served.answer(&request));
+        let server = Server::start(listener, move |request| served.take(&request));
         let server = server.expect("a bound listener can be served");
         *worker
             .server
@@ -126,9 +134,12 @@
             ticking.tick();
         });
         let beating = worker.clone();
-        thread::spawn(move || loop {
-            beating.beat();
-            thread::sleep(HEARTBEAT);
+        thread::spawn(move || {
+            thread::sleep(first_beat);
+            loop {
+                beating.beat();
+                thread::sleep(HEARTBEAT);
+            }
         });
         worker
     }
@@ -241,6 +252,16 @@
         state.ended.clear();
     }
 
+    /// Carries an order out, and answers it unless the worker hangs.
+    fn take(&self, request: &Request) -> Option<(u16, String)> {
+        let answer = self.answer(request);
+        if Instant::now() < self.hangs_until {
+            thread::sleep(UNANSWERED);
+            return None;
+        }
+        answer
+    }
+
     fn answer(&self, request: &Request) -> Option<(u16, String)> {
         let body = Json::read(&request.body)?;
         if request
