--- a/review/standin3_ejected.rs
+++ b/review/standin3_ejected.rs
@@ -49,12 +49,16 @@
     let traffic = {
         let (system, ending) = (system.clone(), ending.clone());
         thread::spawn(move || {
-            let mut number = 0x10_0000;
+            let mut callers = Vec::new();
             while ending.load(Ordering::SeqCst) == 0 {
-                number += 1;
-                send(&system, number, &Arc::default());
+                let number = 0x10_0000 + callers.len();
+                callers.push(send(&system, number, &Arc::default()));
                 thread::sleep(PAUSE);
             }
+            // The system ends once no caller has it any more.
+            for caller in callers {
+                let _ = caller.join();
+            }
         })
     };
     let played = disrupt(&system, record, trouble);
