Send orders only on connections whose process has named itself

Cause: the end of a lease in an order is a time on the clock of the process that the agent knows. A process that has taken its place unnoticed takes it for a time on its own clock, far ahead, and holds its runs for hold-max-ms. If it answers nothing, the agent counts the 500 ms that it meant to grant, and the entry starts the tasks elsewhere meanwhile.

Ruled out: to count hold-max-ms for grants without an answer. The entry counts two leases of 500 ms after its last order to an agent that it has lost, which a lease of a second breaks as well, and each hung worker would delay its tasks by half a second more.

Change: a process that ends takes its connections with it. So the agent keeps its own few connections, asks on each for the list of runs, without a lease, before it sends an order there, and computes the end of a lease from what was read of the clock on that connection. A start for which there is no such connection is refused: it was not sent. Heartbeats, which another writer may have sent, no longer set the clock either.

The simulated worker can close its connections now when it restarts, as a process does; restart_worker still leaves them open, which the older tests go on to check.

--- a/crates/claim/src/run/upstream_clock.rs
+++ b/crates/claim/src/run/upstream_clock.rs
@@ -25,10 +25,14 @@
         }
     }
 
+    /// Time since the agent received the reading.
+    pub fn age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.read_at)
+    }
+
     /// The upstream's clock at `now`, or a time before that: the clock may be slow by
     /// [`MAX_CLOCK_DRIFT`].
     pub fn lower_bound(&self, now: Duration) -> Duration {
-        let age = now.saturating_sub(self.read_at);
-        self.reading + age.mul_f64(1.0 - MAX_CLOCK_DRIFT)
+        self.reading + self.age(now).mul_f64(1.0 - MAX_CLOCK_DRIFT)
     }
 }
--- a/crates/core/src/agent/lease/calls.rs
+++ b/crates/core/src/agent/lease/calls.rs
@@ -10,7 +10,8 @@
 use gentian::wire::agent::{self, Reports};
 use gentian_platform::order::{self, List, StartResponse};
 
-use super::order::{Order, Origin};
+use super::connection::{self, Connection};
+use super::order::Recipient;
 use super::supervisor::{State, Supervisor};
 use crate::client;
 use crate::logging::is_sampled;
@@ -42,29 +43,44 @@
     let ordered_at = Instant::now();
     // Retries with a raised token if the upstream rejects the token as too low.
     for _ in 0..8 {
-        let order = match supervisor.start_order(&run) {
+        let mut connection = match supervisor.connect().await {
+            Ok(connection) => connection,
+            Err(error) => {
+                log::info!("{run}: start refused, since the upstream can't be reached: {error}");
+                let refusal = start_refusal(&error);
+                return handle_start_answer(&supervisor, &run, StartAnswer::Refused(refusal));
+            }
+        };
+        let order = match supervisor.start_order(&run, &connection) {
             Ok(order) => order,
             Err(refusal) => {
-                return handle_start_answer(&supervisor, &run, StartAnswer::Refused(refusal))
+                supervisor.release(connection);
+                return handle_start_answer(&supervisor, &run, StartAnswer::Refused(refusal));
             }
         };
-        let request = order::start(&order.id, &run, spec, order.authority);
-        let answer = supervisor.send_order(&order, request, ANSWER_TIMEOUT).await;
+        let recipient = &order.recipient;
+        let request = order::start(&recipient.id, &run, spec, order.authority);
+        let answer = supervisor
+            .send_order(&order, &mut connection, request, ANSWER_TIMEOUT)
+            .await;
         let read = answer.map(|answer| order::parse_start(answer.status, &answer.body));
         supervisor.metrics.start_took(ordered_at.elapsed());
         match read {
             Ok(Ok((clock, begun))) => {
+                if let Some(clock) = clock {
+                    connection.set_clock(clock);
+                }
+                supervisor.release(connection);
                 let mut state = supervisor.state();
-                let origin = clock.map(|clock| supervisor.update_clock(&mut state, &order, clock));
-                if let (Some(Origin::Other), Some(clock)) = (origin, clock) {
+                let is_present = clock.is_none_or(|clock| {
                     // The answer to a start lists no runs.
                     let list = List {
                         clock,
                         ..List::default()
                     };
-                    supervisor.handle_successor(&mut state, &order, &list);
-                }
-                if origin.is_some_and(|origin| origin != Origin::Present) {
+                    supervisor.verify_sender(&mut state, recipient, &list)
+                });
+                if !is_present {
                     drop(state);
                     // The run may have begun at a process that is not known yet.
                     return handle_start_answer(&supervisor, &run, StartAnswer::Unknown);
@@ -78,7 +94,7 @@
                                 event = "started",
                                 request,
                                 run = %run,
-                                upstream = order.id,
+                                upstream = recipient.id,
                                 token = order.authority.token,
                                 answer = ?started,
                                 took_ms = ordered_at.elapsed().as_millis() as u64,
@@ -92,7 +108,7 @@
                 }
             }
             Ok(Err(order::Error::Replaced)) => {
-                supervisor.handle_upstream_gone(&mut supervisor.state(), &order);
+                supervisor.handle_upstream_gone(&mut supervisor.state(), recipient);
                 return handle_start_answer(
                     &supervisor,
                     &run,
@@ -109,12 +125,12 @@
                 log::info!("{run}: start refused, since the upstream can't be reached: {error}");
                 let refusal = StartAnswer::Refused(Refusal::NoAnswer);
                 handle_start_answer(&supervisor, &run, refusal);
-                supervisor.handle_failed_order(&mut supervisor.state(), &order, &error);
+                supervisor.handle_failed_order(&mut supervisor.state(), recipient, &error);
                 return;
             }
             Err(error) => {
                 log::warn!("{run}: start not answered, so the run may have begun: {error}");
-                supervisor.handle_failed_order(&mut supervisor.state(), &order, &error);
+                supervisor.handle_failed_order(&mut supervisor.state(), recipient, &error);
                 return handle_start_answer(&supervisor, &run, StartAnswer::Unknown);
             }
         }
@@ -122,6 +138,14 @@
     handle_start_answer(&supervisor, &run, StartAnswer::Refused(Refusal::Closed));
 }
 
+/// Why a start is refused that was not sent for want of a connection.
+fn start_refusal(error: &connection::Error) -> Refusal {
+    match error {
+        connection::Error::Replaced => Refusal::Closed,
+        connection::Error::Client(_) | connection::Error::Unusable => Refusal::NoAnswer,
+    }
+}
+
 /// Records the answer to a start, and reports the run's end if it was refused.
 fn handle_start_answer(supervisor: &Arc<Supervisor>, run: &Run, started: StartAnswer) {
     if let StartAnswer::Refused(refusal) = started {
@@ -139,16 +163,29 @@
 
 /// Tells the upstream to stop a run.
 pub(super) async fn stop_run(supervisor: Arc<Supervisor>, run: Run) {
-    let Some(order) = supervisor.next_order(&mut supervisor.state()) else {
+    let mut connection = match supervisor.connect().await {
+        Ok(connection) => connection,
+        Err(error) => {
+            log::debug!("{run}: stop not sent and will be retried: {error}");
+            return;
+        }
+    };
+    let Some(order) = supervisor.next_order(&mut supervisor.state(), &connection) else {
         return;
     };
-    let request = order::stop(&order.id, &run, order.authority);
-    let answer = supervisor.send_order(&order, request, ANSWER_TIMEOUT).await;
+    let recipient = &order.recipient;
+    let request = order::stop(&recipient.id, &run, order.authority);
+    let answer = supervisor
+        .send_order(&order, &mut connection, request, ANSWER_TIMEOUT)
+        .await;
+    if answer.is_ok() {
+        supervisor.release(connection);
+    }
     match answer.map(|answer| order::parse_stop(answer.status)) {
-        Ok(Ok(true)) => supervisor.handle_stop_answer(&order, &run),
+        Ok(Ok(true)) => supervisor.handle_stop_answer(recipient, &run),
         Ok(Ok(false)) => supervisor.raise_token(&mut supervisor.state(), order.authority.token),
         Ok(Err(order::Error::Replaced)) => {
-            supervisor.handle_upstream_gone(&mut supervisor.state(), &order)
+            supervisor.handle_upstream_gone(&mut supervisor.state(), recipient)
         }
         // The stop is sent again as long as the upstream may have the run.
         Ok(Err(error)) => {
@@ -164,43 +201,19 @@
 pub(super) async fn poll_upstream(supervisor: Arc<Supervisor>) {
     let _essential = AbortOnPanic("the polls of the upstream");
     loop {
-        let due = {
-            let mut state = supervisor.state();
-            let has_runs = !state.runs.is_empty();
-            let has_unacknowledged_ends = state.runs.last_seen_end() > state.acknowledged;
-            let is_unlisted = state.is_unlisted(supervisor.now());
-            match has_runs || has_unacknowledged_ends || is_unlisted {
-                true => supervisor.next_order(&mut state).map(|order| {
-                    let wait = if has_runs { POLL_WAIT } else { Duration::ZERO };
-                    (
-                        order,
-                        state.runs.begin_poll(),
-                        state.ends_to_acknowledge(),
-                        wait,
-                    )
-                }),
-                false => None,
-            }
-        };
-        let Some((order, poll_number, acknowledged, wait)) = due else {
+        if !supervisor.is_poll_due() {
             supervisor.state().polls_unbroken = false;
             // Wakes up for the next order, or to end runs whose lease has lapsed.
             let _ =
                 tokio::time::timeout(IDLE_CHECK_INTERVAL, supervisor.poll_wakeup.notified()).await;
             supervisor.end_lapsed_runs();
             continue;
-        };
-        let request = order::poll(&order.id, acknowledged, wait, order.authority);
-        let answer = supervisor
-            .send_order(&order, request, wait + POLL_ANSWER_TIMEOUT)
-            .await;
-        supervisor.record_poll_answer(&mut supervisor.state(), &order, answer.as_ref().err());
-        let again = match answer {
-            Ok(answer) => supervisor.handle_poll_answer(&order, poll_number, acknowledged, &answer),
+        }
+        let again = match supervisor.connect().await {
+            Ok(connection) => supervisor.poll(connection).await,
             Err(error) => {
-                let mut state = supervisor.state();
-                state.polls_unbroken = false;
-                supervisor.handle_failed_order(&mut state, &order, &error)
+                supervisor.handle_failed_connect(&error);
+                false
             }
         };
         supervisor.end_lapsed_runs();
@@ -211,47 +224,77 @@
 }
 
 impl Supervisor {
-    /// Handles the answer to a stop, which tells nothing of a process that has taken the
-    /// upstream's place since.
-    fn handle_stop_answer(&self, order: &Order, run: &Run) {
-        let mut state = self.state();
-        if !order.is_outdated(&state) {
-            state.runs.stop_answered(run);
-        }
+    /// Whether the upstream has runs, or ends that were not acknowledged, or has to be asked for
+    /// its runs.
+    fn is_poll_due(&self) -> bool {
+        let state = self.state();
+        let has_unacknowledged_ends = state.runs.last_seen_end() > state.acknowledged;
+        let is_unlisted = state.is_unlisted(self.now());
+        !state.runs.is_empty() || has_unacknowledged_ends || is_unlisted
     }
 
-    /// Handles the answer to a poll. Returns whether it was usable.
-    fn handle_poll_answer(
-        self: &Arc<Self>,
-        order: &Order,
-        poll_number: u64,
-        acknowledged: u64,
-        answer: &client::Answer,
-    ) -> bool {
-        match order::parse_poll(answer.status, &answer.body) {
-            Ok(Some(list)) => self.apply_list(order, poll_number, acknowledged, &list),
-            Ok(None) => {
-                self.raise_token(&mut self.state(), order.authority.token);
-                false
-            }
-            Err(order::Error::Replaced) => {
-                self.handle_upstream_gone(&mut self.state(), order);
-                false
-            }
+    /// Polls the upstream on this connection. Returns whether it is to be polled again at once.
+    async fn poll(self: &Arc<Self>, mut connection: Connection) -> bool {
+        let prepared = {
+            let mut state = self.state();
+            let wait = match state.runs.is_empty() {
+                true => Duration::ZERO,
+                false => POLL_WAIT,
+            };
+            let order = self.next_order(&mut state, &connection);
+            order.map(|order| {
+                let number = state.runs.begin_poll();
+                (order, number, state.ends_to_acknowledge(), wait)
+            })
+        };
+        let Some((order, number, acknowledged, wait)) = prepared else {
+            return false;
+        };
+        let recipient = &order.recipient;
+        let request = order::poll(&recipient.id, acknowledged, wait, order.authority);
+        let timeout = wait + POLL_ANSWER_TIMEOUT;
+        let answer = self
+            .send_order(&order, &mut connection, request, timeout)
+            .await;
+        self.record_poll_answer(&mut self.state(), recipient, answer.as_ref().err());
+        let answer = match answer {
+            Ok(answer) => answer,
             Err(error) => {
-                log::warn!(
-                    "upstream {}: ignored the answer to a poll: {error}",
-                    order.id
-                );
-                false
+                let mut state = self.state();
+                state.polls_unbroken = false;
+                return self.handle_failed_order(&mut state, recipient, &error);
             }
+        };
+        let Some(list) = self.read_list(recipient, order.authority.token, &answer) else {
+            return false;
+        };
+        connection.set_clock(list.clock);
+        self.release(connection);
+        self.apply_list(recipient, number, acknowledged, &list)
+    }
+
+    /// Counts a poll that could not be sent as one without an answer.
+    fn handle_failed_connect(&self, error: &connection::Error) {
+        let mut state = self.state();
+        state.polls_unbroken = false;
+        if let (connection::Error::Client(error), Some(recipient)) = (error, state.recipient()) {
+            self.record_poll_answer(&mut state, &recipient, Some(error));
+        }
+    }
+
+    /// Handles the answer to a stop, which tells nothing of a process that has taken the
+    /// upstream's place since.
+    fn handle_stop_answer(&self, recipient: &Recipient, run: &Run) {
+        let mut state = self.state();
+        if !recipient.is_outdated(&state) {
+            state.runs.stop_answered(run);
         }
     }
 
     /// Applies a list of runs. Returns false if another incarnation sent it.
     fn apply_list(
         self: &Arc<Self>,
-        order: &Order,
+        recipient: &Recipient,
         poll_number: u64,
         acknowledged: u64,
         list: &List,
@@ -262,17 +305,12 @@
         if list.unreadable > 0 {
             log::warn!(
                 "upstream {}: skipped {} unreadable items in its list of runs",
-                order.id,
+                recipient.id,
                 list.unreadable
             );
         }
-        match self.update_clock(&mut state, order, list.clock) {
-            Origin::Present => {}
-            Origin::Other => {
-                self.handle_successor(&mut state, order, list);
-                return false;
-            }
-            Origin::Unknown => return false,
+        if !self.verify_sender(&mut state, recipient, list) {
+            return false;
         }
         state.polls_unbroken = true;
         state.acknowledged = state.acknowledged.max(acknowledged);
--- a/crates/core/src/agent/lease/crashes.rs
+++ b/crates/core/src/agent/lease/crashes.rs
@@ -11,7 +11,7 @@
 use gentian::wire::agent::{self, Reports};
 use gentian_platform::order::List;
 
-use super::order::Order;
+use super::order::Recipient;
 use super::supervisor::{State, Supervisor};
 use super::upstream::UpstreamState;
 use crate::client;
@@ -22,15 +22,17 @@
     pub(super) fn handle_failed_order(
         &self,
         state: &mut State,
-        order: &Order,
+        recipient: &Recipient,
         error: &client::Error,
     ) -> bool {
         let now = self.now();
-        let outdated = order.is_outdated(state);
+        let outdated = recipient.is_outdated(state);
         let Some(upstream) = state.upstream.as_mut().filter(|_| !outdated) else {
             return false;
         };
         if matches!(error, client::Error::Broken(_)) {
+            // If the process has ended, so have the other connections to it.
+            state.idle.clear();
             return upstream.record_break(now);
         }
         if error.is_refused() {
--- a/crates/core/src/agent/lease/mod.rs
+++ b/crates/core/src/agent/lease/mod.rs
@@ -6,6 +6,7 @@
 //! module does the calls and serves the streams.
 
 mod calls;
+mod connection;
 mod crashes;
 mod http;
 mod order;
--- a/crates/core/src/agent/lease/order.rs
+++ b/crates/core/src/agent/lease/order.rs
@@ -1,31 +1,37 @@
-//! Orders to the upstream: their addressee, their authority and the lease in them.
+//! Orders to the upstream: their recipient, their authority and the lease in them.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
 use gentian::claim::run::{LeaseGrant, Refusal, Replacement, Run};
-use gentian_platform::order::{Authority, Clock, List};
-use http_body_util::Full;
+use gentian_platform::order::{self, Authority, Clock, List};
 
+use super::connection::Connection;
 use super::supervisor::{State, Supervisor};
 use super::upstream::UpstreamState;
 use crate::client;
 
-/// Addressee and authority of an order to the upstream.
-pub(super) struct Order {
+/// The process of the upstream that orders are meant for.
+#[derive(Clone, Debug)]
+pub(super) struct Recipient {
     pub(super) id: String,
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
+    /// Number of processes that had taken the upstream's place by then.
+    pub(super) replacements: u64,
+}
+
+/// Recipient and authority of an order to the upstream.
+pub(super) struct Order {
+    pub(super) recipient: Recipient,
     pub(super) authority: Authority,
     /// Lease that the order grants to the upstream, if any.
     grant: Option<LeaseGrant>,
-    /// Number of processes that had taken the upstream's place by then.
-    replacements: u64,
 }
 
 /// The process that has sent an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Origin {
+enum Origin {
     /// The one that is known, or one that names no start time.
     Present,
     /// Another one with its id.
@@ -34,43 +40,45 @@
     Unknown,
 }
 
-impl Order {
-    /// Whether another process has taken the upstream's place since the order was prepared.
+impl Recipient {
+    /// Whether another process has taken its place.
     pub(super) fn is_outdated(&self, state: &State) -> bool {
         state.replacements != self.replacements
     }
 }
 
 impl Supervisor {
-    /// Prepares an order to the upstream, with the lease that it may be granted now.
-    /// Returns `None` if no upstream has reported yet.
-    pub(super) fn next_order(&self, state: &mut State) -> Option<Order> {
+    /// Prepares an order on this connection, with the lease that its process may be granted now.
+    /// Returns `None` if another process has taken its place.
+    pub(super) fn next_order(&self, state: &mut State, connection: &Connection) -> Option<Order> {
         let now = self.now();
+        if connection.recipient.is_outdated(state) {
+            return None;
+        }
         let upstream = state.upstream.as_ref()?;
         let lease = state
             .runs
             .upstream_lease(now)
             .filter(|_| upstream.may_hold_lease());
-        let until = lease.map(|until| upstream.clock() + until.saturating_sub(now));
+        let until = lease.map(|until| connection.clock() + until.saturating_sub(now));
         let order = Order {
-            id: upstream.incarnation().id.clone(),
-            address: upstream.report.address,
+            recipient: connection.recipient.clone(),
             authority: Authority {
                 token: state.token,
                 until,
             },
             grant: lease.map(|until| state.runs.begin_grant(until, now)),
-            replacements: state.replacements,
         };
         Some(order)
     }
 
     /// Prepares the order to start an admitted run, which may have waited for long.
-    pub(super) fn start_order(&self, run: &Run) -> Result<Order, Refusal> {
+    pub(super) fn start_order(&self, run: &Run, connection: &Connection) -> Result<Order, Refusal> {
         let now = self.now();
         let mut state = self.state();
         state.runs.check_start(run, now)?;
-        let order = self.next_order(&mut state).ok_or(Refusal::Closed)?;
+        let order = self.next_order(&mut state, connection);
+        let order = order.ok_or(Refusal::Closed)?;
         if order.authority.until.is_none() {
             return Err(Refusal::Expired);
         }
@@ -82,20 +90,15 @@
     pub(super) async fn send_order(
         &self,
         order: &Order,
+        connection: &mut Connection,
         request: http::Request<Bytes>,
         timeout: Duration,
     ) -> client::Result<client::Answer> {
-        let (mut head, body) = request.into_parts();
-        let uri = format!("http://{}{}", order.address, head.uri);
-        head.uri = uri.parse().expect("an address and a path make a URI");
-        let request = http::Request::from_parts(head, Full::new(body));
-        let answer = self.client.send(request, timeout).await;
+        let answer = connection.send(request, timeout).await;
         let reached = !matches!(answer, Err(client::Error::Connect(_)));
-        let mut state = self.state();
         if let Some(grant) = order.grant {
-            state.runs.end_grant(grant, reached);
+            self.state().runs.end_grant(grant, reached);
         }
-        drop(state);
         answer
     }
 
@@ -104,10 +107,10 @@
     pub(super) fn record_poll_answer(
         &self,
         state: &mut State,
-        order: &Order,
+        recipient: &Recipient,
         error: Option<&client::Error>,
     ) {
-        let outdated = order.is_outdated(state);
+        let outdated = recipient.is_outdated(state);
         let Some(upstream) = state.upstream.as_mut().filter(|_| !outdated) else {
             return;
         };
@@ -118,12 +121,12 @@
             (true, false, Some(error)) => {
                 log::warn!(
                     "upstream {}: polls are not answered, so it gets no new runs: {error}",
-                    order.id
+                    recipient.id
                 );
             }
             (false, true, _) => log::info!(
                 "upstream {}: answers polls again and may get new runs",
-                order.id
+                recipient.id
             ),
             _ => return,
         }
@@ -131,9 +134,49 @@
         self.room_changed.notify_one();
     }
 
-    /// Records the clock in an answer to `order`, and tells which process it is of.
-    pub(super) fn update_clock(&self, state: &mut State, order: &Order, clock: Clock) -> Origin {
-        if order.is_outdated(state) {
+    /// Decodes the answer of `recipient` to a poll with this fencing token. `None` if it lists
+    /// nothing; what it shows instead has been taken note of.
+    pub(super) fn read_list(
+        &self,
+        recipient: &Recipient,
+        token: u64,
+        answer: &client::Answer,
+    ) -> Option<List> {
+        match order::parse_poll(answer.status, &answer.body) {
+            Ok(Some(list)) => return Some(list),
+            Ok(None) => self.raise_token(&mut self.state(), token),
+            Err(order::Error::Replaced) => {
+                self.handle_upstream_gone(&mut self.state(), recipient);
+            }
+            Err(error) => log::warn!(
+                "upstream {}: ignored the answer to a poll: {error}",
+                recipient.id
+            ),
+        }
+        None
+    }
+
+    /// Whether an answer that lists these runs is of `recipient`. If another process with its id
+    /// has sent it, that one is the upstream from now on.
+    pub(super) fn verify_sender(
+        &self,
+        state: &mut State,
+        recipient: &Recipient,
+        list: &List,
+    ) -> bool {
+        match self.origin(state, recipient, list.clock) {
+            Origin::Present => true,
+            Origin::Other => {
+                self.handle_successor(state, recipient, list);
+                false
+            }
+            Origin::Unknown => false,
+        }
+    }
+
+    /// Tells which process an answer with this clock is of, which `recipient` was asked for.
+    fn origin(&self, state: &mut State, recipient: &Recipient, clock: Clock) -> Origin {
+        if recipient.is_outdated(state) {
             return Origin::Unknown;
         }
         let Some(upstream) = &mut state.upstream else {
@@ -142,14 +185,14 @@
         if upstream.is_other_incarnation(clock) {
             return Origin::Other;
         }
-        upstream.set_clock(clock.now, self.now());
+        upstream.mark_heard(self.now());
         Origin::Present
     }
 
-    /// Handles an answer to `order` that shows that no process with the upstream's id is left
-    /// at its address.
-    pub(super) fn handle_upstream_gone(&self, state: &mut State, order: &Order) {
-        let outdated = order.is_outdated(state);
+    /// Handles an answer that shows that no process with the recipient's id is left at its
+    /// address.
+    pub(super) fn handle_upstream_gone(&self, state: &mut State, recipient: &Recipient) {
+        let outdated = recipient.is_outdated(state);
         let upstream = state.upstream.as_mut();
         let Some(upstream) = upstream.filter(|upstream| !outdated && !upstream.is_replaced())
         else {
@@ -162,15 +205,15 @@
             same_id: false,
             former_ended: true,
         };
-        self.replace(state, order, replacement);
+        self.replace(state, recipient, replacement);
     }
 
-    /// Handles an answer to `order` from another process with the upstream's id; `list` holds
-    /// the runs in it, if any. That one is the upstream from now on, whatever was reported: it
+    /// Handles an answer from another process with the recipient's id; `list` holds the runs in
+    /// it, if any. That one is the upstream from now on, whatever was reported: it
     /// gets no new runs before its heartbeat, and its next list shows which of the runs it has.
-    pub(super) fn handle_successor(&self, state: &mut State, order: &Order, list: &List) {
+    fn handle_successor(&self, state: &mut State, recipient: &Recipient, list: &List) {
         let clock = list.clock;
-        let outdated = order.is_outdated(state);
+        let outdated = recipient.is_outdated(state);
         let Some(former) = state.upstream.clone().filter(|_| !outdated) else {
             return;
         };
@@ -185,13 +228,13 @@
             same_id: true,
             former_ended: is_later,
         };
-        self.replace(state, order, replacement);
+        self.replace(state, recipient, replacement);
     }
 
-    fn replace(&self, state: &mut State, order: &Order, replacement: Replacement) {
+    fn replace(&self, state: &mut State, recipient: &Recipient, replacement: Replacement) {
         log::warn!(
             "upstream {}: another incarnation answered an order: {replacement:?}",
-            order.id
+            recipient.id
         );
         let now = self.now();
         state.update_admission(now);
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -12,9 +12,9 @@
 use tokio::sync::{Notify, Semaphore};
 
 use super::calls;
+use super::connection::Connection;
 use super::reports::Stream;
 use super::upstream::{Update, UpstreamState};
-use crate::client::Client;
 use crate::clock;
 use crate::metrics;
 use crate::panics::Mutex;
@@ -35,7 +35,6 @@
     /// Zero of the agent's own clock.
     origin: Duration,
     state: Mutex<State>,
-    pub(super) client: Client,
     pub(super) start_permits: Arc<Semaphore>,
     /// Wakes the poll loop, since runs or their leases may have changed.
     pub(super) poll_wakeup: Notify,
@@ -60,6 +59,8 @@
     suspended: Duration,
     /// Number of processes that have taken the upstream's place so far.
     pub(super) replacements: u64,
+    /// Connections to the upstream's present process that carry no order now.
+    pub(super) idle: Vec<Connection>,
     pub(super) streams: BTreeMap<Owner, Stream>,
     /// Entries whose starts were refused for lack of capacity.
     pub(super) waiting: WaitingList<Owner>,
@@ -105,6 +106,7 @@
                 services: None,
                 suspended: clock::suspended(),
                 replacements: 0,
+                idle: Vec::new(),
                 streams: BTreeMap::new(),
                 waiting: WaitingList::default(),
                 told_open: false,
@@ -117,7 +119,6 @@
                 leaving: false,
                 progress_sent_at: Duration::ZERO,
             }),
-            client: Client::new(),
             start_permits: Arc::new(Semaphore::new(MAX_CONCURRENT_STARTS)),
             poll_wakeup: Notify::new(),
             room_changed: Notify::new(),
@@ -270,6 +271,7 @@
         now: Duration,
     ) -> Vec<RunEnd> {
         self.replacements += 1;
+        self.idle.clear();
         self.polls_unbroken = false;
         self.token += 1;
         self.acknowledged = 0;
--- a/crates/core/src/agent/lease/upstream.rs
+++ b/crates/core/src/agent/lease/upstream.rs
@@ -3,13 +3,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use gentian::claim::run::{Replacement, UpstreamClock};
+use gentian::claim::run::Replacement;
 use gentian::wire::id;
 use gentian_platform::heartbeat::{Incarnation, Report};
 use gentian_platform::order::Clock;
 
-use crate::clock;
-
 /// Time without a heartbeat after which an upstream gets no new runs.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -56,8 +54,6 @@
     broken_at: Option<Duration>,
     /// When it refused a connection, on the agent's clock; none if it has answered since.
     down_at: Option<Duration>,
-    /// The last reading of its clock, by [`clock::steady`].
-    clock: UpstreamClock,
     /// When it was last heard of.
     last_heard_at: Duration,
 }
@@ -65,7 +61,6 @@
 impl UpstreamState {
     pub(super) fn new(report: Report, now: Duration) -> UpstreamState {
         UpstreamState {
-            clock: UpstreamClock::new(report.clock, clock::steady()),
             last_heard_at: now,
             last_report_at: now,
             gone: false,
@@ -126,7 +121,7 @@
             previous.last_report_at = now;
             previous.unanswered_polls = 0;
             (previous.broken_at, previous.down_at) = (None, None);
-            previous.set_clock(report.clock, now);
+            previous.mark_heard(now);
             previous.report = report;
             return Update::Same;
         }
@@ -249,15 +244,8 @@
         born != 0 && clock.born_ms != 0 && clock.born_ms != born
     }
 
-    /// Records a reading of the upstream's clock, taken now or before.
-    pub(super) fn set_clock(&mut self, clock: Duration, now: Duration) {
-        self.clock = UpstreamClock::new(clock, clock::steady());
+    /// Records that it was heard of.
+    pub(super) fn mark_heard(&mut self, now: Duration) {
         self.last_heard_at = now;
     }
-
-    /// The upstream's clock now. The result may be too early, by the time that the last
-    /// reading was on its way.
-    pub(super) fn clock(&self) -> Duration {
-        self.clock.lower_bound(clock::steady())
-    }
 }
--- a/crates/core/src/client/mod.rs
+++ b/crates/core/src/client/mod.rs
@@ -1,4 +1,4 @@
-//! HTTP client with pooled keep-alive connections.
+//! HTTP client with pooled keep-alive connections, and single connections.
 //!
 //! When requests are sent at a fixed rate, opening a connection for each would cost
 //! more than the request itself. Commands that make single calls use `oxhttp` instead,
@@ -9,12 +9,15 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
 mod base_url;
+mod connection;
 
 pub(crate) use base_url::BaseUrl;
+pub(crate) use connection::Connection;
 
 /// Size limit of an answer's body, in bytes.
 pub(crate) const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -22,18 +25,21 @@
 /// Time after which an unused connection is closed.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The cause of an [`Error`].
+type Cause = Box<dyn std::error::Error + Send + Sync>;
+
 /// Why a request got no complete answer.
 #[derive(Debug, thiserror::Error)]
 pub(crate) enum Error {
-    /// No connection could be opened, so nothing was sent.
+    /// No connection is open, so nothing was sent.
     #[error("cannot connect: {0}")]
-    Connect(hyper_util::client::legacy::Error),
-    /// The connection failed after it was opened.
+    Connect(Cause),
+    /// The connection failed after the request may have been sent.
     #[error("connection failed: {0}")]
-    Broken(hyper_util::client::legacy::Error),
+    Broken(Cause),
     /// The answer's body was cut short or is too long.
     #[error("cannot read the answer: {0}")]
-    Body(Box<dyn std::error::Error + Send + Sync>),
+    Body(Cause),
     /// No complete answer arrived in time.
     #[error("no answer within {}", humantime::format_duration(*.0))]
     Timeout(Duration),
@@ -45,7 +51,7 @@
         let Error::Connect(error) = self else {
             return false;
         };
-        let mut cause: Option<&dyn std::error::Error> = Some(error);
+        let mut cause: Option<&dyn std::error::Error> = Some(error.as_ref());
         while let Some(error) = cause {
             let io = error.downcast_ref::<std::io::Error>();
             if io.is_some_and(|io| io.kind() == std::io::ErrorKind::ConnectionRefused) {
@@ -99,23 +105,28 @@
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Answer> {
         let answer = self.inner.request(request).await.map_err(classify_error)?;
-        let (parts, body) = answer.into_parts();
-        let body = Limited::new(body, MAX_ANSWER_BYTES)
-            .collect()
-            .await
-            .map_err(Error::Body)?;
-        Ok(Answer {
-            status: parts.status,
-            headers: parts.headers,
-            body: body.to_bytes(),
-        })
+        read_answer(answer).await
     }
 }
 
+/// Reads the rest of an answer.
+async fn read_answer(answer: http::Response<Incoming>) -> Result<Answer> {
+    let (parts, body) = answer.into_parts();
+    let body = Limited::new(body, MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(Error::Body)?;
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.to_bytes(),
+    })
+}
+
 fn classify_error(error: hyper_util::client::legacy::Error) -> Error {
     if error.is_connect() {
-        Error::Connect(error)
+        Error::Connect(error.into())
     } else {
-        Error::Broken(error)
+        Error::Broken(error.into())
     }
 }
--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -155,6 +155,28 @@
     assert_eq!((200, COMPLETED.to_owned()), answer);
 }
 
+/// Guards against runs that a restarted worker held by the deadline of its former process, and so
+/// beyond the time at which its agent counted them as lost and they started elsewhere.
+#[test_case(0; "without work")]
+#[test_case(2; "with work")]
+fn a_restarted_worker_that_answers_nothing_holds_no_run_for_too_long(tasks: usize) {
+    let platform = Platform::start(2, 1);
+    platform.workers[0].set_silent(true);
+    let before = (tasks > 0).then(|| platform.spawn_submit(0, "0000000000000001", tasks, 1_500));
+    // The worker's clock is then ahead of that of its next life by more than a lease.
+    thread::sleep(Duration::from_millis(1_000));
+    platform.workers[0].restart_process(Behavior::Mute);
+    let job = platform.spawn_submit(0, "0000000000000002", 12, 1_500);
+    thread::sleep(Duration::from_millis(950));
+    platform.workers[0].set_behavior(Behavior::Normal);
+    platform.workers[0].set_silent(false);
+    for job in before.into_iter().chain([job]) {
+        let answer = job.join().expect("the thread does not panic");
+        assert_eq!((200, COMPLETED.to_owned()), answer);
+    }
+    platform.assert_no_concurrent_runs();
+}
+
 /// The worker is late to end a run whose lease is over, and so is no witness that the run
 /// went on beside the next one.
 #[test]
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -13,10 +13,10 @@
 pub(crate) mod worker;
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, ExitStatus, Output, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{mpsc, Arc};
+use std::sync::{mpsc, Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -285,6 +285,8 @@
     address: SocketAddr,
     /// Whether connections are accepted.
     open: Arc<AtomicBool>,
+    /// The connections that were accepted since the last [`Listener::disconnect`].
+    accepted: Arc<Mutex<Vec<Arc<TcpStream>>>>,
     /// Serves one connection.
     serve: Arc<dyn Fn(TcpStream) + Send + Sync>,
 }
@@ -292,13 +294,23 @@
 impl Listener {
     fn accept_from(&self, listener: TcpListener) {
         let (open, serve) = (self.open.clone(), self.serve.clone());
+        let accepted = self.accepted.clone();
         thread::spawn(move || {
             for stream in listener.incoming().map_while(Result::ok) {
                 if !open.load(Ordering::SeqCst) {
                     return;
                 }
+                let kept = Arc::new(stream.try_clone().expect("the stream is cloned"));
+                accepted
+                    .lock()
+                    .expect("the lock is not poisoned")
+                    .push(kept.clone());
                 let serve = serve.clone();
-                thread::spawn(move || serve(stream));
+                thread::spawn(move || {
+                    serve(stream);
+                    // The peer may have closed it.
+                    let _ = kept.shutdown(Shutdown::Both);
+                });
             }
         });
     }
@@ -310,6 +322,15 @@
         let _ = TcpStream::connect(self.address);
     }
 
+    /// Closes all connections, as the end of their process does.
+    pub(crate) fn disconnect(&self) {
+        let mut accepted = self.accepted.lock().expect("the lock is not poisoned");
+        for stream in accepted.drain(..) {
+            // The peer may have closed it.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
     /// Accepts connections at the same address again.
     pub(crate) fn reopen(&self) {
         let listener = TcpListener::bind(self.address).expect("the address is free again");
@@ -340,6 +361,7 @@
         let accepting = Listener {
             address,
             open: Arc::new(AtomicBool::new(true)),
+            accepted: Arc::default(),
             serve: Arc::new(move |stream| serve(stream, &sender, &answer)),
         };
         accepting.accept_from(listener);
--- a/crates/core/tests/support/worker/mod.rs
+++ b/crates/core/tests/support/worker/mod.rs
@@ -57,6 +57,8 @@
     Reorders,
     /// Every second start is carried out and its answer is lost.
     LosesAnswers,
+    /// All orders are carried out and none is answered.
+    Mute,
 }
 
 /// A simulated worker and the real process of its agent.
@@ -136,12 +138,22 @@
         }
     }
 
-    /// Restarts the worker under the same id, without any state of its former life.
+    /// Restarts the worker under the same id, without any state of its former life. Connections
+    /// stay open and lead to the new life, so that only its answers tell of it.
     pub(crate) fn restart_worker(&self) {
         let mut state = self.state.lock().expect("the lock is not poisoned");
         state.restart();
     }
 
+    /// Restarts the worker like [`Worker::restart_worker`], but closes its connections, as the
+    /// end of a process does. The new life behaves like this from its start.
+    pub(crate) fn restart_process(&self, behavior: Behavior) {
+        let mut state = self.state.lock().expect("the lock is not poisoned");
+        state.restart();
+        state.behavior = behavior;
+        self.server.listener().disconnect();
+    }
+
     /// Sets whether the worker sends no heartbeats.
     pub(crate) fn set_silent(&self, silent: bool) {
         self.state.lock().expect("the lock is not poisoned").silent = silent;
@@ -255,6 +267,7 @@
         Behavior::LateStarts if every_second_start => Fault::Delay(ORDER_DELAY),
         Behavior::Reorders if every_second_start => Fault::Delay(SHORT_ORDER_DELAY),
         Behavior::LosesAnswers if every_second_start => Fault::LostAnswer,
+        Behavior::Mute => Fault::LostAnswer,
         _ => Fault::None,
     }
 }
