Compare what a run requires with the upstream at its agent

Cause: only the entry compared service and label with the upstream, by the agent's last report. An entry that had stood still ordered before it read that report. The order did not say what the tasks require, and the agent started whatever fitted at the upstream that it had by then. The service was sent and not looked at.

Ruled out: to have the entry read all reports before it orders. What the agent learns while an order is on its way can't be read before.

Change: a batch of starts names the required label as well as the service. The runs know what their upstream is, refuse a start that it doesn't suit (Unsuitable), and look again when an admitted start is about to be sent. The entry doesn't avoid such an agent afterwards: the report that brings the refusal, or an earlier one on the stream, tells what is there now. Agents without this field take it for none, and entries without it send none, so that a system may run both for a while.

The orders of entries move from agent/lease/reports.rs into a module of their own.

Evidence: with the comparison taken out 5 of 10 tests of claim run/requirement fail, and 2 of 3 cases of platform_faults an_order_that_requires_of_a_replaced_worker_another: the tasks are done there.

--- a/crates/claim/src/run/admission.rs
+++ b/crates/claim/src/run/admission.rs
@@ -68,6 +68,9 @@
         if !self.is_open() {
             return Err(Refusal::Closed);
         }
+        if !start.requirement.is_met_by(self.kind.as_ref()) {
+            return Err(Refusal::Unsuitable);
+        }
         if self.leases.get(owner).is_none_or(|until| *until <= now) {
             return Err(Refusal::Expired);
         }
@@ -92,8 +95,9 @@
             return Err(Refusal::Closed);
         }
         let wanted = |live: &&LiveRun| !live.stop_requested && self.lease_of(&live.owner) > now;
-        let live = self.live.get(run).filter(wanted);
-        live.map(|_| ()).ok_or(Refusal::Expired)
+        let live = self.live.get(run).filter(wanted).ok_or(Refusal::Expired)?;
+        let is_suitable = live.requirement.is_met_by(self.kind.as_ref());
+        is_suitable.then_some(()).ok_or(Refusal::Unsuitable)
     }
 
     /// Runs of the same task that are, or may be, at the upstream.
--- a/crates/claim/src/run/live.rs
+++ b/crates/claim/src/run/live.rs
@@ -5,7 +5,7 @@
 
 use gentian_wire::need::Need;
 
-use super::{Fate, Isolation, Owner, Refusal, Start, STOP_RETRY_INTERVAL};
+use super::{Fate, Isolation, Owner, Refusal, Requirement, Start, STOP_RETRY_INTERVAL};
 
 /// A run counts as slow, and its progress is reported, once it has taken this many
 /// times its estimated run time.
@@ -36,6 +36,7 @@
     pub(super) job: Arc<str>,
     pub(super) queue: Arc<str>,
     pub(super) isolation: Isolation,
+    pub(super) requirement: Requirement,
     /// When the run was admitted.
     pub(super) admitted_at: Duration,
     /// When the order to start it was first sent to the upstream.
@@ -77,6 +78,7 @@
             job: start.job,
             queue: start.queue,
             isolation: start.isolation,
+            requirement: start.requirement,
             admitted_at: now,
             sent_at: None,
             phase: Phase::Starting,
--- a/crates/claim/src/run/mod.rs
+++ b/crates/claim/src/run/mod.rs
@@ -27,6 +27,7 @@
 mod pace;
 mod recent_ends;
 mod replacement;
+mod requirement;
 mod types;
 mod upstream_clock;
 mod wire;
@@ -43,6 +44,7 @@
 
 pub use grant::LeaseGrant;
 pub use replacement::{Replacement, MAX_ORDER_DELAY};
+pub use requirement::{Kind, Requirement};
 pub use types::{
     Fate, Isolation, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Start, StartAnswer,
 };
@@ -74,6 +76,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Runs {
     capacity: Need,
+    /// What the upstream is; `None` before it is known.
+    kind: Option<Kind>,
     /// Whether the upstream takes new runs.
     open: bool,
     /// Whether the configuration gives the upstream no work, or is not known yet.
@@ -118,6 +122,16 @@
         self.open = open;
     }
 
+    /// Sets what the upstream is.
+    pub fn set_kind(&mut self, kind: Kind) {
+        self.kind = Some(kind);
+    }
+
+    /// What the upstream is, if that is known.
+    pub fn kind(&self) -> Option<&Kind> {
+        self.kind.as_ref()
+    }
+
     /// Sets whether the configuration gives the upstream no work, or is not known yet.
     /// Runs that were admitted before go on.
     pub fn set_denied(&mut self, denied: bool) {
--- a/crates/claim/src/run/types.rs
+++ b/crates/claim/src/run/types.rs
@@ -7,6 +7,8 @@
 use gentian_wire::id::{Incarnation, Node};
 use gentian_wire::need::Need;
 
+use super::requirement::Requirement;
+
 /// One run of a task.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Run {
@@ -61,6 +63,8 @@
     Full,
     /// The upstream is leaving, unknown, or has been replaced.
     Closed,
+    /// The upstream is of another service, or lacks the label that the run requires.
+    Unsuitable,
     /// The configuration gives the upstream no work, or is not known yet.
     Denied,
     /// The owner's lease had ended, or the owner had ordered a stop, before the start was
@@ -131,6 +135,8 @@
     pub queue: Arc<str>,
     /// Which runs may be beside it.
     pub isolation: Isolation,
+    /// What it requires of the upstream.
+    pub requirement: Requirement,
 }
 
 /// Which runs may be beside a run.
--- a/crates/claim/tests/capacity.rs
+++ b/crates/claim/tests/capacity.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use gentian_claim::run::{
-    Fate, Isolation, ListedEnd, ListedRun, Owner, Refusal, Run, Runs, Start, StartAnswer, MAX_LEASE,
+    Fate, Isolation, ListedEnd, ListedRun, Owner, Refusal, Requirement, Run, Runs, Start,
+    StartAnswer, MAX_LEASE,
 };
 use gentian_wire::id::Incarnation;
 use gentian_wire::need::Need;
@@ -149,6 +150,7 @@
             job: "j".into(),
             queue: "q".into(),
             isolation: Isolation::Shared,
+            requirement: Requirement::default(),
         };
         let before = self.runs.used().cpu;
         if let Err(refusal) = self.runs.admit(&self.owner, &run, start, self.now) {
--- a/crates/claim/tests/crash.rs
+++ b/crates/claim/tests/crash.rs
@@ -4,8 +4,8 @@
 
 use gentian_claim::crash::{Crash, CrashedRun, History, Process, StartRates, Verdict};
 use gentian_claim::run::{
-    Fate, Isolation, ListedEnd, Owner, Refusal, Replacement, Run, Runs, Start, StartAnswer,
-    MAX_LEASE,
+    Fate, Isolation, ListedEnd, Owner, Refusal, Replacement, Requirement, Run, Runs, Start,
+    StartAnswer, MAX_LEASE,
 };
 use gentian_wire::id::{Incarnation, Node};
 use gentian_wire::need::Need;
@@ -170,6 +170,7 @@
         job: run(task).job,
         queue: "q".into(),
         isolation,
+        requirement: Requirement::default(),
     };
     runs.admit(&owner(entry), &numbered(task), start, ms(10))
 }
--- a/crates/claim/tests/run/main.rs
+++ b/crates/claim/tests/run/main.rs
@@ -3,14 +3,15 @@
 mod given_up;
 mod processes;
 mod replacement;
+mod requirement;
 mod unanswered;
 mod upstream_clock;
 
 use std::time::Duration;
 
 use gentian_claim::run::{
-    max_orphan_lifetime, Fate, Isolation, ListedEnd, ListedRun, Owner, Refusal, Run, RunEnd, Runs,
-    Start, StartAnswer, MAX_LEASE,
+    max_orphan_lifetime, Fate, Isolation, ListedEnd, ListedRun, Owner, Refusal, Requirement, Run,
+    RunEnd, Runs, Start, StartAnswer, MAX_LEASE,
 };
 use gentian_wire::id::Incarnation;
 use gentian_wire::need::Need;
@@ -34,6 +35,7 @@
         job: "j".into(),
         queue: "q".into(),
         isolation: Isolation::Shared,
+        requirement: Requirement::default(),
     }
 }
 
--- a/crates/core/src/agent/lease/mod.rs
+++ b/crates/core/src/agent/lease/mod.rs
@@ -8,6 +8,7 @@
 mod calls;
 mod connection;
 mod crashes;
+mod entry_orders;
 mod http;
 mod order;
 mod permission;
--- a/crates/core/src/agent/lease/reports.rs
+++ b/crates/core/src/agent/lease/reports.rs
@@ -1,16 +1,14 @@
-//! Streams of the entries: their orders, and the reports of ends and of free capacity.
+//! Streams of the entries: the reports of ends and of free capacity.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use gentian::claim::run::{self, Fate, Isolation, Owner, Refusal, Run, RunEnd, Start};
+use gentian::claim::run::{self, Fate, Owner, Refusal, Run, RunEnd};
 use gentian::wire::agent::{self, Orders, Reports};
-use gentian::wire::need::Need;
 use gentian_platform::order;
 
-use super::calls;
-use super::stream::{self, Sender};
+use super::stream::Sender;
 use super::supervisor::{State, Supervisor};
 use crate::logging::is_sampled;
 use crate::panics::AbortOnPanic;
@@ -71,89 +69,11 @@
     /// Forgets a stream of an entry, unless a newer one has replaced it.
     pub(super) fn close_stream(&self, owner: &Owner, number: u64) {
         let mut state = self.state();
-        if state.streams.get(owner).is_some_and(|s| s.number == number) {
+        if state.is_current_stream(owner, number) {
             state.streams.remove(owner);
         }
     }
 
-    /// Carries out the orders of an entry. Returns false without doing so if a newer
-    /// stream has replaced this one, since the entry no longer relies on its orders.
-    pub(super) fn apply_orders(
-        self: &Arc<Self>,
-        owner: &Owner,
-        number: u64,
-        orders: Orders,
-    ) -> bool {
-        let now = self.now();
-        let mut state = self.state();
-        if state.streams.get(owner).is_none_or(|s| s.number != number) {
-            return false;
-        }
-        state.update_admission(now);
-        state
-            .runs
-            .renew_lease(owner, stream::duration(orders.lease_until_ms), now);
-        for run in &orders.stops {
-            state.runs.request_stop(owner, &Run::from(run), now);
-        }
-        let mut ends = Vec::new();
-        let mut any_admitted = false;
-        let stops: BTreeSet<Run> = orders.stops.iter().map(Run::from).collect();
-        for batch in orders.starts {
-            // A batch without a need is one of tasks that need nothing.
-            let start = Start {
-                need: Need::from(batch.need.unwrap_or_default()),
-                isolation: batch.isolation().into(),
-                job: batch.job.into(),
-                queue: batch.queue.into(),
-            };
-            let estimate = stream::duration(batch.estimate_ms.into());
-            let mut batch_admitted = false;
-            for run in batch.runs.iter().map(Run::from) {
-                // The entry has ordered both since its last message, the stop last.
-                if stops.contains(&run) {
-                    ends.push(end_before_start(owner, run, Fate::Stopped));
-                    continue;
-                }
-                match state.runs.admit(owner, &run, start.clone(), now) {
-                    Ok(()) => {
-                        batch_admitted = true;
-                        state.runs.set_estimate(&run, estimate);
-                        tokio::spawn(calls::start_run(self.clone(), run, batch.spec.clone()));
-                    }
-                    Err(refusal) => {
-                        if refusal == Refusal::Full {
-                            let need = match start.isolation {
-                                Isolation::Alone => state.runs.capacity(),
-                                Isolation::Shared | Isolation::Limited => start.need,
-                            };
-                            state.waiting.add(owner.clone(), need, now);
-                        }
-                        self.metrics.refused(refusal);
-                        ends.push(end_before_start(owner, run, Fate::Refused(refusal)));
-                    }
-                }
-            }
-            any_admitted |= batch_admitted;
-            if batch_admitted {
-                state.start_rates.record(&start.queue, now);
-            }
-        }
-        ends.iter().for_each(log_end);
-        let stops = state.runs.take_due_stops(now);
-        self.send_stops(stops);
-        // The entry needs no answer to starts that were admitted, as long as it hears
-        // from this agent often enough to know its clock and that it is there.
-        let only_admitted = any_admitted && ends.is_empty();
-        if !only_admitted || state.is_report_due(owner, now) {
-            self.send_report(&mut state, owner, ends);
-        }
-        drop(state);
-        self.poll_wakeup.notify_one();
-        self.room_changed.notify_one();
-        true
-    }
-
     /// Counts and logs the ends of runs, and reports them to the entries that
     /// ordered the runs.
     pub(super) fn report_ends(&self, state: &mut State, ends: Vec<RunEnd>) {
@@ -200,7 +120,7 @@
     }
 
     /// Sends ends to an entry, and the free capacity if that has changed.
-    fn send_report(&self, state: &mut State, owner: &Owner, ends: Vec<RunEnd>) {
+    pub(super) fn send_report(&self, state: &mut State, owner: &Owner, ends: Vec<RunEnd>) {
         let room = state.room_for(owner);
         let Some(stream) = state.streams.get_mut(owner) else {
             return;
@@ -237,6 +157,12 @@
 }
 
 impl State {
+    /// Whether no newer stream of the entry has replaced this one.
+    pub(super) fn is_current_stream(&self, owner: &Owner, number: u64) -> bool {
+        let stream = self.streams.get(owner);
+        stream.is_some_and(|stream| stream.number == number)
+    }
+
     /// Whether the upstream has begun or ceased to take new runs since the entries were
     /// last told.
     pub(super) fn open_has_changed(&self) -> bool {
@@ -244,7 +170,7 @@
     }
 
     /// Whether an entry has not heard from this agent for a while.
-    fn is_report_due(&self, owner: &Owner, now: Duration) -> bool {
+    pub(super) fn is_report_due(&self, owner: &Owner, now: Duration) -> bool {
         let stream = self.streams.get(owner);
         stream.is_some_and(|stream| now > stream.reported_at + MAX_SILENCE)
     }
@@ -310,7 +236,7 @@
 
 /// Logs the end of a run. Of the runs that completed, and of those that found no room and
 /// are tried elsewhere, only a sample is logged.
-fn log_end(end: &RunEnd) {
+pub(super) fn log_end(end: &RunEnd) {
     let request = order::job(&end.run.task);
     let usual = matches!(end.fate, Fate::Done | Fate::Refused(Refusal::Full));
     if usual && !is_sampled(request) {
@@ -326,16 +252,6 @@
     );
 }
 
-/// The end of a run that has not begun and never will.
-fn end_before_start(owner: &Owner, run: Run, fate: Fate) -> RunEnd {
-    RunEnd {
-        owner: owner.clone(),
-        run,
-        fate,
-        ran: Duration::ZERO,
-    }
-}
-
 fn end_to_wire(end: &RunEnd) -> agent::End {
     let (fate, refusal) = match end.fate {
         Fate::Done => (agent::Fate::Done, agent::Refusal::Unspecified),
@@ -356,6 +272,7 @@
     match refusal {
         Refusal::Full => agent::Refusal::Full,
         Refusal::Closed => agent::Refusal::Closed,
+        Refusal::Unsuitable => agent::Refusal::Unsuitable,
         Refusal::Denied => agent::Refusal::Denied,
         Refusal::Expired => agent::Refusal::Expired,
         Refusal::OldRun => agent::Refusal::OldRun,
--- a/crates/core/src/agent/lease/supervisor.rs
+++ b/crates/core/src/agent/lease/supervisor.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, SystemTime};
 
 use gentian::claim::crash::{Crash, History, StartRates};
-use gentian::claim::run::{Owner, Replacement, Run, RunEnd, Runs};
+use gentian::claim::run::{Kind, Owner, Replacement, Run, RunEnd, Runs};
 use gentian::limit::waiting_list::WaitingList;
 use gentian::wire::{control, id};
 use gentian_platform::heartbeat::{Incarnation, Report};
@@ -303,6 +303,16 @@
         };
         let open = upstream.is_open(now) && !self.leaving;
         self.runs.set_upstream(upstream.report.capacity, open);
+        let Report {
+            service, labels, ..
+        } = &upstream.report;
+        let is_known = |kind: &Kind| kind.service == *service && kind.labels == *labels;
+        if !self.runs.kind().is_some_and(is_known) {
+            self.runs.set_kind(Kind {
+                service: service.clone(),
+                labels: labels.clone(),
+            });
+        }
     }
 }
 
--- a/crates/core/src/entry/lease/link.rs
+++ b/crates/core/src/entry/lease/link.rs
@@ -66,6 +66,7 @@
         run: &Run,
         placed: PlacedRun,
         job: &Submission,
+        required_label: Option<&str>,
         estimate: Duration,
     ) {
         let message = agent::Run::from(run);
@@ -77,6 +78,7 @@
             spec: job.spec.clone(),
             need: Some(placed.need.into()),
             runs: Vec::new(),
+            required_label: required_label.unwrap_or_default().to_owned(),
             estimate_ms: u32::try_from(estimate.as_millis()).unwrap_or(u32::MAX),
         };
         match self.pending_starts.last_mut() {
@@ -131,5 +133,5 @@
 /// Whether starts of two batches may share one: those of one job, with equal needs.
 fn is_alike(a: &Batch, b: &Batch) -> bool {
     let kind = |batch: &Batch| (batch.need, batch.isolation, batch.estimate_ms);
-    a.job == b.job && kind(a) == kind(b)
+    a.job == b.job && kind(a) == kind(b) && a.required_label == b.required_label
 }
--- a/crates/core/src/entry/lease/state/runs.rs
+++ b/crates/core/src/entry/lease/state/runs.rs
@@ -118,7 +118,12 @@
                 }
             }
             Fate::Refused if end.refusal() == Refusal::OldRun => task.last_run += RUN_NUMBER_STEP,
-            Fate::Refused if matches!(end.refusal(), Refusal::Full | Refusal::Denied) => {}
+            // The report that tells of the refusal tells of the cause, too.
+            Fate::Refused
+                if matches!(
+                    end.refusal(),
+                    Refusal::Full | Refusal::Denied | Refusal::Unsuitable
+                ) => {}
             Fate::Refused | Fate::Lost | Fate::Stopped | Fate::Unspecified => {
                 task.avoided.push(node.clone());
             }
--- a/crates/core/src/entry/lease/state/schedule.rs
+++ b/crates/core/src/entry/lease/state/schedule.rs
@@ -186,7 +186,8 @@
             progress: (0, Instant::now()),
             isolation,
         };
-        link.start(&run, placed, &job.submission, expected);
+        let required_label = job.step_of(index).constraints.required_label.as_deref();
+        link.start(&run, placed, &job.submission, required_label, expected);
         if is_sampled(&job.submission.id) {
             tracing::info!(
                 event = "ordered",
--- a/crates/core/tests/platform_faults.rs
+++ b/crates/core/tests/platform_faults.rs
@@ -8,7 +8,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use gentian::wire::agent::Fate;
+use gentian::wire::agent::{Batch, Fate, Refusal};
 use support::agent_stream::{start, AgentStream};
 use support::platform::{job, Platform, COMPLETED};
 use support::system::poll;
@@ -405,6 +405,33 @@
     assert_eq!(None, observed.starts.get(task));
 }
 
+/// Guards against tasks on workers of another kind or service: an entry that had stood still
+/// ordered them by what it knew of a worker that had been replaced.
+#[test_case("desk", "a", false; "kind")]
+#[test_case("till", "b", false; "service")]
+#[test_case("desk", "b", true; "nothing else")]
+fn an_order_that_requires_of_a_replaced_worker_another(service: &str, kind: &str, begins: bool) {
+    let platform = Platform::start(1, 1);
+    platform.workers[0].replace_by("b");
+    platform.wait_until_serving(0);
+    let mut stream = AgentStream::open(&platform.workers[0].agent_peer);
+    let task = "00000000000000ee.0.0.0";
+    let (_, batch) = start(task, 50);
+    let batch = Batch {
+        service: service.to_owned(),
+        required_label: kind.to_owned(),
+        ..batch
+    };
+    let end = stream.order(vec![batch], Vec::new());
+    let expected = match begins {
+        true => (Fate::Done, Refusal::Unspecified),
+        false => (Fate::Refused, Refusal::Unsuitable),
+    };
+    assert_eq!(expected, (end.fate(), end.refusal()));
+    let observed = platform.observed.lock().expect("the lock is not poisoned");
+    assert_eq!(begins, observed.starts.contains_key(task));
+}
+
 /// Guards against a task that runs for two entries at once: its job waited in the socket of
 /// a frozen entry until its caller gave it up and sent it to another one.
 #[test_case(false; "the end of the connection is lost")]
--- a/crates/core/tests/support/worker/mod.rs
+++ b/crates/core/tests/support/worker/mod.rs
@@ -154,6 +154,15 @@
         self.server.listener().disconnect();
     }
 
+    /// Ends the worker's process and starts one of this kind and with another id at its address.
+    pub(crate) fn replace_by(&self, kind: &str) {
+        let mut state = self.state.lock().expect("the lock is not poisoned");
+        state.restart();
+        state.id.push_str("-next");
+        kind.clone_into(&mut state.labels[0]);
+        self.server.listener().disconnect();
+    }
+
     /// Sets whether the worker sends no heartbeats.
     pub(crate) fn set_silent(&self, silent: bool) {
         self.state.lock().expect("the lock is not poisoned").silent = silent;
--- a/crates/gentian/tests/crashing/cluster/mod.rs
+++ b/crates/gentian/tests/crashing/cluster/mod.rs
@@ -8,7 +8,8 @@
 
 use gentian::claim::crash::{Crash, History, StartRates, Verdict};
 use gentian::claim::run::{
-    Fate, Isolation, ListedEnd, ListedRun, Owner, Run, Runs, Start, StartAnswer, MAX_LEASE,
+    Fate, Isolation, ListedEnd, ListedRun, Owner, Requirement, Run, Runs, Start, StartAnswer,
+    MAX_LEASE,
 };
 use gentian::route::bulkhead::{Bulkhead, Pool};
 use gentian::route::placement::{PlacementRequest, Placer, UpstreamReport};
@@ -283,6 +284,7 @@
             job: job_name,
             queue: queue.clone(),
             isolation,
+            requirement: Requirement::default(),
         };
         let there = &mut self.upstreams[upstream];
         there
