Send no admitted start to an upstream that has begun to drain

It sends four starts at a time, and looked at the lease, a stop, a replacement and the configuration when a start's turn came, but not at whether the upstream was still open.

Change: it looks. The start is refused, and its task starts elsewhere.

--- a/crates/claim/src/run/admission.rs
+++ b/crates/claim/src/run/admission.rs
@@ -85,13 +85,13 @@
     }
 
     /// Checks whether an admitted run may still be started. It may have waited, while its
-    /// owner lost contact and started the task elsewhere.
+    /// owner lost contact and started the task elsewhere, or the upstream began to drain.
     pub fn check_start(&self, run: &Run, now: Duration) -> Result<(), Refusal> {
         if self.denied {
             return Err(Refusal::Denied);
         }
         let replaced = |live: &LiveRun| live.phase_after_replacement.is_some();
-        if self.live.get(run).is_some_and(replaced) {
+        if !self.is_open() || self.live.get(run).is_some_and(replaced) {
             return Err(Refusal::Closed);
         }
         let wanted = |live: &&LiveRun| !live.stop_requested && self.lease_of(&live.owner) > now;
--- a/crates/claim/tests/run/requirement.rs
+++ b/crates/claim/tests/run/requirement.rs
@@ -79,6 +79,18 @@
     assert_eq!(refused, runs.check_start(&run("t", 1), ms(3)));
 }
 
+/// Guards against runs that were admitted, waited for a connection, and began long after their
+/// upstream had said that it drains.
+#[test]
+fn an_admitted_run_does_not_start_once_its_upstream_drains() {
+    let mut runs = upstream();
+    let start = requiring("", "");
+    assert_eq!(Ok(()), runs.admit(&owner("e"), &run("t", 1), start, ms(1)));
+    runs.set_upstream(CAPACITY, false);
+    let refused = Err(Refusal::Closed);
+    assert_eq!(refused, runs.check_start(&run("t", 1), ms(2)));
+}
+
 #[test]
 fn an_admitted_run_does_not_start_at_a_process_that_replaced_its_upstream() {
     let mut runs = upstream();
