--- a/crates/core/src/agent/lease/connection.rs
+++ b/crates/core/src/agent/lease/connection.rs
@@ -78,7 +78,8 @@
 }
 
 impl Supervisor {
-    /// Returns a connection to the upstream's present process, which is not used otherwise.
+    /// Returns a connection to the upstream's present process, which the caller alone uses until
+    /// it hands the connection back with [`release`](Self::release), or drops it after an error.
     pub(super) async fn connect(&self) -> Result<Connection> {
         let recipient = self.state().recipient().ok_or(Error::Replaced)?;
         let idle = self.state().take_idle();
--- a/crates/core/src/agent/lease/mod.rs
+++ b/crates/core/src/agent/lease/mod.rs
@@ -12,6 +12,7 @@
 mod http;
 mod order;
 mod permission;
+mod polls;
 mod reports;
 mod stream;
 mod supervisor;
@@ -71,7 +72,7 @@
         local,
     ));
     let http = http.serve(local, drain.clone());
-    let polling = tokio::spawn(calls::poll_upstream(supervisor.clone()));
+    let polling = tokio::spawn(polls::poll_upstream(supervisor.clone()));
     let reporting = tokio::spawn(reports::report_room(supervisor.clone()));
     let offering = tokio::spawn(reports::repeat_offers(supervisor.clone()));
     let draining = drain_runs(stop, supervisor, drained);
--- a/crates/core/src/agent/lease/order.rs
+++ b/crates/core/src/agent/lease/order.rs
@@ -17,7 +17,7 @@
 pub(super) struct Recipient {
     pub(super) id: String,
     pub(super) address: SocketAddr,
-    /// Number of processes that had taken the upstream's place by then.
+    /// Number of processes that had taken the upstream's place when this one was looked up.
     pub(super) replacements: u64,
 }
 
