--- a/crates/core/src/agent/lease/entry_orders.rs
+++ b/crates/core/src/agent/lease/entry_orders.rs
@@ -122,7 +122,11 @@
 
 /// Decodes what the starts of a batch have in common.
 fn read_start(batch: Batch) -> Result<Start, Refusal> {
-    let service = batch.service.parse().map_err(|error| {
+    // An entry that names no service, or no label, requires none.
+    let label = Some(batch.required_label.clone()).filter(|label| !label.is_empty());
+    let service = Some(&batch.service).filter(|service| !service.is_empty());
+    let service = service.map(|service| service.parse()).transpose();
+    let service = service.map_err(|error| {
         log::warn!("starts of job {} refused: service: {error}", batch.job);
         Refusal::Invalid
     })?;
@@ -133,10 +137,7 @@
         isolation,
         job: batch.job.into(),
         queue: batch.queue.into(),
-        requirement: Requirement {
-            service: Some(service),
-            label: Some(batch.required_label).filter(|label| !label.is_empty()),
-        },
+        requirement: Requirement { service, label },
     })
 }
 
